Serve one job and one request end to end as separate processes

Cause: there was no system yet. Three entry and control hosts, four agents beside four stand-in upstreams, carawayctl apply, one job of 12 tasks and one single request go through real processes on loopback.

Not proved yet: everything under failure.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+GO ?= go
+BIN := bin
+PROGRAMS := carawayd carawayctl standin
+
+.PHONY: all build demo test lint format-check
+
+all: build
+
+build:
+	@mkdir -p $(BIN)
+	@$(GO) build -o $(BIN)/ ./cmd/...
+
+demo: build
+	@$(GO) run ./internal/demo -bin $(BIN)
+
+test: build
+	$(GO) test ./...
+
+format-check:
+	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+lint:
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
--- /dev/null
+++ b/cmd/carawayd/main.go
@@ -0,0 +1,57 @@
+// Carawayd is the daemon: its settings say which roles it plays.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+
+	"github.com/carawaylanding/carawaylanding/node"
+	"github.com/carawaylanding/carawaylanding/settings"
+	"github.com/carawaylanding/carawaylanding/version"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	set, err := settings.Parse(args, os.Stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if set.Version {
+		fmt.Println("carawayd", version.Version)
+		return 0
+	}
+	if set.Check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	handler := slog.NewTextHandler(os.Stderr, nil).WithAttrs([]slog.Attr{slog.String("host", string(set.ID))})
+	log := logr.FromSlogHandler(handler)
+	if err := node.Run(ctx, set, log); err != nil {
+		log.Error(err, "stopped by an error")
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/contract/errors.go
@@ -0,0 +1,101 @@
+package contract
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Kind classifies errors for callers and operators; its text is part of the
+// interface.
+type Kind struct {
+	// Name is the kind's name in error bodies.
+	Name string
+	// Status is the HTTP status that the kind maps to.
+	Status int
+	// Outcome is what the kind says about the work.
+	Outcome Outcome
+	// Remedy says what the receiver can do where the message doesn't.
+	Remedy string
+}
+
+// The kinds of error that cross the system.
+var (
+	ErrBadRequest    = Kind{"bad-request", http.StatusBadRequest, OutcomeNotRun, "correct the request and send it again"}
+	ErrTooLarge      = Kind{"too-large", http.StatusRequestEntityTooLarge, OutcomeNotRun, "send a smaller body"}
+	ErrNoRoute       = Kind{"no-route", http.StatusNotFound, OutcomeNotRun, "ask the operator for a route, or correct the host, path or method"}
+	ErrNoJob         = Kind{"no-job", http.StatusNotFound, OutcomeUnknown, "ask the entry that accepted the job, or read its outcome from the ledger"}
+	ErrNeverFits     = Kind{"never-fits", http.StatusUnprocessableEntity, OutcomeNotRun, "lower the demands of the task"}
+	ErrKeyReused     = Kind{"key-reused", http.StatusUnprocessableEntity, OutcomeNotRun, "use a new Idempotency-Key for another body"}
+	ErrOverQuota     = Kind{"over-quota", http.StatusTooManyRequests, OutcomeNotRun, "come back after Retry-After, or ask the operator for a larger quota"}
+	ErrOverload      = Kind{"overload", http.StatusServiceUnavailable, OutcomeNotRun, "come back after Retry-After"}
+	ErrNoUpstream    = Kind{"no-upstream", http.StatusServiceUnavailable, OutcomeNotRun, "come back after Retry-After; the operator checks that upstreams of the pool announce themselves"}
+	ErrDraining      = Kind{"draining", http.StatusServiceUnavailable, OutcomeNotRun, "send the request again; the balancer picks another entry"}
+	ErrNoQuorum      = Kind{"no-quorum", http.StatusServiceUnavailable, OutcomeNotRun, "come back after Retry-After; the operator checks carawayctl members"}
+	ErrDeadline      = Kind{"deadline", http.StatusGatewayTimeout, OutcomeUnknown, "read the outcome before sending the work again"}
+	ErrUpstreamLost  = Kind{"upstream-lost", http.StatusBadGateway, OutcomeUnknown, "read the outcome before sending the work again"}
+	ErrTaskFailed    = Kind{"task-failed", http.StatusBadGateway, OutcomeRan, "read the outcomes by task; correct the failed task"}
+	ErrCancelled     = Kind{"cancelled", http.StatusConflict, OutcomeUnknown, "read the outcomes by task"}
+	ErrInvalidTables = Kind{"invalid-tables", http.StatusUnprocessableEntity, OutcomeNotRun, "correct the edit"}
+	ErrConflict      = Kind{"version-conflict", http.StatusConflict, OutcomeNotRun, "read the version in force, and make the edit again from it"}
+	ErrInternal      = Kind{"internal", http.StatusInternalServerError, OutcomeUnknown, "report it with the log line of the same job"}
+)
+
+// Error is an error of one kind. It is carried in a merry error's chain.
+type Error struct {
+	Kind    Kind
+	Message string
+	// Outcome overrides Kind.Outcome where more is known.
+	Outcome Outcome
+	// RetryAfter is when coming back helps; zero means not stated.
+	RetryAfter time.Duration
+	// Tasks are the outcomes by task of a job that failed.
+	Tasks []TaskResult
+}
+
+// Error returns the kind, the message and the remedy.
+func (e *Error) Error() string {
+	return e.Kind.Name + ": " + e.Message + " (" + e.Kind.Remedy + ")"
+}
+
+// With returns an error of kind k with a formatted message, with the caller's
+// stack as merry records it.
+func (k Kind) With(format string, args ...any) error {
+	return k.wrap(&Error{Kind: k, Message: fmt.Sprintf(format, args...), Outcome: k.Outcome})
+}
+
+// Refuse returns an error of kind k whose receiver may come back after the
+// given time.
+func (k Kind) Refuse(after time.Duration, format string, args ...any) error {
+	return k.wrap(&Error{Kind: k, Message: fmt.Sprintf(format, args...), Outcome: k.Outcome, RetryAfter: after})
+}
+
+// WithTasks returns an error of kind k with the outcomes by task, whose
+// outcome is their combination.
+func (k Kind) WithTasks(tasks []TaskResult, format string, args ...any) error {
+	outcomes := make([]Outcome, len(tasks))
+	for i, t := range tasks {
+		outcomes[i] = t.Outcome
+	}
+	return k.wrap(&Error{Kind: k, Message: fmt.Sprintf(format, args...), Outcome: Combine(outcomes), Tasks: tasks})
+}
+
+func (k Kind) wrap(e *Error) error {
+	return merry.WrapSkipping(e, 2, merry.WithHTTPCode(k.Status))
+}
+
+// Is reports whether err is of kind k.
+func (k Kind) Is(err error) bool {
+	e, ok := AsError(err)
+	return ok && e.Kind.Name == k.Name
+}
+
+// AsError finds the typed error in err's chain.
+func AsError(err error) (*Error, bool) {
+	var e *Error
+	ok := errors.As(err, &e)
+	return e, ok
+}
--- /dev/null
+++ b/contract/message.go
@@ -0,0 +1,277 @@
+package contract
+
+import "time"
+
+// MessageKind numbers the messages between processes on the wire.
+type MessageKind uint8
+
+// The message kinds. A number is never used again for another message.
+const (
+	KindHello MessageKind = iota + 1
+	KindHeartbeat
+	KindAnnounce
+	KindStart
+	KindStartRefused
+	KindResult
+	KindResultAck
+	KindFence
+	KindTaskStates
+	KindCancel
+	KindDrain
+	KindTablesPull
+	KindTablesDelta
+	KindPrepare
+	KindPromise
+	KindAccept
+	KindAccepted
+	KindFault
+	KindTablesRead
+	KindEditRequest
+	KindEditReply
+)
+
+// Message is one message between processes.
+type Message interface {
+	MessageKind() MessageKind
+}
+
+// Role is a role of a process.
+type Role string
+
+// The roles.
+const (
+	RoleEntry   Role = "entry"
+	RoleControl Role = "control"
+	RoleAgent   Role = "agent"
+)
+
+// Hello opens a link in each direction.
+type Hello struct {
+	Host          HostID
+	Incarnation   Incarnation
+	FailureDomain string
+	Rack          string
+	Roles         []Role
+}
+
+// Heartbeat keeps an idle link known to be alive.
+type Heartbeat struct {
+	// Tables is the version in force at the sender.
+	Tables Version
+}
+
+// Announce is how an upstream joins: its agent sends it on each link.
+type Announce struct {
+	Pools    []string
+	Capacity Capacity
+	// HTTPAddr is where the agent takes single requests.
+	HTTPAddr string
+	Draining bool
+}
+
+// Start asks an agent to start a task, addressed to one incarnation.
+type Start struct {
+	Task    TaskID
+	To      Incarnation
+	Attempt uint32
+	Route   string
+	Pool    string
+	Method  string
+	Path    string
+	Payload []byte
+	Demand  Demand
+	// Lease is how long the task may run, from its start.
+	Lease time.Duration
+	// Tables is the version that the start was made under.
+	Tables Version
+}
+
+// StartRefused says that a start was refused: the task did not start, and is
+// fenced at this incarnation.
+type StartRefused struct {
+	Task   TaskID
+	Reason string
+}
+
+// Result is the end of a started task. The agent keeps it until ResultAck.
+type Result struct {
+	Task    TaskID
+	Attempt uint32
+	Outcome Outcome
+	Status  int
+	Body    []byte
+	Reason  string
+	// Elapsed is how long the upstream worked.
+	Elapsed time.Duration
+}
+
+// ResultAck says that the entry holds the results.
+type ResultAck struct {
+	Tasks []TaskID
+}
+
+// Fence asks that the tasks never start at the receiver unless they have
+// already; the receiver answers with TaskStates.
+type Fence struct {
+	Tasks []TaskID
+}
+
+// TaskState is an agent's knowledge of one task.
+type TaskState uint8
+
+// The states of a task at an agent.
+const (
+	// TaskFenced means that the task has not started and never will here.
+	TaskFenced TaskState = iota + 1
+	// TaskRunning means that the task started and has not ended.
+	TaskRunning
+	// TaskDone means that the task ended; its result follows.
+	TaskDone
+)
+
+// TaskReport pairs a task with its state.
+type TaskReport struct {
+	Task  TaskID
+	State TaskState
+}
+
+// TaskStates answers Fence.
+type TaskStates struct {
+	Reports []TaskReport
+}
+
+// Cancel drops the job's unstarted tasks and stops its started ones.
+type Cancel struct {
+	Job JobID
+}
+
+// Drain says that the sender takes no new work.
+type Drain struct{}
+
+// TablesPull asks for the rows changed after version Have.
+type TablesPull struct {
+	Have Version
+}
+
+// TablesDelta holds the rows changed after version From, and the names of all
+// rows, so that removed ones are known.
+type TablesDelta struct {
+	From       Version
+	Tables     Tables
+	RouteNames []string
+	PoolNames  []string
+}
+
+// Fault answers a call that failed.
+type Fault struct {
+	Kind    string
+	Message string
+}
+
+// Ballot orders the rounds of agreement.
+type Ballot struct {
+	Round uint64
+	Host  HostID
+}
+
+// Less reports whether b comes before o.
+func (b Ballot) Less(o Ballot) bool {
+	if b.Round != o.Round {
+		return b.Round < o.Round
+	}
+	return b.Host < o.Host
+}
+
+// Prepare asks an acceptor to promise ballot Ballot.
+type Prepare struct {
+	Ballot Ballot
+}
+
+// Promise answers Prepare. Where OK is false, Promised is the higher ballot.
+type Promise struct {
+	OK       bool
+	Promised Ballot
+	Accepted Ballot
+	Value    []byte
+}
+
+// Accept asks an acceptor to accept Value under Ballot.
+type Accept struct {
+	Ballot Ballot
+	Value  []byte
+}
+
+// Accepted answers Accept. Where OK is false, Promised is the higher ballot.
+type Accepted struct {
+	OK       bool
+	Promised Ballot
+}
+
+// TablesRead asks a control host for the tables as agreed by a quorum.
+type TablesRead struct{}
+
+// EditRequest asks a control host to agree on an edit.
+type EditRequest struct {
+	Edit Edit
+}
+
+// EditReply answers EditRequest: the version that the edit made.
+type EditReply struct {
+	Version Version
+}
+
+// MessageKind implements Message; likewise for each type below.
+func (*Hello) MessageKind() MessageKind        { return KindHello }
+func (*Heartbeat) MessageKind() MessageKind    { return KindHeartbeat }
+func (*Announce) MessageKind() MessageKind     { return KindAnnounce }
+func (*Start) MessageKind() MessageKind        { return KindStart }
+func (*StartRefused) MessageKind() MessageKind { return KindStartRefused }
+func (*Result) MessageKind() MessageKind       { return KindResult }
+func (*ResultAck) MessageKind() MessageKind    { return KindResultAck }
+func (*Fence) MessageKind() MessageKind        { return KindFence }
+func (*TaskStates) MessageKind() MessageKind   { return KindTaskStates }
+func (*Cancel) MessageKind() MessageKind       { return KindCancel }
+func (*Drain) MessageKind() MessageKind        { return KindDrain }
+func (*TablesPull) MessageKind() MessageKind   { return KindTablesPull }
+func (*TablesDelta) MessageKind() MessageKind  { return KindTablesDelta }
+func (*Prepare) MessageKind() MessageKind      { return KindPrepare }
+func (*Promise) MessageKind() MessageKind      { return KindPromise }
+func (*Accept) MessageKind() MessageKind       { return KindAccept }
+func (*Accepted) MessageKind() MessageKind     { return KindAccepted }
+func (*Fault) MessageKind() MessageKind        { return KindFault }
+func (*TablesRead) MessageKind() MessageKind   { return KindTablesRead }
+func (*EditRequest) MessageKind() MessageKind  { return KindEditRequest }
+func (*EditReply) MessageKind() MessageKind    { return KindEditReply }
+
+// NewMessage returns an empty message of the kind, or nil where the kind is
+// not known.
+func NewMessage(k MessageKind) Message {
+	if int(k) < len(messageMakers) && messageMakers[k] != nil {
+		return messageMakers[k]()
+	}
+	return nil
+}
+
+var messageMakers = [...]func() Message{
+	KindHello:        func() Message { return new(Hello) },
+	KindHeartbeat:    func() Message { return new(Heartbeat) },
+	KindAnnounce:     func() Message { return new(Announce) },
+	KindStart:        func() Message { return new(Start) },
+	KindStartRefused: func() Message { return new(StartRefused) },
+	KindResult:       func() Message { return new(Result) },
+	KindResultAck:    func() Message { return new(ResultAck) },
+	KindFence:        func() Message { return new(Fence) },
+	KindTaskStates:   func() Message { return new(TaskStates) },
+	KindCancel:       func() Message { return new(Cancel) },
+	KindDrain:        func() Message { return new(Drain) },
+	KindTablesPull:   func() Message { return new(TablesPull) },
+	KindTablesDelta:  func() Message { return new(TablesDelta) },
+	KindPrepare:      func() Message { return new(Prepare) },
+	KindPromise:      func() Message { return new(Promise) },
+	KindAccept:       func() Message { return new(Accept) },
+	KindAccepted:     func() Message { return new(Accepted) },
+	KindFault:        func() Message { return new(Fault) },
+	KindTablesRead:   func() Message { return new(TablesRead) },
+	KindEditRequest:  func() Message { return new(EditRequest) },
+	KindEditReply:    func() Message { return new(EditReply) },
+}
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"encoding/json"
+	"expvar"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/forward"
+)
+
+// Handler returns the callers' interface.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/jobs", e.serveSubmit)
+	mux.HandleFunc("GET /v1/jobs/{id}", e.serveStatus)
+	mux.HandleFunc("DELETE /v1/jobs/{id}", e.serveCancel)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", e.serveReady)
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("/", e.serveSingle)
+	return mux
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.Ready() {
+		http.Error(w, "not ready: no tables in force yet, or draining", http.StatusServiceUnavailable)
+		return
+	}
+	w.Write([]byte("ok\n"))
+}
+
+// errorBody is the body of an answer that is an error.
+type errorBody struct {
+	Kind    string                `json:"kind"`
+	Message string                `json:"message"`
+	Remedy  string                `json:"remedy"`
+	Outcome contract.Outcome      `json:"outcome"`
+	Tasks   []contract.TaskResult `json:"tasks,omitempty"`
+}
+
+// WriteError answers with a typed error.
+func WriteError(w http.ResponseWriter, err error) {
+	e, ok := contract.AsError(err)
+	if !ok {
+		e = &contract.Error{Kind: contract.ErrInternal, Message: err.Error()}
+	}
+	h := w.Header()
+	h.Set(forward.HeaderOutcome, e.Outcome.String())
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(retrySeconds(e.RetryAfter)))
+	}
+	writeJSON(w, e.Kind.Status, errorBody{Kind: e.Kind.Name, Message: e.Message, Remedy: e.Kind.Remedy, Outcome: e.Outcome, Tasks: e.Tasks})
+}
+
+// retrySeconds rounds up to whole seconds, as the Retry-After field takes.
+func retrySeconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/link/frame.go
@@ -0,0 +1,91 @@
+package link
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+)
+
+// MaxFrameBytes bounds one frame's body.
+const MaxFrameBytes = 24 << 20
+
+// headerBytes is the size of a frame's header: body length (4), kind (1),
+// flags (1), sequence number (8), all big-endian.
+const headerBytes = 14
+
+const flagReply = 1
+
+// Frame is one message on the wire. A zero Seq marks a message that expects
+// no reply.
+type Frame struct {
+	Seq     uint64
+	Reply   bool
+	Message contract.Message
+}
+
+// AppendFrame appends the encoded frame to buf.
+func AppendFrame(buf []byte, f Frame) ([]byte, error) {
+	start := len(buf)
+	var header [headerBytes]byte
+	b := bytes.NewBuffer(append(buf, header[:]...))
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(b)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(f.Message); err != nil {
+		return buf, fmt.Errorf("encode message kind %d: %w", f.Message.MessageKind(), err)
+	}
+	out := b.Bytes()
+	size := len(out) - start - headerBytes
+	if size > MaxFrameBytes {
+		return buf, fmt.Errorf("frame body has %d bytes: send at most %d", size, MaxFrameBytes)
+	}
+	h := out[start:]
+	binary.BigEndian.PutUint32(h, uint32(size))
+	h[4] = byte(f.Message.MessageKind())
+	if f.Reply {
+		h[5] = flagReply
+	}
+	binary.BigEndian.PutUint64(h[6:], f.Seq)
+	return out, nil
+}
+
+// ReadFrame reads and decodes one frame. It never allocates more than
+// MaxFrameBytes for the body, whatever the header says.
+func ReadFrame(r io.Reader) (Frame, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return Frame{}, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > MaxFrameBytes {
+		return Frame{}, fmt.Errorf("frame body has %d bytes: at most %d are taken", size, MaxFrameBytes)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return Frame{}, err
+	}
+	m, err := DecodeMessage(contract.MessageKind(header[4]), body)
+	if err != nil {
+		return Frame{}, err
+	}
+	return Frame{Seq: binary.BigEndian.Uint64(header[6:]), Reply: header[5]&flagReply != 0, Message: m}, nil
+}
+
+// DecodeMessage decodes the body of a message of the given kind.
+func DecodeMessage(k contract.MessageKind, body []byte) (contract.Message, error) {
+	m := contract.NewMessage(k)
+	if m == nil {
+		return nil, fmt.Errorf("message kind %d is not known: run the same version on both ends", k)
+	}
+	if err := msgpack.Unmarshal(body, m); err != nil {
+		return nil, fmt.Errorf("decode message kind %d: %w", k, err)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/entry"
+	"github.com/carawaylanding/carawaylanding/host"
+)
+
+// EditAnswer is the body of an accepted edit's answer.
+type EditAnswer struct {
+	Version contract.Version `json:"version"`
+}
+
+// StatusAnswer is the body of GET /admin/status.
+type StatusAnswer struct {
+	Host    contract.HostID  `json:"host"`
+	Roles   []contract.Role  `json:"roles"`
+	Version contract.Version `json:"version"`
+	Ready   bool             `json:"ready"`
+}
+
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /admin/status", n.serveStatus)
+	mux.HandleFunc("GET /admin/tables", n.serveTables)
+	mux.HandleFunc("POST /admin/edits", n.serveEdit)
+	mux.HandleFunc("GET /admin/upstreams", n.serveUpstreams)
+	return mux
+}
+
+func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	answer(w, StatusAnswer{
+		Host:    n.set.ID,
+		Roles:   n.set.Roles,
+		Version: n.tables.Version(),
+		Ready:   n.entry == nil || n.entry.Ready(),
+	})
+}
+
+func (n *Node) serveTables(w http.ResponseWriter, _ *http.Request) {
+	answer(w, n.tables.View().Tables)
+}
+
+// maxEditBytes bounds the body of an edit.
+const maxEditBytes = 8 << 20
+
+func (n *Node) serveEdit(w http.ResponseWriter, r *http.Request) {
+	var e contract.Edit
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEditBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&e); err != nil {
+		entry.WriteError(w, contract.ErrBadRequest.With("the body is not an edit: %v", err))
+		return
+	}
+	v, err := n.edit(r.Context(), e)
+	if err != nil {
+		entry.WriteError(w, err)
+		return
+	}
+	answer(w, EditAnswer{Version: v})
+}
+
+func (n *Node) serveUpstreams(w http.ResponseWriter, _ *http.Request) {
+	workers := []host.Worker{}
+	if n.entry != nil {
+		workers = n.entry.Workers()
+	}
+	answer(w, workers)
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,205 @@
+// Package node wires the roles of one process to its sockets, its disk and its
+// peers.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/carawaylanding/carawaylanding/agent"
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/control"
+	"github.com/carawaylanding/carawaylanding/dispatch"
+	"github.com/carawaylanding/carawaylanding/entry"
+	"github.com/carawaylanding/carawaylanding/failuredomain"
+	"github.com/carawaylanding/carawaylanding/host"
+	"github.com/carawaylanding/carawaylanding/link"
+	"github.com/carawaylanding/carawaylanding/settings"
+	"github.com/carawaylanding/carawaylanding/tables"
+)
+
+// Node is one process.
+type Node struct {
+	set      settings.Settings
+	identity host.Identity
+	log      logr.Logger
+
+	tables  *tables.Holder
+	peers   map[contract.HostID]*link.Dialer
+	entry   *entry.Entry
+	control *control.Control
+	store   *control.Store
+}
+
+// Run runs the process until ctx is done, then drains it.
+func Run(ctx context.Context, set settings.Settings, log logr.Logger) error {
+	id := host.Identity{
+		Ref: host.Ref{Host: set.ID, Incarnation: contract.NewIncarnation()},
+		Place: failuredomain.Place{
+			Region: failuredomain.Region(set.Region),
+			Domain: failuredomain.Name(set.FailureDomain),
+			Rack:   failuredomain.Rack(set.Rack),
+		},
+		Roles: set.Roles,
+	}
+	if set.Has(contract.RoleAgent) {
+		return runAgent(ctx, set, id, log)
+	}
+	n := &Node{set: set, identity: id, log: log, tables: tables.NewHolder(), peers: make(map[contract.HostID]*link.Dialer)}
+	return n.run(ctx)
+}
+
+func runAgent(ctx context.Context, set settings.Settings, id host.Identity, log logr.Logger) error {
+	ln, err := net.Listen("tcp", set.HTTPAddr)
+	if err != nil {
+		return err
+	}
+	a := agent.New(agent.Config{
+		Identity:     id,
+		Pools:        set.Pools,
+		Capacity:     set.Capacity,
+		Upstream:     set.Upstream,
+		Entries:      set.Entries,
+		HTTPListener: ln,
+		Link:         link.Config{Idle: set.Heartbeat, Silence: set.Silence},
+		Log:          log,
+	})
+	log.Info("agent started", "upstream", set.Upstream, "http", ln.Addr())
+	return a.Run(ctx)
+}
+
+func (n *Node) linkConfig() link.Config {
+	return link.Config{
+		Idle:      n.set.Heartbeat,
+		Silence:   n.set.Silence,
+		Heartbeat: func() *contract.Heartbeat { return &contract.Heartbeat{Tables: n.tables.Version()} },
+	}
+}
+
+func (n *Node) run(ctx context.Context) error {
+	for _, p := range n.set.Peers {
+		n.peers[p.Host] = &link.Dialer{Addr: p.Addr, Local: n.identity.Hello(), Config: n.linkConfig(), Handler: n}
+	}
+	if err := n.openControl(); err != nil {
+		return err
+	}
+	if n.store != nil {
+		defer n.store.Close()
+	}
+	if n.set.Has(contract.RoleEntry) {
+		n.entry = entry.New(entry.Config{
+			Identity: n.identity,
+			Tables:   n.tables,
+			NewScheduler: func(p contract.Pool) dispatch.Scheduler {
+				return dispatch.NewPool(dispatch.Config{MaxQueue: p.MaxQueue})
+			},
+			Log: n.log,
+		})
+	}
+	n.tables.Watch(n.tablesChanged)
+	return n.serve(ctx)
+}
+
+func (n *Node) openControl() error {
+	if !n.set.Has(contract.RoleControl) {
+		return nil
+	}
+	store, err := control.OpenStore(n.set.DataDir)
+	if err != nil {
+		return err
+	}
+	peers := make(map[contract.HostID]control.Peer, len(n.peers))
+	for id, d := range n.peers {
+		peers[id] = d
+	}
+	n.store = store
+	n.control, err = control.New(control.Config{
+		Self:    n.set.ID,
+		Members: n.set.Control,
+		Peers:   peers,
+		Store:   store,
+		Learned: func(t contract.Tables) { n.tables.Offer(t) },
+		Log:     n.log,
+	})
+	return err
+}
+
+// serve opens the listeners and runs until ctx is done. Shutdown goes in
+// order: readiness ends, the balancer's delay passes, work in progress ends,
+// listeners close, links close.
+func (n *Node) serve(ctx context.Context) error {
+	linkLn, err := net.Listen("tcp", n.set.LinkAddr)
+	if err != nil {
+		return err
+	}
+	adminLn, err := net.Listen("tcp", n.set.AdminAddr)
+	if err != nil {
+		return err
+	}
+	linkCtx, closeLinks := context.WithCancel(context.WithoutCancel(ctx))
+	defer closeLinks()
+	var g errgroup.Group
+	srv := &link.Server{Local: n.identity.Hello(), Config: n.linkConfig(), Handler: n}
+	g.Go(func() error { return srv.Serve(linkCtx, linkLn) })
+	for _, d := range n.peers {
+		g.Go(func() error { return d.Run(linkCtx) })
+	}
+	admin := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	g.Go(func() error { return ignoreClosed(admin.Serve(adminLn)) })
+	callers, err := n.serveCallers(&g)
+	if err != nil {
+		return err
+	}
+	g.Go(func() error { n.catchUp(linkCtx); return nil })
+	n.log.Info("started", "link", linkLn.Addr(), "admin", adminLn.Addr(), "roles", n.set.Roles)
+	g.Go(func() error {
+		<-ctx.Done()
+		n.shutdown(callers, admin)
+		closeLinks()
+		return nil
+	})
+	return g.Wait()
+}
+
+// readHeaderTimeout bounds how slowly a request's header may arrive.
+const readHeaderTimeout = 10 * time.Second
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (n *Node) serveCallers(g *errgroup.Group) (*http.Server, error) {
+	if n.entry == nil {
+		return nil, nil
+	}
+	ln, err := net.Listen("tcp", n.set.HTTPAddr)
+	if err != nil {
+		return nil, err
+	}
+	srv := &http.Server{Handler: n.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	g.Go(func() error { return ignoreClosed(srv.Serve(ln)) })
+	return srv, nil
+}
+
+func (n *Node) shutdown(callers, admin *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), n.set.DrainLimit)
+	defer cancel()
+	n.log.Info("draining", "delay", n.set.DrainDelay)
+	if n.entry != nil {
+		n.entry.EndReadiness()
+		time.Sleep(n.set.DrainDelay)
+		n.entry.Drain(ctx)
+		callers.Shutdown(ctx)
+	}
+	admin.Shutdown(ctx)
+	n.log.Info("stopped")
+}
