--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,7 @@
 GO ?= go
 BIN := bin
-PROGRAMS := carawayd carawayctl standin
 
-.PHONY: all build demo test lint format-check
+.PHONY: all build demo test lint format-check model bench soak capacity shares
 
 all: build
 
@@ -22,3 +21,6 @@
 lint:
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+
+model:
+	@spec/check
--- a/cmd/carawayctl/client.go
+++ b/cmd/carawayctl/client.go
@@ -16,8 +16,9 @@
 
 // client talks to one host's operators' interface.
 type client struct {
-	admin string
-	out   io.Writer
+	admin  string
+	format string
+	out    io.Writer
 }
 
 // requestLimit bounds one request.
--- a/cmd/carawayctl/main.go
+++ b/cmd/carawayctl/main.go
@@ -31,12 +31,17 @@
 	c := &client{out: os.Stdout}
 	fs := flag.NewFlagSet("carawayctl", flag.ContinueOnError)
 	fs.StringVar(&c.admin, "admin", "127.0.0.1:9090", "IP:port of a host's operators' interface")
+	fs.StringVar(&c.format, "o", "table", "output: table or json")
 	root := &ffcli.Command{
-		ShortUsage:  "carawayctl [-admin IP:port] COMMAND",
-		FlagSet:     fs,
-		Options:     []ff.Option{ff.WithEnvVarPrefix("CARAWAYCTL")},
-		Subcommands: []*ffcli.Command{applyCommand(c), versionCommand(c)},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		ShortUsage: "carawayctl [-admin IP:port] COMMAND",
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix("CARAWAYCTL")},
+		Subcommands: []*ffcli.Command{
+			applyCommand(c),
+			upstreamsCommand(c),
+			versionCommand(c),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(context.Background(), args)
 	switch {
--- a/contract/job.go
+++ b/contract/job.go
@@ -127,7 +127,11 @@
 	Status  int     `json:"status,omitempty"`
 	Worker  HostID  `json:"worker,omitempty"`
 	Body    []byte  `json:"-"`
-	Reason  string  `json:"reason,omitempty"`
+	// Elapsed is how long the upstream worked.
+	Elapsed time.Duration `json:"-"`
+	// Attempt counts the starts that may have left for a worker.
+	Attempt uint32 `json:"attempt,omitempty"`
+	Reason  string `json:"reason,omitempty"`
 }
 
 // JobState is the state of a job as a caller sees it.
--- a/contract/message.go
+++ b/contract/message.go
@@ -5,29 +5,32 @@
 // MessageKind numbers the messages between processes on the wire.
 type MessageKind uint8
 
-// The message kinds. A number is never used again for another message.
+// The message kinds between any two processes, entries and agents, and for the
+// tables. A number is never used again for another message.
 const (
-	KindHello MessageKind = iota + 1
-	KindHeartbeat
-	KindAnnounce
-	KindStart
-	KindStartRefused
-	KindResult
-	KindResultAck
-	KindFence
-	KindTaskStates
-	KindCancel
-	KindDrain
-	KindTablesPull
-	KindTablesDelta
-	KindPrepare
-	KindPromise
-	KindAccept
-	KindAccepted
-	KindFault
-	KindTablesRead
-	KindEditRequest
-	KindEditReply
+	KindHello     MessageKind = 1
+	KindHeartbeat MessageKind = 2
+	KindFault     MessageKind = 3
+
+	KindAnnounce     MessageKind = 10
+	KindStart        MessageKind = 11
+	KindStartRefused MessageKind = 12
+	KindResult       MessageKind = 13
+	KindResultAck    MessageKind = 14
+	KindFence        MessageKind = 15
+	KindTaskStates   MessageKind = 16
+	KindCancel       MessageKind = 17
+	KindDrain        MessageKind = 18
+
+	KindTablesPull  MessageKind = 30
+	KindTablesDelta MessageKind = 31
+	KindTablesRead  MessageKind = 32
+	KindEditRequest MessageKind = 33
+	KindEditReply   MessageKind = 34
+	KindPrepare     MessageKind = 35
+	KindPromise     MessageKind = 36
+	KindAccept      MessageKind = 37
+	KindAccepted    MessageKind = 38
 )
 
 // Message is one message between processes.
@@ -220,58 +223,117 @@
 	Version Version
 }
 
-// MessageKind implements Message; likewise for each type below.
-func (*Hello) MessageKind() MessageKind        { return KindHello }
-func (*Heartbeat) MessageKind() MessageKind    { return KindHeartbeat }
-func (*Announce) MessageKind() MessageKind     { return KindAnnounce }
-func (*Start) MessageKind() MessageKind        { return KindStart }
+// MessageKind implements Message.
+func (*Hello) MessageKind() MessageKind { return KindHello }
+
+// MessageKind implements Message.
+func (*Heartbeat) MessageKind() MessageKind { return KindHeartbeat }
+
+// MessageKind implements Message.
+func (*Announce) MessageKind() MessageKind { return KindAnnounce }
+
+// MessageKind implements Message.
+func (*Start) MessageKind() MessageKind { return KindStart }
+
+// MessageKind implements Message.
 func (*StartRefused) MessageKind() MessageKind { return KindStartRefused }
-func (*Result) MessageKind() MessageKind       { return KindResult }
-func (*ResultAck) MessageKind() MessageKind    { return KindResultAck }
-func (*Fence) MessageKind() MessageKind        { return KindFence }
-func (*TaskStates) MessageKind() MessageKind   { return KindTaskStates }
-func (*Cancel) MessageKind() MessageKind       { return KindCancel }
-func (*Drain) MessageKind() MessageKind        { return KindDrain }
-func (*TablesPull) MessageKind() MessageKind   { return KindTablesPull }
-func (*TablesDelta) MessageKind() MessageKind  { return KindTablesDelta }
-func (*Prepare) MessageKind() MessageKind      { return KindPrepare }
-func (*Promise) MessageKind() MessageKind      { return KindPromise }
-func (*Accept) MessageKind() MessageKind       { return KindAccept }
-func (*Accepted) MessageKind() MessageKind     { return KindAccepted }
-func (*Fault) MessageKind() MessageKind        { return KindFault }
-func (*TablesRead) MessageKind() MessageKind   { return KindTablesRead }
-func (*EditRequest) MessageKind() MessageKind  { return KindEditRequest }
-func (*EditReply) MessageKind() MessageKind    { return KindEditReply }
+
+// MessageKind implements Message.
+func (*Result) MessageKind() MessageKind { return KindResult }
+
+// MessageKind implements Message.
+func (*ResultAck) MessageKind() MessageKind { return KindResultAck }
+
+// MessageKind implements Message.
+func (*Fence) MessageKind() MessageKind { return KindFence }
+
+// MessageKind implements Message.
+func (*TaskStates) MessageKind() MessageKind { return KindTaskStates }
+
+// MessageKind implements Message.
+func (*Cancel) MessageKind() MessageKind { return KindCancel }
+
+// MessageKind implements Message.
+func (*Drain) MessageKind() MessageKind { return KindDrain }
+
+// MessageKind implements Message.
+func (*TablesPull) MessageKind() MessageKind { return KindTablesPull }
+
+// MessageKind implements Message.
+func (*TablesDelta) MessageKind() MessageKind { return KindTablesDelta }
+
+// MessageKind implements Message.
+func (*Prepare) MessageKind() MessageKind { return KindPrepare }
+
+// MessageKind implements Message.
+func (*Promise) MessageKind() MessageKind { return KindPromise }
+
+// MessageKind implements Message.
+func (*Accept) MessageKind() MessageKind { return KindAccept }
+
+// MessageKind implements Message.
+func (*Accepted) MessageKind() MessageKind { return KindAccepted }
+
+// MessageKind implements Message.
+func (*Fault) MessageKind() MessageKind { return KindFault }
+
+// MessageKind implements Message.
+func (*TablesRead) MessageKind() MessageKind { return KindTablesRead }
+
+// MessageKind implements Message.
+func (*EditRequest) MessageKind() MessageKind { return KindEditRequest }
+
+// MessageKind implements Message.
+func (*EditReply) MessageKind() MessageKind { return KindEditReply }
+
+// messageKinds is the number of message kinds that one byte can tell apart.
+const messageKinds = 256
+
+var messageMakers [messageKinds]func() Message
+
+// register makes NewMessage know the messages' kinds. It panics when a kind is
+// taken twice.
+func register(makers ...func() Message) {
+	for _, make := range makers {
+		k := make().MessageKind()
+		if messageMakers[k] != nil {
+			panic("contract: a message kind is taken twice")
+		}
+		messageMakers[k] = make
+	}
+}
 
 // NewMessage returns an empty message of the kind, or nil where the kind is
 // not known.
 func NewMessage(k MessageKind) Message {
-	if int(k) < len(messageMakers) && messageMakers[k] != nil {
-		return messageMakers[k]()
+	if f := messageMakers[k]; f != nil {
+		return f()
 	}
 	return nil
 }
 
-var messageMakers = [...]func() Message{
-	KindHello:        func() Message { return new(Hello) },
-	KindHeartbeat:    func() Message { return new(Heartbeat) },
-	KindAnnounce:     func() Message { return new(Announce) },
-	KindStart:        func() Message { return new(Start) },
-	KindStartRefused: func() Message { return new(StartRefused) },
-	KindResult:       func() Message { return new(Result) },
-	KindResultAck:    func() Message { return new(ResultAck) },
-	KindFence:        func() Message { return new(Fence) },
-	KindTaskStates:   func() Message { return new(TaskStates) },
-	KindCancel:       func() Message { return new(Cancel) },
-	KindDrain:        func() Message { return new(Drain) },
-	KindTablesPull:   func() Message { return new(TablesPull) },
-	KindTablesDelta:  func() Message { return new(TablesDelta) },
-	KindPrepare:      func() Message { return new(Prepare) },
-	KindPromise:      func() Message { return new(Promise) },
-	KindAccept:       func() Message { return new(Accept) },
-	KindAccepted:     func() Message { return new(Accepted) },
-	KindFault:        func() Message { return new(Fault) },
-	KindTablesRead:   func() Message { return new(TablesRead) },
-	KindEditRequest:  func() Message { return new(EditRequest) },
-	KindEditReply:    func() Message { return new(EditReply) },
+func init() {
+	register(
+		func() Message { return new(Hello) },
+		func() Message { return new(Heartbeat) },
+		func() Message { return new(Announce) },
+		func() Message { return new(Start) },
+		func() Message { return new(StartRefused) },
+		func() Message { return new(Result) },
+		func() Message { return new(ResultAck) },
+		func() Message { return new(Fence) },
+		func() Message { return new(TaskStates) },
+		func() Message { return new(Cancel) },
+		func() Message { return new(Drain) },
+		func() Message { return new(TablesPull) },
+		func() Message { return new(TablesDelta) },
+		func() Message { return new(Prepare) },
+		func() Message { return new(Promise) },
+		func() Message { return new(Accept) },
+		func() Message { return new(Accepted) },
+		func() Message { return new(Fault) },
+		func() Message { return new(TablesRead) },
+		func() Message { return new(EditRequest) },
+		func() Message { return new(EditReply) },
+	)
 }
--- a/control/store.go
+++ b/control/store.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 
 	"github.com/carawaylanding/carawaylanding/quorum"
 )
@@ -30,7 +31,7 @@
 func OpenStore(dir string) (*Store, error) {
 	path := filepath.Join(dir, "control.db")
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openTimeout})
-	if errors.Is(err, bbolt.ErrTimeout) {
+	if errors.Is(err, berrors.ErrTimeout) {
 		return nil, fmt.Errorf("%s is in use: stop the other carawayd with this data folder", path)
 	}
 	if err != nil {
--- a/entry/http.go
+++ b/entry/http.go
@@ -10,6 +10,7 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/forward"
+	"github.com/carawaylanding/carawaylanding/metrics"
 )
 
 // Handler returns the callers' interface.
@@ -48,6 +49,7 @@
 	if !ok {
 		e = &contract.Error{Kind: contract.ErrInternal, Message: err.Error()}
 	}
+	metrics.Refusals.Add(e.Kind.Name, 1)
 	h := w.Header()
 	h.Set(forward.HeaderOutcome, e.Outcome.String())
 	if e.RetryAfter > 0 {
@@ -56,6 +58,22 @@
 	writeJSON(w, e.Kind.Status, errorBody{Kind: e.Kind.Name, Message: e.Message, Remedy: e.Kind.Remedy, Outcome: e.Outcome, Tasks: e.Tasks})
 }
 
+// observe samples one answer.
+func (e *Entry) observe(route, team string, began time.Time, work time.Duration, err error) {
+	if err == nil {
+		metrics.AnswersWhole.Add(1)
+	}
+	if e.cfg.Observer == nil {
+		return
+	}
+	s := contract.AnswerSample{Route: route, Team: team, Total: time.Since(began), Work: work, Outcome: contract.OutcomeRan}
+	if typed, ok := contract.AsError(err); ok {
+		s.Outcome = typed.Outcome
+		s.Kind = typed.Kind.Name
+	}
+	e.cfg.Observer.Answered(s)
+}
+
 // retrySeconds rounds up to whole seconds, as the Retry-After field takes.
 func retrySeconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -28,6 +28,7 @@
 }
 
 func (e *Entry) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
 	spec, err := readSpec(w, r)
 	if err != nil {
 		WriteError(w, err)
@@ -46,6 +47,7 @@
 	e.await(r, run)
 	w.Header().Set(forward.HeaderJobID, string(run.job.ID()))
 	results, err := run.outcome()
+	e.observe(run.route.Name, spec.Team, began, longest(results), err)
 	if err != nil {
 		WriteError(w, err)
 		return
@@ -54,6 +56,15 @@
 	writeJSON(w, http.StatusOK, newJobAnswer(run.job.ID(), results))
 }
 
+// longest returns the longest work among the tasks: what the answer requires.
+func longest(results []contract.TaskResult) time.Duration {
+	var d time.Duration
+	for _, r := range results {
+		d = max(d, r.Elapsed)
+	}
+	return d
+}
+
 func readSpec(w http.ResponseWriter, r *http.Request) (contract.JobSpec, error) {
 	var spec contract.JobSpec
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, contract.MaxJobBytes))
--- a/entry/links.go
+++ b/entry/links.go
@@ -8,6 +8,7 @@
 	"github.com/carawaylanding/carawaylanding/dispatch"
 	"github.com/carawaylanding/carawaylanding/host"
 	"github.com/carawaylanding/carawaylanding/link"
+	"github.com/carawaylanding/carawaylanding/metrics"
 )
 
 // silentGrace is how long a silent worker may come back under the same
@@ -68,6 +69,7 @@
 	case *contract.Result:
 		e.resulted(l, ref, m)
 	case *contract.StartRefused:
+		metrics.StartsRefused.Add(1)
 		e.unsent(ref, m.Task)
 	case *contract.TaskStates:
 		e.states(ref, m)
--- /dev/null
+++ b/entry/pools.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/dispatch"
+	"github.com/carawaylanding/carawaylanding/host"
+	"github.com/carawaylanding/carawaylanding/tables"
+)
+
+// pool is one pool's scheduler under its lock.
+type pool struct {
+	name string
+
+	mu    sync.Mutex // guards sched
+	sched dispatch.Scheduler
+}
+
+func (p *pool) step(ev dispatch.Event) []dispatch.Action {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sched.Step(time.Now(), ev)
+}
+
+// poolsChanged makes a scheduler for each pool that has none. The scheduler of
+// a removed pool stays for the work that it still holds.
+func (e *Entry) poolsChanged(v *tables.View) {
+	var fresh []*pool
+	e.poolsMu.Lock()
+	for _, row := range v.Pools {
+		if _, ok := e.pools[row.Name]; !ok {
+			p := &pool{name: row.Name, sched: e.cfg.NewScheduler(row)}
+			e.pools[row.Name] = p
+			fresh = append(fresh, p)
+		}
+	}
+	e.poolsMu.Unlock()
+	for _, w := range e.Workers() {
+		for _, p := range fresh {
+			e.offerWorker(p, w)
+		}
+	}
+}
+
+func (e *Entry) pool(name string) *pool {
+	e.poolsMu.RLock()
+	defer e.poolsMu.RUnlock()
+	return e.pools[name]
+}
+
+func (e *Entry) poolsOf(w host.Worker) []*pool {
+	e.poolsMu.RLock()
+	defer e.poolsMu.RUnlock()
+	var out []*pool
+	for _, name := range w.Pools {
+		if p, ok := e.pools[name]; ok {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (e *Entry) offerWorker(p *pool, w host.Worker) {
+	for _, name := range w.Pools {
+		if name == p.name {
+			e.step(p, dispatch.WorkerUp{Worker: w})
+		}
+	}
+}
+
+// step feeds the pool's scheduler and carries out its actions, with the
+// events that those lead to.
+func (e *Entry) step(p *pool, ev dispatch.Event) {
+	events := []dispatch.Event{ev}
+	for len(events) > 0 {
+		next := events[0]
+		events = events[1:]
+		for _, a := range p.step(next) {
+			events = append(events, e.perform(a)...)
+		}
+	}
+}
+
+func (e *Entry) perform(a dispatch.Action) []dispatch.Event {
+	switch a := a.(type) {
+	case dispatch.Place:
+		return e.place(a)
+	case dispatch.Refuse:
+		if act := e.jobs.get(a.Job); act != nil {
+			act.refuse(a.Err)
+		}
+	}
+	return nil
+}
+
+func (e *Entry) place(a dispatch.Place) []dispatch.Event {
+	act := e.jobs.get(a.Task.Job)
+	if act == nil {
+		return []dispatch.Event{dispatch.Finished{Task: a.Task, Worker: a.Worker}}
+	}
+	w, ok := e.worker(a.Worker)
+	if !ok || w.link == nil {
+		return []dispatch.Event{dispatch.Requeue(a)}
+	}
+	return act.place(a.Task, w)
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -8,6 +8,7 @@
 	"github.com/carawaylanding/carawaylanding/dispatch"
 	"github.com/carawaylanding/carawaylanding/host"
 	"github.com/carawaylanding/carawaylanding/job"
+	"github.com/carawaylanding/carawaylanding/metrics"
 )
 
 // jobRun is a job in progress at this entry.
@@ -35,6 +36,7 @@
 	if err := w.link.Send(r.start(id, w.Ref, attempt)); err != nil {
 		return r.unsent(id, w.Ref)
 	}
+	metrics.StartsSent.Add(1)
 	return nil
 }
 
@@ -84,10 +86,13 @@
 	known := r.job.Result(w, res)
 	r.settle()
 	r.mu.Unlock()
-	if known {
-		failed := res.Outcome != contract.OutcomeRan || res.Status >= 500
-		r.entry.step(r.pool, dispatch.Finished{Task: res.Task, Worker: w, Elapsed: res.Elapsed, Failed: failed})
+	if !known {
+		metrics.ResultsStray.Add(1)
+		return
 	}
+	metrics.ResultsTaken.Add(1)
+	failed := res.Outcome != contract.OutcomeRan || res.Status >= 500
+	r.entry.step(r.pool, dispatch.Finished{Task: res.Task, Worker: w, Elapsed: res.Elapsed, Failed: failed})
 }
 
 // lost ends the tasks that w holds as unknown.
@@ -117,13 +122,36 @@
 	}
 }
 
-// settle answers the job once it is done; the caller holds r.mu.
+// settle records the outcomes that are new and answers the job once it is
+// done; the caller holds r.mu.
 func (r *jobRun) settle() {
+	for _, t := range r.job.TakeEnded() {
+		r.record(t)
+	}
 	if r.job.Done() {
 		r.answer()
 	}
 }
 
+func (r *jobRun) record(t job.Ended) {
+	if r.entry.cfg.Outcomes == nil {
+		return
+	}
+	r.entry.cfg.Outcomes.Record(contract.OutcomeRecord{
+		Task:        contract.TaskID{Job: r.job.ID(), Index: t.Task},
+		Team:        r.spec.Team,
+		Route:       r.route.Name,
+		Outcome:     t.Outcome,
+		Status:      t.Status,
+		Worker:      t.Ref.Host,
+		Incarnation: t.Ref.Incarnation,
+		Attempt:     t.Attempt,
+		Entry:       r.entry.cfg.Identity.Host,
+		At:          time.Now(),
+		Reason:      t.Reason,
+	})
+}
+
 func (r *jobRun) answer() {
 	if !r.answered {
 		r.answered = true
--- a/job/job.go
+++ b/job/job.go
@@ -33,6 +33,7 @@
 	id     contract.JobID
 	tasks  []task
 	open   int // tasks not ended
+	ended  []uint32
 	failed error
 }
 
@@ -84,6 +85,7 @@
 		return false
 	}
 	t.result.Body = r.Body
+	t.result.Elapsed = r.Elapsed
 	j.end(t, r.Outcome, r.Status, r.Reason)
 	if r.Outcome != contract.OutcomeRan || r.Status >= 300 {
 		j.fail(contract.ErrTaskFailed, "task %d ended with status %d at %s: %s", r.Task.Index, r.Status, w.Host, r.Reason)
@@ -132,6 +134,23 @@
 	return out
 }
 
+// Ended is a task whose outcome is final, with the worker it was last sent to.
+type Ended struct {
+	contract.TaskResult
+	Ref host.Ref
+}
+
+// TakeEnded returns the tasks that ended since the last call.
+func (j *Job) TakeEnded() []Ended {
+	out := make([]Ended, 0, len(j.ended))
+	for _, i := range j.ended {
+		t := &j.tasks[i]
+		out = append(out, Ended{TaskResult: t.result, Ref: t.worker})
+	}
+	j.ended = j.ended[:0]
+	return out
+}
+
 // Done reports whether the job has its answer: it failed, or all tasks ended.
 func (j *Job) Done() bool { return j.failed != nil || j.open == 0 }
 
@@ -203,7 +222,9 @@
 	t.result.Status = status
 	t.result.Reason = reason
 	t.result.Worker = t.worker.Host
+	t.result.Attempt = t.attempt
 	j.open--
+	j.ended = append(j.ended, t.result.Task)
 }
 
 // fail records the first reason and ends what waits.
--- a/link/link.go
+++ b/link/link.go
@@ -8,11 +8,13 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/metrics"
 )
 
 // ErrDown says that the link is down; nothing of the message was sent.
@@ -206,6 +208,7 @@
 			return
 		case <-l.wake:
 		case <-idle.C:
+			metrics.HeartbeatsSent.Add(1)
 			l.enqueue(Frame{Message: l.cfg.Heartbeat()})
 		}
 		if err := l.flush(); err != nil {
@@ -226,14 +229,15 @@
 		return nil
 	}
 	l.conn.SetWriteDeadline(time.Now().Add(l.cfg.Silence))
-	_, err := l.conn.Write(out)
+	n, err := l.conn.Write(out)
+	metrics.LinkBytesSent.Add(int64(n))
 	return err
 }
 
 const readBufferBytes = 16 << 10
 
 func (l *Link) readLoop(h Handler) error {
-	r := bufio.NewReaderSize(l.conn, readBufferBytes)
+	r := bufio.NewReaderSize(countingReader{l.conn}, readBufferBytes)
 	for {
 		l.conn.SetReadDeadline(time.Now().Add(l.cfg.Silence))
 		f, err := ReadFrame(r)
@@ -248,6 +252,15 @@
 	}
 }
 
+// countingReader counts the bytes read.
+type countingReader struct{ r io.Reader }
+
+func (c countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	metrics.LinkBytesReceived.Add(int64(n))
+	return n, err
+}
+
 func (l *Link) deliver(f Frame) {
 	l.mu.Lock()
 	ch := l.calls[f.Seq]
