--- a/agent/gate.go
+++ b/agent/gate.go
@@ -15,7 +15,7 @@
 	VerdictWait
 	// VerdictKnown means that the task was offered before; nothing is started.
 	VerdictKnown
-	// VerdictRefuse means that the task does not start here, ever.
+	// VerdictRefuse means that this attempt at the task never starts here.
 	VerdictRefuse
 )
 
@@ -31,53 +31,90 @@
 type gateTask struct {
 	state gateState
 	start *contract.Start
+	// attempt is the last attempt that was offered or fenced.
+	attempt uint32
+	// ended is the tick at which the task was done or fenced.
+	ended uint64
+}
+
+// endedTask is a tombstone in the order of its making.
+type endedTask struct {
+	id   contract.TaskID
+	tick uint64
 }
 
 // Gate decides which tasks start beside one upstream. It is pure, and not safe
 // for concurrent use.
 //
 // Invariant: a task goes to running at most once in the gate's life, which is
-// one incarnation, and never after it was fenced.
+// one incarnation, and no attempt of it does after it was fenced. The gate
+// forgets a task only in Sweep.
 type Gate struct {
 	self     contract.Incarnation
 	capacity contract.Capacity
 	used     int
 	draining bool
-	tasks    map[contract.TaskID]*gateTask
+	jobs     map[contract.JobID]map[uint32]*gateTask
 	queue    []*contract.Start
+	tick     uint64
+	ended    []endedTask
 }
 
 // NewGate returns the gate of one incarnation.
 func NewGate(self contract.Incarnation, c contract.Capacity) *Gate {
-	return &Gate{self: self, capacity: c, tasks: make(map[contract.TaskID]*gateTask)}
+	return &Gate{self: self, capacity: c, jobs: make(map[contract.JobID]map[uint32]*gateTask)}
+}
+
+func (g *Gate) task(id contract.TaskID) *gateTask { return g.jobs[id.Job][id.Index] }
+
+func (g *Gate) put(id contract.TaskID, t *gateTask) *gateTask {
+	tasks := g.jobs[id.Job]
+	if tasks == nil {
+		tasks = make(map[uint32]*gateTask)
+		g.jobs[id.Job] = tasks
+	}
+	tasks[id.Index] = t
+	return t
+}
+
+func (g *Gate) end(id contract.TaskID, t *gateTask, s gateState) {
+	t.state = s
+	t.start = nil
+	t.ended = g.tick
+	g.ended = append(g.ended, endedTask{id: id, tick: g.tick})
 }
 
-// Offer takes a start. The reason goes with VerdictRefuse.
+// Offer takes a start. The reason goes with VerdictRefuse. It is the
+// specification's Offer.
 func (g *Gate) Offer(s *contract.Start) (Verdict, string) {
 	if s.To != g.self {
 		return VerdictRefuse, "the start is addressed to another incarnation"
 	}
-	if t, ok := g.tasks[s.Task]; ok {
-		if t.state == gateFenced {
-			return VerdictRefuse, "the task is fenced"
-		}
+	t := g.task(s.Task)
+	switch {
+	case t == nil:
+		t = g.put(s.Task, &gateTask{})
+	case t.state != gateFenced:
 		return VerdictKnown, ""
+	case s.Attempt <= t.attempt:
+		return VerdictRefuse, "the task is fenced"
 	}
+	t.attempt = s.Attempt
 	if g.draining {
-		g.tasks[s.Task] = &gateTask{state: gateFenced}
+		g.end(s.Task, t, gateFenced)
 		return VerdictRefuse, "the worker is draining"
 	}
 	if !g.capacity.Fits(s.Demand) {
-		g.tasks[s.Task] = &gateTask{state: gateFenced}
+		g.end(s.Task, t, gateFenced)
 		return VerdictRefuse, "the task does not fit the worker"
 	}
-	g.tasks[s.Task] = &gateTask{state: gateWaiting, start: s}
-	g.queue = append(g.queue, s)
-	if len(g.queue) == 1 && g.fits(s) {
-		g.queue = nil
+	t.state = gateWaiting
+	t.start = s
+	if len(g.queue) == 0 && g.fits(s) {
 		g.run(s)
 		return VerdictRun, ""
 	}
+	g.queue = append(g.queue, s)
 	return VerdictWait, ""
 }
 
@@ -87,19 +124,23 @@
 
 func (g *Gate) run(s *contract.Start) {
 	g.used += s.Demand.Normalized().Slots
-	g.tasks[s.Task].state = gateRunning
+	g.task(s.Task).state = gateRunning
 }
 
 // Finish records that a running task ended, and returns the starts that now
-// run.
-func (g *Gate) Finish(id contract.TaskID) []*contract.Start {
-	t, ok := g.tasks[id]
-	if !ok || t.state != gateRunning {
+// run. A task whose upstream was never reached has not run: a later attempt at
+// it may.
+func (g *Gate) Finish(id contract.TaskID, reached bool) []*contract.Start {
+	t := g.task(id)
+	if t == nil || t.state != gateRunning {
 		return nil
 	}
-	t.state = gateDone
 	g.used -= t.start.Demand.Normalized().Slots
-	t.start = nil
+	if reached {
+		g.end(id, t, gateDone)
+	} else {
+		g.end(id, t, gateFenced)
+	}
 	return g.admit()
 }
 
@@ -114,19 +155,13 @@
 	return out
 }
 
-// Fence makes the tasks never start unless they have, and reports each.
-func (g *Gate) Fence(ids []contract.TaskID) []contract.TaskReport {
-	out := make([]contract.TaskReport, 0, len(ids))
-	for _, id := range ids {
-		out = append(out, contract.TaskReport{Task: id, State: g.fence(id)})
-	}
-	return out
-}
-
-func (g *Gate) fence(id contract.TaskID) contract.TaskState {
-	t, ok := g.tasks[id]
-	if !ok {
-		g.tasks[id] = &gateTask{state: gateFenced}
+// Fence makes no attempt at the task up to the given one start, unless the
+// task has started, and reports which. It is the specification's Fence.
+func (g *Gate) Fence(id contract.TaskID, attempt uint32) contract.TaskState {
+	t := g.task(id)
+	if t == nil {
+		t = g.put(id, &gateTask{attempt: attempt})
+		g.end(id, t, gateFenced)
 		return contract.TaskFenced
 	}
 	switch t.state {
@@ -136,9 +171,9 @@
 		return contract.TaskDone
 	case gateWaiting:
 		g.unqueue(id)
-		t.state = gateFenced
-		t.start = nil
+		g.end(id, t, gateFenced)
 	}
+	t.attempt = max(t.attempt, attempt)
 	return contract.TaskFenced
 }
 
@@ -151,26 +186,68 @@
 	}
 }
 
-// FenceJob fences the job's unstarted tasks and returns them, with those that
-// run.
-func (g *Gate) FenceJob(job contract.JobID) (fenced, running []contract.TaskID) {
-	for id, t := range g.tasks {
-		if id.Job != job {
-			continue
-		}
+// Open returns the job's tasks that wait and those that run.
+func (g *Gate) Open(job contract.JobID) (waiting, running []contract.TaskID) {
+	for i, t := range g.jobs[job] {
+		id := contract.TaskID{Job: job, Index: i}
 		switch t.state {
 		case gateWaiting:
-			g.fence(id)
-			fenced = append(fenced, id)
+			waiting = append(waiting, id)
 		case gateRunning:
 			running = append(running, id)
 		}
 	}
-	return fenced, running
+	return waiting, running
+}
+
+// Waiting returns the tasks that wait for slots, in order.
+func (g *Gate) Waiting() []contract.TaskID {
+	out := make([]contract.TaskID, len(g.queue))
+	for i, s := range g.queue {
+		out[i] = s.Task
+	}
+	return out
+}
+
+// Attempt returns the last attempt at the task that was offered or fenced.
+func (g *Gate) Attempt(id contract.TaskID) uint32 {
+	if t := g.task(id); t != nil {
+		return t.attempt
+	}
+	return 0
+}
+
+// Sweep lets one tick of the gate's time pass, and forgets the tasks that
+// ended more than keep ticks ago. A tick must only pass while the process
+// reads its links: then a start that was sent before the task ended has long
+// been read, or its link has closed.
+func (g *Gate) Sweep(keep uint64) {
+	g.tick++
+	n := 0
+	for n < len(g.ended) && g.ended[n].tick+keep < g.tick {
+		g.forget(g.ended[n])
+		n++
+	}
+	g.ended = g.ended[n:]
+}
+
+// forget drops a tombstone, unless the task has been taken up again since.
+func (g *Gate) forget(e endedTask) {
+	t := g.task(e.id)
+	if t == nil || t.ended != e.tick || t.state == gateWaiting || t.state == gateRunning {
+		return
+	}
+	delete(g.jobs[e.id.Job], e.id.Index)
+	if len(g.jobs[e.id.Job]) == 0 {
+		delete(g.jobs, e.id.Job)
+	}
 }
 
 // Drain refuses starts from now on.
 func (g *Gate) Drain() { g.draining = true }
 
+// Draining reports whether Drain was called.
+func (g *Gate) Draining() bool { return g.draining }
+
 // Idle reports whether nothing runs or waits.
 func (g *Gate) Idle() bool { return g.used == 0 && len(g.queue) == 0 }
--- a/agent/gate_test.go
+++ b/agent/gate_test.go
@@ -10,8 +10,10 @@
 
 const self = contract.Incarnation(7)
 
-func start(i uint32) *contract.Start {
-	return &contract.Start{Task: contract.TaskID{Job: "j", Index: i}, To: self}
+func start(i uint32) *contract.Start { return attempt(i, 1) }
+
+func attempt(i, n uint32) *contract.Start {
+	return &contract.Start{Task: contract.TaskID{Job: "j", Index: i}, To: self, Attempt: n}
 }
 
 func TestGateRefusesAnotherIncarnation(t *testing.T) {
@@ -28,9 +30,11 @@
 	again, _ := g.Offer(start(0))
 	must.Eq(t, VerdictRun, first)
 	must.Eq(t, VerdictKnown, again)
-	g.Finish(start(0).Task)
-	after, _ := g.Offer(start(0))
-	must.Eq(t, VerdictKnown, after)
+	g.Finish(start(0).Task, true)
+	for n := range uint32(3) {
+		after, _ := g.Offer(attempt(0, n+1))
+		must.Eq(t, VerdictKnown, after)
+	}
 }
 
 func TestGateNeverRunsWhatIsFenced(t *testing.T) {
@@ -38,13 +42,25 @@
 	g.Offer(start(0))
 	waiting, _ := g.Offer(start(1))
 	must.Eq(t, VerdictWait, waiting)
-	reports := g.Fence([]contract.TaskID{start(0).Task, start(1).Task, start(2).Task})
-	must.Eq(t, contract.TaskRunning, reports[0].State)
-	must.Eq(t, contract.TaskFenced, reports[1].State)
-	must.Eq(t, contract.TaskFenced, reports[2].State)
-	must.SliceEmpty(t, g.Finish(start(0).Task))
+	want := []contract.TaskState{contract.TaskRunning, contract.TaskFenced, contract.TaskFenced}
+	for i, state := range want {
+		must.Eq(t, state, g.Fence(start(uint32(i)).Task, 1))
+	}
+	must.SliceEmpty(t, g.Finish(start(0).Task, true))
 	late, _ := g.Offer(start(2))
 	must.Eq(t, VerdictRefuse, late)
+	later, _ := g.Offer(attempt(2, 2))
+	must.Eq(t, VerdictRun, later)
+}
+
+func TestGateTakesANewAttemptOnlyWhereTheUpstreamWasNotReached(t *testing.T) {
+	g := NewGate(self, contract.Capacity{Slots: 1})
+	g.Offer(start(0))
+	g.Finish(start(0).Task, false)
+	same, _ := g.Offer(start(0))
+	must.Eq(t, VerdictRefuse, same)
+	next, _ := g.Offer(attempt(0, 2))
+	must.Eq(t, VerdictRun, next)
 }
 
 func TestGateAdmitsInOrder(t *testing.T) {
@@ -52,7 +68,23 @@
 	for i := range uint32(3) {
 		g.Offer(start(i))
 	}
-	next := g.Finish(start(0).Task)
+	next := g.Finish(start(0).Task, true)
 	must.Len(t, 1, next)
 	must.Eq(t, start(1).Task, next[0].Task)
 }
+
+func TestGateForgetsOnlyWhatEndedLongAgo(t *testing.T) {
+	const keep = 3
+	g := NewGate(self, contract.Capacity{Slots: 2})
+	g.Offer(start(0))
+	g.Offer(start(1))
+	g.Finish(start(0).Task, true)
+	for range keep {
+		g.Sweep(keep)
+		verdict, _ := g.Offer(start(0))
+		must.Eq(t, VerdictKnown, verdict)
+	}
+	g.Sweep(keep)
+	must.Nil(t, g.task(start(0).Task))
+	must.NotNil(t, g.task(start(1).Task))
+}
--- a/agent/single.go
+++ b/agent/single.go
@@ -11,23 +11,26 @@
 )
 
 // serveSingle gates one single request from an entry and streams it to the
-// upstream. A refusal carries the outcome not-run: the task is fenced here.
+// upstream. An informational 102 tells the entry that the gate was passed. A
+// refusal carries the outcome not-run: the attempt is fenced here.
 func (a *Agent) serveSingle(w http.ResponseWriter, r *http.Request) {
 	s, err := startOfRequest(r)
 	if err != nil {
 		refuseSingle(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	if reason, ok := a.admitSingle(r.Context(), s); !ok {
+	ctx, cancel := context.WithTimeout(r.Context(), s.Lease)
+	defer cancel()
+	if reason, ok := a.admitSingle(ctx, s); !ok {
 		refuseSingle(w, http.StatusConflict, reason)
 		return
 	}
 	a.active.Add(1)
 	defer a.active.Done()
-	defer a.endSingle(s.Task)
-	ctx, cancel := context.WithTimeout(r.Context(), s.Lease)
-	defer cancel()
-	a.relaySingle(ctx, w, r, s)
+	w.WriteHeader(http.StatusProcessing)
+	reached := true
+	defer func() { a.endSingle(s.Task, reached) }()
+	reached = a.relaySingle(ctx, w, r, s)
 }
 
 func refuseSingle(w http.ResponseWriter, status int, reason string) {
@@ -65,65 +68,71 @@
 	ready := make(chan bool, 1)
 	a.mu.Lock()
 	verdict, reason := a.gate.Offer(s)
-	if verdict == VerdictWait {
-		a.waits[s.Task] = ready
+	if verdict == VerdictRun || verdict == VerdictWait {
+		a.tasks[s.Task] = &task{wait: ready}
 	}
 	a.mu.Unlock()
 	switch verdict {
 	case VerdictRun:
 		return "", true
 	case VerdictWait:
-		return a.awaitSlot(ctx, s.Task, ready)
+		return a.awaitSlot(ctx, s, ready)
 	case VerdictKnown:
-		return "the task was offered before", false
+		// Not the fence that a refusal promises: the first offer may run.
+		panic(http.ErrAbortHandler)
 	}
 	return reason, false
 }
 
-func (a *Agent) awaitSlot(ctx context.Context, id contract.TaskID, ready chan bool) (string, bool) {
+func (a *Agent) awaitSlot(ctx context.Context, s *contract.Start, ready chan bool) (string, bool) {
 	select {
-	case <-ready:
-		return "", true
+	case run := <-ready:
+		return "the task was fenced", run
 	case <-ctx.Done():
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if _, waiting := a.waits[id]; waiting {
-		delete(a.waits, id)
-		a.gate.Fence([]contract.TaskID{id})
-	} else {
-		a.release(id)
+	if state := a.fenceTask(s.Task, s.Attempt); state == contract.TaskRunning {
+		delete(a.tasks, s.Task)
+		a.release(s.Task, false)
 	}
 	return "the caller went away", false
 }
 
-func (a *Agent) endSingle(id contract.TaskID) {
+func (a *Agent) endSingle(id contract.TaskID, reached bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.release(id)
+	delete(a.tasks, id)
+	a.release(id, reached)
 }
 
-func (a *Agent) relaySingle(ctx context.Context, w http.ResponseWriter, r *http.Request, s *contract.Start) {
+// relaySingle makes the one request to the upstream. It reports false where the
+// upstream was not reached.
+func (a *Agent) relaySingle(ctx context.Context, w http.ResponseWriter, r *http.Request, s *contract.Start) bool {
 	out, err := http.NewRequestWithContext(ctx, r.Method, a.cfg.Upstream+r.URL.RequestURI(), r.Body)
 	if err != nil {
 		refuseSingle(w, http.StatusBadRequest, err.Error())
-		return
+		return false
 	}
 	forward.CopyHeader(out.Header, r.Header)
+	forward.StripControl(out.Header)
+	out.Header.Del("Expect")
+	forward.Once(out)
 	out.ContentLength = r.ContentLength
 	out.Host = r.Host
-	out.Header.Del(forward.HeaderIncarnation)
-	out.Header.Del(forward.HeaderLeaseMS)
 	setTaskHeader(out.Header, s.Task, s.Attempt)
 	res, err := a.client.Transport.RoundTrip(out)
 	if err != nil {
-		w.Header().Set(forward.HeaderOutcome, outcomeOfDialError(err).String())
+		outcome := outcomeOfDialError(err)
+		w.Header().Set(forward.HeaderOutcome, outcome.String())
 		http.Error(w, err.Error(), http.StatusBadGateway)
-		return
+		return outcome != contract.OutcomeNotRun
 	}
 	defer res.Body.Close()
+	forward.StripControl(res.Header)
 	w.Header().Set(forward.HeaderOutcome, contract.OutcomeRan.String())
 	if err := forward.CopyResponse(w, res); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	return true
 }
--- a/contract/errors.go
+++ b/contract/errors.go
@@ -38,6 +38,7 @@
 	ErrDeadline      = Kind{"deadline", http.StatusGatewayTimeout, OutcomeUnknown, "read the outcome before sending the work again"}
 	ErrUpstreamLost  = Kind{"upstream-lost", http.StatusBadGateway, OutcomeUnknown, "read the outcome before sending the work again"}
 	ErrTaskFailed    = Kind{"task-failed", http.StatusBadGateway, OutcomeRan, "read the outcomes by task; correct the failed task"}
+	ErrAnswerGone    = Kind{"answer-gone", http.StatusGone, OutcomeRan, "the work ran once and its answer is no longer kept: read the outcomes by task"}
 	ErrCancelled     = Kind{"cancelled", http.StatusConflict, OutcomeUnknown, "read the outcomes by task"}
 	ErrInvalidTables = Kind{"invalid-tables", http.StatusUnprocessableEntity, OutcomeNotRun, "correct the edit"}
 	ErrConflict      = Kind{"version-conflict", http.StatusConflict, OutcomeNotRun, "read the version in force, and make the edit again from it"}
--- a/contract/message.go
+++ b/contract/message.go
@@ -70,6 +70,9 @@
 	// HTTPAddr is where the agent takes single requests.
 	HTTPAddr string
 	Draining bool
+	// Link numbers the agent's links to this entry, so that an announcement
+	// on an earlier one is told apart.
+	Link uint64
 }
 
 // Start asks an agent to start a task, addressed to one incarnation.
@@ -83,17 +86,24 @@
 	Path    string
 	Payload []byte
 	Demand  Demand
-	// Lease is how long the task may run, from its start.
+	// Lease is how long the start stands from its arrival: the task is never
+	// started after it, and is stopped at its end.
 	Lease time.Duration
 	// Tables is the version that the start was made under.
 	Tables Version
+	// Keep asks the agent to keep the result after its acknowledgement, for a
+	// resubmission of the job.
+	Keep bool
+	// Acks are results that the sender holds, as in ResultAck.
+	Acks []TaskID
 }
 
 // StartRefused says that a start was refused: the task did not start, and is
 // fenced at this incarnation.
 type StartRefused struct {
-	Task   TaskID
-	Reason string
+	Task    TaskID
+	Attempt uint32
+	Reason  string
 }
 
 // Result is the end of a started task. The agent keeps it until ResultAck.
@@ -114,9 +124,13 @@
 }
 
 // Fence asks that the tasks never start at the receiver unless they have
-// already; the receiver answers with TaskStates.
+// already; the receiver answers with TaskStates. The sender becomes the owner
+// of those that have.
 type Fence struct {
 	Tasks []TaskID
+	// Attempts are the last attempts that may have been sent, by position in
+	// Tasks: a later attempt is not fenced.
+	Attempts []uint32
 }
 
 // TaskState is an agent's knowledge of one task.
@@ -136,6 +150,8 @@
 type TaskReport struct {
 	Task  TaskID
 	State TaskState
+	// Attempt is the last attempt that a fence covers.
+	Attempt uint32
 }
 
 // TaskStates answers Fence.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,8 @@
 	NewScheduler func(contract.Pool) dispatch.Scheduler
 	// Retention is how long an ended job's state is kept.
 	Retention time.Duration
+	// Records asks the holders of job records; nil refuses idempotency keys.
+	Records *Records
 	// Outcomes takes the final outcome of each task; nil drops them.
 	Outcomes OutcomeSink
 	// Observer takes a sample of each answer; nil drops them.
@@ -45,7 +47,8 @@
 const DefaultRetention = 10 * time.Minute
 
 // Entry runs the role. Its state is in shards, each under its own lock: the
-// pools, the jobs and the workers. No lock is held while another is taken.
+// pools, the jobs and the workers. A run's lock may be held while that of
+// workers, acks, plans or a link is taken; no other two are held at once.
 type Entry struct {
 	cfg Config
 
@@ -55,7 +58,11 @@
 	workersMu sync.RWMutex // guards workers
 	workers   map[host.Ref]*workerLink
 
-	jobs jobShards
+	jobs  jobShards
+	plans plans
+	acks  acks
+
+	retries retryBudget
 
 	drainMu  sync.Mutex // guards leaving and draining
 	leaving  bool
@@ -68,6 +75,8 @@
 type workerLink struct {
 	host.Worker
 	link *link.Link
+	// number is the agent's number of the link.
+	number uint64
 }
 
 // New returns an entry.
@@ -108,6 +117,29 @@
 	return *w, true
 }
 
+// tell sends a message to a worker that is linked.
+func (e *Entry) tell(ref host.Ref, m contract.Message) {
+	if w, ok := e.worker(ref); ok && w.link != nil {
+		w.link.Send(m)
+	}
+}
+
+// replaced reports whether a later incarnation of the worker has announced
+// itself.
+func (e *Entry) replaced(ref host.Ref) bool {
+	e.workersMu.RLock()
+	defer e.workersMu.RUnlock()
+	if _, ok := e.workers[ref]; ok {
+		return false
+	}
+	for other := range e.workers {
+		if other.Host == ref.Host {
+			return true
+		}
+	}
+	return false
+}
+
 // active is a job or single request in progress, as placement sees it.
 type active interface {
 	// place starts the task at the worker, and returns the events that follow
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -8,7 +11,6 @@
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
-	"github.com/carawaylanding/carawaylanding/dispatch"
 	"github.com/carawaylanding/carawaylanding/forward"
 	"github.com/carawaylanding/carawaylanding/job"
 )
@@ -29,31 +31,62 @@
 
 func (e *Entry) serveSubmit(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
-	spec, err := readSpec(w, r)
+	digest := sha256.New()
+	spec, err := readSpec(w, r, digest)
 	if err != nil {
 		WriteError(w, err)
 		return
 	}
-	if err := e.begin(); err != nil {
-		WriteError(w, err)
+	key := r.Header.Get(forward.HeaderIdempotencyKey)
+	var a answered
+	switch {
+	case key == "":
+		a = e.answerOnce(r.Context(), spec)
+	case len(key) > maxKeyBytes:
+		a = answered{err: contract.ErrBadRequest.With("Idempotency-Key has %d bytes: send at most %d", len(key), maxKeyBytes)}
+	default:
+		a = e.answerKeyed(r.Context(), spec, key, hex.EncodeToString(digest.Sum(nil)))
+	}
+	if a.id != "" {
+		w.Header().Set(forward.HeaderJobID, string(a.id))
+	}
+	e.observe(spec.Route, spec.Team, began, longest(a.results), a.err)
+	if a.err != nil {
+		WriteError(w, a.err)
 		return
 	}
+	w.Header().Set(forward.HeaderOutcome, contract.OutcomeRan.String())
+	writeJSON(w, http.StatusOK, newJobAnswer(a.id, a.results))
+}
+
+// maxKeyBytes bounds an Idempotency-Key.
+const maxKeyBytes = 255
+
+// answered is a job's answer: the results, or an error.
+type answered struct {
+	id      contract.JobID
+	results []contract.TaskResult
+	err     error
+}
+
+// answerOnce runs a job without an idempotency key: it ends with its caller.
+func (e *Entry) answerOnce(ctx context.Context, spec contract.JobSpec) answered {
+	if err := e.begin(); err != nil {
+		return answered{err: err}
+	}
 	defer e.active.Done()
-	run, err := e.submit(spec)
+	run, err := e.newRun(spec, contract.NewJobID())
 	if err != nil {
-		WriteError(w, err)
-		return
-	}
-	e.await(r, run)
-	w.Header().Set(forward.HeaderJobID, string(run.job.ID()))
+		return answered{err: err}
+	}
+	id := run.job.ID()
+	e.jobs.swap(id, nil, run)
+	e.step(run.pool, run.submission())
+	run.watch(ctx)
+	<-run.done
+	time.AfterFunc(e.cfg.Retention, func() { e.jobs.remove(id, run) })
 	results, err := run.outcome()
-	e.observe(run.route.Name, spec.Team, began, longest(results), err)
-	if err != nil {
-		WriteError(w, err)
-		return
-	}
-	w.Header().Set(forward.HeaderOutcome, contract.OutcomeRan.String())
-	writeJSON(w, http.StatusOK, newJobAnswer(run.job.ID(), results))
+	return answered{id: id, results: results, err: err}
 }
 
 // longest returns the longest work among the tasks: what the answer requires.
@@ -65,9 +98,11 @@
 	return d
 }
 
-func readSpec(w http.ResponseWriter, r *http.Request) (contract.JobSpec, error) {
+// readSpec reads the job, and writes the body to digest.
+func readSpec(w http.ResponseWriter, r *http.Request, digest io.Writer) (contract.JobSpec, error) {
 	var spec contract.JobSpec
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, contract.MaxJobBytes))
+	body := http.MaxBytesReader(w, r.Body, contract.MaxJobBytes)
+	dec := json.NewDecoder(io.TeeReader(body, digest))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&spec); err != nil {
 		var tooLarge *http.MaxBytesError
@@ -82,8 +117,8 @@
 	return spec, spec.Validate()
 }
 
-// submit admits a job and begins to place its tasks.
-func (e *Entry) submit(spec contract.JobSpec) (*jobRun, error) {
+// newRun returns the run of a job that has not begun.
+func (e *Entry) newRun(spec contract.JobSpec, id contract.JobID) (*jobRun, error) {
 	view := e.cfg.Tables.View()
 	route, ok := view.Route(spec.Route)
 	if !ok {
@@ -93,8 +128,7 @@
 	if p == nil {
 		return nil, contract.ErrNoRoute.With("pool %q does not exist in version %d", route.Pool, view.Version)
 	}
-	id := contract.NewJobID()
-	run := &jobRun{
+	return &jobRun{
 		entry:    e,
 		pool:     p,
 		route:    route,
@@ -102,10 +136,7 @@
 		deadline: time.Now().Add(spec.Deadline()),
 		done:     make(chan struct{}),
 		job:      job.New(id, len(spec.Tasks)),
-	}
-	e.jobs.add(id, run)
-	e.step(p, dispatch.Submit{Job: id, Team: spec.Team, Route: route.Name, Deadline: run.deadline, Demands: demands(spec)})
-	return run, nil
+	}, nil
 }
 
 func demands(spec contract.JobSpec) []contract.Demand {
@@ -116,22 +147,6 @@
 	return out
 }
 
-// await waits for the job's answer, its deadline or its caller's leaving.
-func (e *Entry) await(r *http.Request, run *jobRun) {
-	deadline := time.NewTimer(time.Until(run.deadline))
-	defer deadline.Stop()
-	select {
-	case <-run.done:
-	case <-deadline.C:
-		run.abort(contract.ErrDeadline, "the deadline passed")
-		<-run.done
-	case <-r.Context().Done():
-		run.abort(contract.ErrCancelled, "the caller went away")
-		<-run.done
-	}
-	time.AfterFunc(e.cfg.Retention, func() { e.jobs.remove(run.job.ID()) })
-}
-
 func newJobAnswer(id contract.JobID, results []contract.TaskResult) jobAnswer {
 	a := jobAnswer{ID: id, Results: make([]taskAnswer, len(results))}
 	for i, res := range results {
--- a/entry/links.go
+++ b/entry/links.go
@@ -28,21 +28,28 @@
 	if current {
 		w.link = nil
 	}
+	var worker host.Worker
+	var number uint64
+	if current {
+		worker, number = w.Worker, w.number
+	}
 	e.workersMu.Unlock()
 	if !current {
 		return
 	}
 	e.cfg.Log.Info("worker silent", "worker", ref.Host, "err", err)
-	for _, p := range e.poolsOf(w.Worker) {
+	for _, p := range e.poolsOf(worker) {
 		e.step(p, dispatch.WorkerDown{Worker: ref})
 	}
-	time.AfterFunc(silentGrace, func() { e.forgetSilent(ref) })
+	time.AfterFunc(silentGrace, func() { e.forgetSilent(ref, number) })
 }
 
-func (e *Entry) forgetSilent(ref host.Ref) {
+// forgetSilent gives a worker up that has not come back since its link of the
+// number went down.
+func (e *Entry) forgetSilent(ref host.Ref, number uint64) {
 	e.workersMu.Lock()
 	w, ok := e.workers[ref]
-	gone := ok && w.link == nil
+	gone := ok && w.link == nil && w.number == number
 	if gone {
 		delete(e.workers, ref)
 	}
@@ -67,10 +74,10 @@
 	case *contract.Announce:
 		e.announced(l, m)
 	case *contract.Result:
-		e.resulted(l, ref, m)
+		e.resulted(ref, m)
 	case *contract.StartRefused:
 		metrics.StartsRefused.Add(1)
-		e.unsent(ref, m.Task)
+		e.unsent(ref, m.Task, m.Attempt)
 	case *contract.TaskStates:
 		e.states(ref, m)
 	case *contract.Drain:
@@ -82,14 +89,18 @@
 	w := host.FromAnnounce(host.FromHello(l.Remote()), m)
 	var replaced []host.Ref
 	e.workersMu.Lock()
-	_, returned := e.workers[w.Ref]
+	have, known := e.workers[w.Ref]
+	if known && have.number > m.Link {
+		e.workersMu.Unlock()
+		return // an announcement on an earlier link came late
+	}
 	for ref := range e.workers {
 		if ref.Host == w.Host && ref != w.Ref {
 			replaced = append(replaced, ref)
 			delete(e.workers, ref)
 		}
 	}
-	e.workers[w.Ref] = &workerLink{Worker: w, link: l}
+	e.workers[w.Ref] = &workerLink{Worker: w, link: l, number: m.Link}
 	e.workersMu.Unlock()
 	e.cfg.Log.Info("worker announced", "worker", w.Host, "domain", w.Place.Domain, "slots", w.Capacity.Slots)
 	for _, ref := range replaced {
@@ -98,9 +109,7 @@
 	for _, p := range e.poolsOf(w) {
 		e.step(p, dispatch.WorkerUp{Worker: w})
 	}
-	if returned {
-		e.reconcile(l, w.Ref)
-	}
+	e.reconcile(l, w.Ref)
 }
 
 // retire ends an incarnation that a later one has replaced.
@@ -111,42 +120,48 @@
 	e.workerLost(ref)
 }
 
-// reconcile asks a worker that came back about all that it was sent.
+// reconcile asks a worker that came back about all that it was sent, what was
+// given up as unknown included.
 func (e *Entry) reconcile(l *link.Link, ref host.Ref) {
-	var ids []contract.TaskID
+	m := &contract.Fence{}
 	for _, a := range e.jobs.all() {
-		if r, ok := a.(*jobRun); ok {
-			r.mu.Lock()
-			ids = append(ids, r.job.Sent(ref)...)
-			r.mu.Unlock()
+		r, ok := a.(*jobRun)
+		if !ok {
+			continue
 		}
+		r.mu.Lock()
+		ids, attempts := r.job.Held(ref)
+		unknown, last := r.job.Unknown(ref)
+		r.mu.Unlock()
+		m.Tasks = append(append(m.Tasks, ids...), unknown...)
+		m.Attempts = append(append(m.Attempts, attempts...), last...)
 	}
-	if len(ids) > 0 {
-		l.Send(&contract.Fence{Tasks: ids})
+	if len(m.Tasks) > 0 {
+		l.Send(m)
 	}
 }
 
-func (e *Entry) resulted(l *link.Link, ref host.Ref, m *contract.Result) {
+func (e *Entry) resulted(ref host.Ref, m *contract.Result) {
 	if r, ok := e.jobs.get(m.Task.Job).(*jobRun); ok {
 		r.result(ref, m)
 	}
-	l.Send(&contract.ResultAck{Tasks: []contract.TaskID{m.Task}})
+	e.ack(ref, m.Task)
 }
 
-func (e *Entry) unsent(ref host.Ref, id contract.TaskID) {
-	r, ok := e.jobs.get(id.Job).(*jobRun)
-	if !ok {
-		return
-	}
-	for _, ev := range r.unsent(id, ref) {
-		e.step(r.pool, ev)
+func (e *Entry) unsent(ref host.Ref, id contract.TaskID, attempt uint32) {
+	if r, ok := e.jobs.get(id.Job).(*jobRun); ok {
+		r.unsent(id, ref, attempt)
 	}
 }
 
 func (e *Entry) states(ref host.Ref, m *contract.TaskStates) {
 	for _, rep := range m.Reports {
 		if rep.State == contract.TaskFenced {
-			e.unsent(ref, rep.Task)
+			e.unsent(ref, rep.Task, rep.Attempt)
+			continue
+		}
+		if r, ok := e.jobs.get(rep.Task.Job).(*jobRun); ok {
+			r.started(rep.Task, ref)
 		}
 	}
 }
@@ -154,15 +169,17 @@
 func (e *Entry) drained(ref host.Ref) {
 	e.workersMu.Lock()
 	w, ok := e.workers[ref]
+	var worker host.Worker
 	if ok {
 		w.Draining = true
+		worker = w.Worker
 	}
 	e.workersMu.Unlock()
 	if !ok {
 		return
 	}
-	for _, p := range e.poolsOf(w.Worker) {
-		e.step(p, dispatch.WorkerUp{Worker: w.Worker})
+	for _, p := range e.poolsOf(worker) {
+		e.step(p, dispatch.WorkerUp{Worker: worker})
 	}
 }
 
@@ -180,6 +197,7 @@
 	case <-idle:
 	case <-ctx.Done():
 	}
+	e.flushAcks()
 }
 
 // EndReadiness makes Ready false, while work is still taken: the balancer
@@ -201,6 +219,14 @@
 	return nil
 }
 
+// join counts work in progress that belongs to work already taken.
+func (e *Entry) join() func() {
+	e.drainMu.Lock()
+	defer e.drainMu.Unlock()
+	e.active.Add(1)
+	return e.active.Done
+}
+
 // Ready reports whether the entry takes work.
 func (e *Entry) Ready() bool {
 	e.drainMu.Lock()
--- a/entry/pools.go
+++ b/entry/pools.go
@@ -80,6 +80,7 @@
 			events = append(events, e.perform(a)...)
 		}
 	}
+	e.flushPlans()
 }
 
 func (e *Entry) perform(a dispatch.Action) []dispatch.Event {
--- a/entry/run.go
+++ b/entry/run.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -19,37 +20,74 @@
 	spec     contract.JobSpec
 	deadline time.Time
 	done     chan struct{} // closed when the job has its answer
+	// digest and epoch are set for a job with an idempotency key.
+	digest string
+	epoch  contract.RecordEpoch
 
-	mu       sync.Mutex // guards all below
+	mu       sync.Mutex // guards all below; links are sent to while it is held
 	job      *job.Job
 	refused  error
 	answered bool
+	// claiming holds plans back until the job's placements have been gathered.
+	claiming bool
+	// pending are placements whose starts wait for the record's quorum.
+	pending []placement
+	// owner is the epoch that took the job over from this run.
+	owner *contract.RecordEpoch
+	// unclaimed means that the record was refused: the run knows nothing of
+	// the tasks' outcomes.
+	unclaimed bool
 }
 
+// placement is a task that is to be started at a worker.
+type placement struct {
+	id      contract.TaskID
+	worker  host.Ref
+	attempt uint32
+}
+
+func (r *jobRun) keyed() bool { return r.digest != "" }
+
 func (r *jobRun) place(id contract.TaskID, w workerLink) []dispatch.Event {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	attempt, ok := r.job.Place(id.Index, w.Ref)
-	r.mu.Unlock()
 	if !ok {
 		return []dispatch.Event{dispatch.Finished{Task: id, Worker: w.Ref}}
 	}
-	if err := w.link.Send(r.start(id, w.Ref, attempt)); err != nil {
-		return r.unsent(id, w.Ref)
+	p := placement{id: id, worker: w.Ref, attempt: attempt}
+	if r.keyed() {
+		r.pending = append(r.pending, p)
+		if len(r.pending) == 1 && !r.claiming {
+			r.entry.plans.add(r)
+		}
+		return nil
 	}
-	metrics.StartsSent.Add(1)
-	return nil
+	return r.send(p)
 }
 
-func (r *jobRun) start(id contract.TaskID, to host.Ref, attempt uint32) *contract.Start {
-	t := r.spec.Tasks[id.Index]
+// send sends a start; the caller holds r.mu, so that a cancel follows it.
+func (r *jobRun) send(p placement) []dispatch.Event {
+	w, ok := r.entry.worker(p.worker)
+	if ok && w.link != nil && !r.job.Done() && r.job.Holds(p.id.Index, p.worker, p.attempt) {
+		if err := w.link.Send(r.start(p)); err == nil {
+			metrics.StartsSent.Add(1)
+			return nil
+		}
+	}
+	return r.putBack(p.id, p.worker, p.attempt)
+}
+
+func (r *jobRun) start(p placement) *contract.Start {
+	t := r.spec.Tasks[p.id.Index]
 	lease := time.Until(r.deadline)
 	if limit := r.route.Timeout(); limit > 0 {
 		lease = min(lease, limit)
 	}
 	return &contract.Start{
-		Task:    id,
-		To:      to.Incarnation,
-		Attempt: attempt,
+		Task:    p.id,
+		To:      p.worker.Incarnation,
+		Attempt: p.attempt,
 		Route:   r.route.Name,
 		Pool:    r.route.Pool,
 		Method:  "POST",
@@ -58,83 +96,184 @@
 		Demand:  t.Demand.Normalized(),
 		Lease:   lease,
 		Tables:  r.entry.cfg.Tables.Version(),
+		Keep:    r.keyed(),
+		Acks:    r.entry.acks.take(p.worker),
 	}
 }
 
-// unsent puts back a task that did not start at w and never will.
-func (r *jobRun) unsent(id contract.TaskID, w host.Ref) []dispatch.Event {
-	r.mu.Lock()
-	again := r.job.Unsent(id.Index, w)
-	r.settle()
-	r.mu.Unlock()
-	if again {
+// putBack puts back a task that did not start at w and never will; the caller
+// holds r.mu.
+func (r *jobRun) putBack(id contract.TaskID, w host.Ref, attempt uint32) []dispatch.Event {
+	if r.job.Unsent(id.Index, w, attempt) {
 		return []dispatch.Event{dispatch.Requeue{Task: id, Worker: w}}
 	}
 	return []dispatch.Event{dispatch.Finished{Task: id, Worker: w}}
 }
 
+// unsent takes a worker's word that it has fenced an attempt.
+func (r *jobRun) unsent(id contract.TaskID, w host.Ref, attempt uint32) {
+	r.mu.Lock()
+	if r.job.Resolve(id.Index, w, contract.OutcomeNotRun, 0, "fenced after the answer") {
+		metrics.OutcomesResolved.Add(1)
+	}
+	var events []dispatch.Event
+	if attempt >= r.job.Attempt(id.Index) {
+		events = r.putBack(id, w, attempt)
+	}
+	failed := r.settle()
+	r.mu.Unlock()
+	r.follow(events, failed)
+}
+
+// started takes a worker's word that it has started a task.
+func (r *jobRun) started(id contract.TaskID, w host.Ref) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.job.Started(id.Index, w)
+}
+
 func (r *jobRun) refuse(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.answered {
+		return
+	}
+	if e, ok := contract.AsError(err); ok && !r.job.Untouched() {
+		r.job.Abort(e.Kind, "%s", e.Message)
+		r.settle()
+		return
+	}
 	r.refused = err
-	r.answer()
+	if !r.claiming {
+		r.answer()
+	}
 }
 
 // result takes a task's result from w.
 func (r *jobRun) result(w host.Ref, res *contract.Result) {
+	id := res.Task
 	r.mu.Lock()
-	known := r.job.Result(w, res)
-	r.settle()
+	disposition := r.job.Result(w, res)
+	if disposition == job.Stray && r.job.Resolve(id.Index, w, res.Outcome, res.Status, res.Reason) {
+		metrics.OutcomesResolved.Add(1)
+	}
+	failed := r.settle()
 	r.mu.Unlock()
-	if !known {
+	var events []dispatch.Event
+	switch disposition {
+	case job.Stray:
 		metrics.ResultsStray.Add(1)
-		return
+	case job.Requeued:
+		events = []dispatch.Event{dispatch.Requeue{Task: id, Worker: w}}
+	case job.Ending:
+		metrics.ResultsTaken.Add(1)
+		bad := res.Outcome != contract.OutcomeRan || res.Status >= 500
+		events = []dispatch.Event{dispatch.Finished{Task: id, Worker: w, Elapsed: res.Elapsed, Failed: bad}}
 	}
-	metrics.ResultsTaken.Add(1)
-	failed := res.Outcome != contract.OutcomeRan || res.Status >= 500
-	r.entry.step(r.pool, dispatch.Finished{Task: res.Task, Worker: w, Elapsed: res.Elapsed, Failed: failed})
+	r.follow(events, failed)
 }
 
 // lost ends the tasks that w holds as unknown.
 func (r *jobRun) lost(w host.Ref) {
 	r.mu.Lock()
-	ids := r.job.Sent(w)
+	ids, _ := r.job.Held(w)
 	r.job.Lost(w)
-	r.settle()
+	failed := r.settle()
 	r.mu.Unlock()
+	var events []dispatch.Event
 	for _, id := range ids {
-		r.entry.step(r.pool, dispatch.Finished{Task: id, Worker: w, Failed: true})
+		events = append(events, dispatch.Finished{Task: id, Worker: w, Failed: true})
 	}
+	r.follow(events, failed)
 }
 
 // abort ends the job: what waits never runs, what was sent is cancelled.
 func (r *jobRun) abort(k contract.Kind, format string, args ...any) {
 	r.mu.Lock()
+	if r.owner != nil {
+		r.mu.Unlock()
+		return
+	}
 	r.job.Abort(k, format, args...)
 	holders := r.job.Holders()
 	r.settle()
 	r.mu.Unlock()
 	r.entry.step(r.pool, dispatch.Withdraw{Job: r.job.ID()})
 	for _, ref := range holders {
-		if w, ok := r.entry.worker(ref); ok && w.link != nil {
-			w.link.Send(&contract.Cancel{Job: r.job.ID()})
+		r.entry.tell(ref, &contract.Cancel{Job: r.job.ID()})
+	}
+}
+
+// fenceLead is how long before the deadline the tasks that have been sent and
+// not started are fenced, so that the answer can say so.
+const fenceLead = 20 * time.Millisecond
+
+// fenceUnstarted asks the workers to fence what they have not started.
+func (r *jobRun) fenceUnstarted() {
+	r.mu.Lock()
+	fences := make(map[host.Ref]*contract.Fence)
+	for _, ref := range r.job.Holders() {
+		ids, attempts := r.job.Held(ref)
+		fences[ref] = &contract.Fence{Tasks: ids, Attempts: attempts}
+	}
+	r.mu.Unlock()
+	for ref, m := range fences {
+		r.entry.tell(ref, m)
+	}
+}
+
+// follow carries out what an event led to.
+func (r *jobRun) follow(events []dispatch.Event, failed bool) {
+	for _, ev := range events {
+		r.entry.step(r.pool, ev)
+	}
+	if failed {
+		r.entry.step(r.pool, dispatch.Withdraw{Job: r.job.ID()})
+		r.fenceUnstarted()
+	}
+}
+
+// watch ends the job at its deadline, or when ctx is done.
+func (r *jobRun) watch(ctx context.Context) {
+	left := time.Until(r.deadline)
+	lead := time.NewTimer(max(left-fenceLead, left/2))
+	defer lead.Stop()
+	deadline := time.NewTimer(left)
+	defer deadline.Stop()
+	for {
+		select {
+		case <-r.done:
+			return
+		case <-lead.C:
+			r.mu.Lock()
+			r.job.Close()
+			r.mu.Unlock()
+			r.fenceUnstarted()
+		case <-deadline.C:
+			r.abort(contract.ErrDeadline, "the deadline passed")
+		case <-ctx.Done():
+			r.abort(contract.ErrCancelled, "the caller went away")
+			return
 		}
 	}
 }
 
 // settle records the outcomes that are new and answers the job once it is
-// done; the caller holds r.mu.
-func (r *jobRun) settle() {
+// done. It reports whether the job has just failed with tasks that may still
+// be fenced; the caller holds r.mu.
+func (r *jobRun) settle() bool {
 	for _, t := range r.job.TakeEnded() {
 		r.record(t)
 	}
-	if r.job.Done() {
-		r.answer()
+	if !r.job.Done() || r.answered {
+		return false
 	}
+	r.answer()
+	return !r.job.Settled()
 }
 
 func (r *jobRun) record(t job.Ended) {
-	if r.entry.cfg.Outcomes == nil {
+	if r.entry.cfg.Outcomes == nil || r.owner != nil || r.unclaimed {
 		return
 	}
 	r.entry.cfg.Outcomes.Record(contract.OutcomeRecord{
--- a/entry/shards.go
+++ b/entry/shards.go
@@ -38,23 +38,27 @@
 	return sh.byID[id]
 }
 
-// add stores a under id, and reports false where id is taken.
-func (s *jobShards) add(id contract.JobID, a active) bool {
+// swap replaces old, which is nil where id is free, and reports false where
+// another is stored under id.
+func (s *jobShards) swap(id contract.JobID, old, a active) bool {
 	sh := s.shard(id)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	if _, taken := sh.byID[id]; taken {
+	if sh.byID[id] != old {
 		return false
 	}
 	sh.byID[id] = a
 	return true
 }
 
-func (s *jobShards) remove(id contract.JobID) {
+// remove drops a, unless another has taken its place.
+func (s *jobShards) remove(id contract.JobID, a active) {
 	sh := s.shard(id)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	delete(sh.byID, id)
+	if sh.byID[id] == a {
+		delete(sh.byID, id)
+	}
 }
 
 // all returns the work in progress at some time during the call.
--- a/entry/single.go
+++ b/entry/single.go
@@ -8,7 +8,7 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/dispatch"
 	"github.com/carawaylanding/carawaylanding/forward"
-	"github.com/carawaylanding/carawaylanding/host"
+	"github.com/carawaylanding/carawaylanding/metrics"
 )
 
 // singleRun is a single request in progress: a job of one task whose body is
@@ -45,97 +45,125 @@
 	}
 }
 
+// maxSingleAttempts bounds the attempts at one request.
+const maxSingleAttempts = 4
+
 func (e *Entry) runSingle(w http.ResponseWriter, r *http.Request, route contract.Route) error {
 	p := e.pool(route.Pool)
 	if p == nil {
 		return contract.ErrNoRoute.With("pool %q does not exist", route.Pool)
 	}
-	id := contract.NewJobID()
+	body, err := openBody(r)
+	if err != nil {
+		return contract.ErrBadRequest.With("the body could not be read: %v", err)
+	}
+	e.retries.request()
+	began := time.Now()
+	x := &exchange{
+		entry:    e,
+		req:      r,
+		body:     body,
+		id:       contract.TaskID{Job: contract.NewJobID()},
+		deadline: began.Add(singleDeadline(r, route)),
+		retry:    route.Retryable(r.Method) && r.Header.Get(forward.HeaderNonIdempotent) == "",
+	}
 	run := &singleRun{placed: make(chan workerLink, 1), refused: make(chan error, 1)}
-	e.jobs.add(id, run)
-	defer e.jobs.remove(id)
-	deadline := time.Now().Add(singleDeadline(r, route))
+	e.jobs.swap(x.id.Job, nil, run)
+	defer e.jobs.remove(x.id.Job, run)
 	team := r.Header.Get(forward.HeaderTeam)
 	if team == "" {
 		team = anyTeam
 	}
-	e.step(p, dispatch.Submit{Job: id, Team: team, Route: route.Name, Deadline: deadline, Demands: []contract.Demand{{Slots: 1}}})
-	timer := time.NewTimer(time.Until(deadline))
+	e.step(p, dispatch.Submit{Job: x.id.Job, Team: team, Route: route.Name, Deadline: x.deadline, Demands: []contract.Demand{{Slots: 1}}})
+	err = e.attempts(w, p, run, x)
+	e.observe(route.Name, team, began, x.worked, err)
+	return err
+}
+
+// attempts places the request until it is answered, or must not go again.
+func (e *Entry) attempts(w http.ResponseWriter, p *pool, run *singleRun, x *exchange) error {
+	timer := time.NewTimer(time.Until(x.deadline))
 	defer timer.Stop()
-	select {
-	case wk := <-run.placed:
-		began := time.Now()
-		err := e.relay(w, r, contract.TaskID{Job: id}, wk, deadline)
-		e.step(p, dispatch.Finished{Task: contract.TaskID{Job: id}, Worker: wk.Ref, Elapsed: time.Since(began), Failed: err != nil})
-		return err
-	case err := <-run.refused:
-		return err
-	case <-timer.C:
-		e.withdraw(p, run, id)
-		return contract.ErrOverload.Refuse(time.Second, "no worker was free before the deadline")
-	case <-r.Context().Done():
-		e.withdraw(p, run, id)
-		return contract.ErrCancelled.With("the caller went away")
+	for {
+		select {
+		case wk := <-run.placed:
+			x.attempt++
+			sent := time.Now()
+			fate, err := x.relay(w, wk)
+			x.worked = time.Since(sent)
+			if x.again(fate) {
+				e.step(p, dispatch.Requeue{Task: x.id, Worker: wk.Ref})
+				continue
+			}
+			e.step(p, dispatch.Finished{Task: x.id, Worker: wk.Ref, Elapsed: x.worked, Failed: err != nil})
+			return err
+		case err := <-run.refused:
+			return x.qualify(err)
+		case <-timer.C:
+			e.withdraw(p, run, x.id)
+			return x.qualify(contract.ErrOverload.Refuse(time.Second, "no worker was free before the deadline"))
+		case <-x.req.Context().Done():
+			e.withdraw(p, run, x.id)
+			return x.qualify(contract.ErrCancelled.With("the caller went away"))
+		}
 	}
 }
 
 // withdraw drops a request that waits; a placement that raced is given back.
-func (e *Entry) withdraw(p *pool, run *singleRun, id contract.JobID) {
-	e.step(p, dispatch.Withdraw{Job: id})
-	e.jobs.remove(id)
+func (e *Entry) withdraw(p *pool, run *singleRun, id contract.TaskID) {
+	e.step(p, dispatch.Withdraw{Job: id.Job})
+	e.jobs.remove(id.Job, run)
 	select {
 	case wk := <-run.placed:
-		e.step(p, dispatch.Finished{Task: contract.TaskID{Job: id}, Worker: wk.Ref})
+		e.step(p, dispatch.Finished{Task: id, Worker: wk.Ref})
 	default:
 	}
 }
 
+// again reports whether the request may be placed once more.
+func (x *exchange) again(f fate) bool {
+	if x.attempt >= maxSingleAttempts || x.req.Context().Err() != nil || !x.body.rewind() {
+		return false
+	}
+	switch f {
+	case fateNotRun:
+		metrics.SingleRetries.Add(1)
+		return true
+	case fateUnknown:
+		if !x.retry {
+			return false
+		}
+		if !x.entry.retries.spend() {
+			metrics.RetriesDenied.Add(1)
+			return false
+		}
+		x.unsure = true
+		metrics.SingleRetries.Add(1)
+		return true
+	}
+	return false
+}
+
+// qualify makes a refusal say what earlier attempts mean for the outcome.
+func (x *exchange) qualify(err error) error {
+	e, ok := contract.AsError(err)
+	switch {
+	case !ok:
+	case x.unsure:
+		e.Outcome = contract.OutcomeUnknown
+	case e.Kind.Name == contract.ErrCancelled.Name:
+		e.Outcome = contract.OutcomeNotRun
+	}
+	return err
+}
+
 func singleDeadline(r *http.Request, route contract.Route) time.Duration {
 	d := contract.DefaultDeadline
 	if ms, err := strconv.Atoi(r.Header.Get(forward.HeaderDeadlineMS)); err == nil && ms > 0 {
-		d = time.Duration(ms) * time.Millisecond
+		d = min(time.Duration(ms)*time.Millisecond, contract.MaxDeadline)
 	}
 	if limit := route.Timeout(); limit > 0 {
 		d = min(d, limit)
 	}
 	return d
 }
-
-// relay streams the request through the worker's agent. Once bytes of the
-// answer have left, a fault cuts the connection rather than ending it cleanly.
-func (e *Entry) relay(w http.ResponseWriter, r *http.Request, id contract.TaskID, wk workerLink, deadline time.Time) error {
-	out, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+wk.HTTPAddr+r.URL.RequestURI(), r.Body)
-	if err != nil {
-		return contract.ErrBadRequest.With("%v", err)
-	}
-	forward.CopyHeader(out.Header, r.Header)
-	out.ContentLength = r.ContentLength
-	out.Host = r.Host
-	setStart(out.Header, id, wk.Ref, time.Until(deadline))
-	res, err := agentTransport.RoundTrip(out)
-	if err != nil {
-		return contract.ErrUpstreamLost.With("worker %s: %v", wk.Host, err)
-	}
-	defer res.Body.Close()
-	w.Header().Set(forward.HeaderJobID, string(id.Job))
-	if err := forward.CopyResponse(w, res); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	return nil
-}
-
-func setStart(h http.Header, id contract.TaskID, to host.Ref, lease time.Duration) {
-	h.Set(forward.HeaderTaskID, id.String())
-	h.Set(forward.HeaderAttempt, "1")
-	h.Set(forward.HeaderIncarnation, strconv.FormatUint(uint64(to.Incarnation), 10))
-	h.Set(forward.HeaderLeaseMS, strconv.FormatInt(lease.Milliseconds(), 10))
-}
-
-// maxIdleAgentConns bounds the idle connections to one agent.
-const maxIdleAgentConns = 64
-
-var agentTransport = &http.Transport{
-	MaxIdleConnsPerHost: maxIdleAgentConns,
-	IdleConnTimeout:     30 * time.Second,
-	DisableCompression:  true,
-}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -47,6 +47,44 @@
 	}
 }
 
+// controlFields are the fields that only the system's own processes set.
+var controlFields = []string{
+	HeaderOutcome, HeaderJobID, HeaderTaskID, HeaderAttempt, HeaderIncarnation, HeaderLeaseMS,
+}
+
+// StripControl removes the system's own fields from what came from outside.
+func StripControl(h http.Header) {
+	for _, name := range controlFields {
+		h.Del(name)
+	}
+}
+
+// Once keeps net/http from sending the request again by itself: it would do so
+// for some requests when a kept connection closes before the answer.
+func Once(r *http.Request) {
+	if !resendable(r) {
+		return
+	}
+	r.GetBody = nil
+	body := r.Body
+	if body == nil {
+		body = http.NoBody
+	}
+	r.Body = onceBody{body}
+}
+
+// resendable reports whether net/http takes the request for idempotent.
+func resendable(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return r.Header.Get(HeaderIdempotencyKey) != "" || r.Header.Get("X-Idempotency-Key") != ""
+}
+
+// onceBody hides that a body is empty or can be read again.
+type onceBody struct{ io.ReadCloser }
+
 // flushBytes is the size of the copy buffer; each read is flushed on.
 const flushBytes = 32 << 10
 
--- a/job/job.go
+++ b/job/job.go
@@ -4,10 +4,14 @@
 //
 // Invariant: a task is offered for placement only while it is known that no
 // worker has started it or will. A task that was sent stays with its worker
-// until the worker says that it is fenced, reports a result, or is lost.
+// until the worker says that it is fenced, reports a result, or is lost. A task
+// that an earlier owner of the job may have sent is asked about at each worker
+// that it may have been sent to, and is offered once all have fenced it.
 package job
 
 import (
+	"slices"
+
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/host"
 )
@@ -17,15 +21,23 @@
 
 const (
 	phaseQueued phase = iota
+	phaseAsked
 	phaseSent
 	phaseEnded
 )
 
 type task struct {
-	phase   phase
+	phase phase
+	// worker is where the task was last sent.
 	worker  host.Ref
 	attempt uint32
-	result  contract.TaskResult
+	// asked are the workers whose answer is awaited in phaseAsked.
+	asked []host.Ref
+	// unsure means that a worker was lost that may have started the task.
+	unsure bool
+	// notStarted counts the ends without a start at an upstream.
+	notStarted int
+	result     contract.TaskResult
 }
 
 // Job is one job's state.
@@ -35,6 +47,8 @@
 	open   int // tasks not ended
 	ended  []uint32
 	failed error
+	// closing means that no task is placed any more: the deadline is near.
+	closing bool
 }
 
 // New returns the state of a job with n unplaced tasks.
@@ -53,7 +67,7 @@
 // number of the start. It reports false where the task must not start.
 func (j *Job) Place(i uint32, w host.Ref) (uint32, bool) {
 	t := j.task(i)
-	if t == nil || t.phase != phaseQueued || j.failed != nil {
+	if t == nil || t.phase != phaseQueued || j.failed != nil || j.closing {
 		return 0, false
 	}
 	t.phase = phaseSent
@@ -63,61 +77,211 @@
 }
 
 // Unsent records that task i provably never left for w, or that w has fenced
-// it: it may be placed again. It reports whether the task waits for placement.
-func (j *Job) Unsent(i uint32, w host.Ref) bool {
-	t := j.sentTo(i, w)
-	if t == nil {
+// the attempts up to the given one: it may be placed again. It reports whether
+// the task waits for placement. A report on an earlier attempt comes late and
+// says nothing.
+func (j *Job) Unsent(i uint32, w host.Ref, attempt uint32) bool {
+	t := j.task(i)
+	if t == nil || attempt < t.attempt {
 		return false
 	}
-	if j.failed != nil {
+	if j.sentTo(i, w) == nil {
+		return j.unasked(i, w)
+	}
+	return j.requeue(t)
+}
+
+// requeue makes t wait for placement, unless the job places no more.
+func (j *Job) requeue(t *task) bool {
+	switch {
+	case t.unsure:
+		j.end(t, contract.OutcomeUnknown, 0, "a worker was lost that it was sent to")
+		j.fail(contract.ErrUpstreamLost, "worker %s was lost after task %d was sent to it", t.worker.Host, t.result.Task)
+		return false
+	case j.failed != nil:
 		j.end(t, contract.OutcomeNotRun, 0, "the job had ended")
 		return false
+	case j.closing:
+		j.end(t, contract.OutcomeNotRun, 0, "the deadline was too near to start")
+		j.fail(contract.ErrDeadline, "task %d had not started when the deadline came", t.result.Task)
+		return false
 	}
 	t.phase = phaseQueued
 	return true
 }
 
-// Result records the end of task i at w. It reports false for a result that
-// does not belong to the task's present worker.
-func (j *Job) Result(w host.Ref, r *contract.Result) bool {
-	t := j.sentTo(r.Task.Index, w)
-	if t == nil {
+// Adopt records that an earlier owner may have sent the attempt at task i to
+// w. It is called before any other event of the job.
+func (j *Job) Adopt(i uint32, w host.Ref, attempt uint32) {
+	t := j.task(i)
+	if t == nil || t.phase > phaseAsked {
+		return
+	}
+	t.phase = phaseAsked
+	t.attempt = max(t.attempt, attempt)
+	if !slices.Contains(t.asked, w) {
+		t.asked = append(t.asked, w)
+	}
+}
+
+// Started records that w says that it has started task i, for another owner.
+func (j *Job) Started(i uint32, w host.Ref) {
+	t := j.task(i)
+	if t == nil || t.phase != phaseAsked || !slices.Contains(t.asked, w) {
+		return
+	}
+	t.phase = phaseSent
+	t.worker = w
+	t.asked = nil
+	t.unsure = false
+}
+
+func (j *Job) unasked(i uint32, w host.Ref) bool {
+	t := j.task(i)
+	if t == nil || t.phase != phaseAsked || !slices.Contains(t.asked, w) {
+		return false
+	}
+	t.asked = slices.DeleteFunc(t.asked, func(a host.Ref) bool { return a == w })
+	if len(t.asked) > 0 {
 		return false
 	}
+	return j.requeue(t)
+}
+
+// maxNotStarted is how many workers may report that they could not reach their
+// upstream before the task fails.
+const maxNotStarted = 3
+
+// Disposition says what became of a result.
+type Disposition uint8
+
+// The dispositions.
+const (
+	// Stray means that the result belongs to no task that waits for it.
+	Stray Disposition = iota
+	// Ending means that the task has ended.
+	Ending
+	// Requeued means that the task did not run and waits for placement.
+	Requeued
+)
+
+// Result records the end of task i at w. A result that does not belong to the
+// task's present worker is stray.
+func (j *Job) Result(w host.Ref, r *contract.Result) Disposition {
+	j.Started(r.Task.Index, w)
+	t := j.sentTo(r.Task.Index, w)
+	if t == nil || r.Outcome == contract.OutcomeNotRun && r.Attempt < t.attempt {
+		return Stray
+	}
+	if r.Outcome == contract.OutcomeNotRun && t.notStarted < maxNotStarted-1 {
+		t.notStarted++
+		if j.requeue(t) {
+			return Requeued
+		}
+		return Ending
+	}
 	t.result.Body = r.Body
 	t.result.Elapsed = r.Elapsed
 	j.end(t, r.Outcome, r.Status, r.Reason)
 	if r.Outcome != contract.OutcomeRan || r.Status >= 300 {
 		j.fail(contract.ErrTaskFailed, "task %d ended with status %d at %s: %s", r.Task.Index, r.Status, w.Host, r.Reason)
 	}
+	return Ending
+}
+
+// Resolve makes a task that ended as unknown at w known, and reports whether
+// it did. The job's answer stays as it was.
+func (j *Job) Resolve(i uint32, w host.Ref, o contract.Outcome, status int, reason string) bool {
+	t := j.task(i)
+	if t == nil || t.phase != phaseEnded || t.worker != w || t.result.Outcome != contract.OutcomeUnknown || o == contract.OutcomeUnknown {
+		return false
+	}
+	if t.unsure && o == contract.OutcomeNotRun {
+		return false // another worker may have started it
+	}
+	t.result.Outcome = o
+	t.result.Status = status
+	t.result.Reason = reason
+	j.ended = append(j.ended, t.result.Task)
 	return true
 }
 
+// Unknown returns the tasks that ended as unknown at w, as Held does.
+func (j *Job) Unknown(w host.Ref) (ids []contract.TaskID, attempts []uint32) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.phase == phaseEnded && t.worker == w && t.result.Outcome == contract.OutcomeUnknown {
+			ids = append(ids, contract.TaskID{Job: j.id, Index: uint32(i)})
+			attempts = append(attempts, t.attempt)
+		}
+	}
+	return ids, attempts
+}
+
+// Close stops placement: the deadline is near. A task that is fenced from now
+// on ends the job, since it can no longer be whole.
+func (j *Job) Close() { j.closing = true }
+
+// Untouched reports whether no task can have been sent to any worker.
+func (j *Job) Untouched() bool {
+	return !slices.ContainsFunc(j.tasks, func(t task) bool { return t.phase != phaseQueued || t.attempt > 0 })
+}
+
+// Queued reports whether a task waits for placement.
+func (j *Job) Queued() bool {
+	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.phase == phaseQueued })
+}
+
+// Holds reports whether attempt is the present one at task i, and at w.
+func (j *Job) Holds(i uint32, w host.Ref, attempt uint32) bool {
+	t := j.sentTo(i, w)
+	return t != nil && t.attempt == attempt
+}
+
+// Attempt returns the last attempt at task i that may have been sent.
+func (j *Job) Attempt(i uint32) uint32 {
+	if t := j.task(i); t != nil {
+		return t.attempt
+	}
+	return 0
+}
+
 // Lost records that w is gone for good: what it was sent may have run.
 func (j *Job) Lost(w host.Ref) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if t.phase == phaseSent && t.worker == w {
+		switch {
+		case t.phase == phaseSent && t.worker == w:
 			j.end(t, contract.OutcomeUnknown, 0, "the worker was lost")
 			j.fail(contract.ErrUpstreamLost, "worker %s was lost after task %d was sent to it", w.Host, i)
+		case t.phase == phaseAsked && slices.Contains(t.asked, w):
+			t.unsure = true
+			t.worker = w
+			j.unasked(uint32(i), w)
 		}
 	}
 }
 
 // Abort ends the job for the given kind of reason: what waits never runs.
+// A job whose tasks have all ended stays as it is.
 func (j *Job) Abort(k contract.Kind, format string, args ...any) {
-	j.fail(k, format, args...)
+	if j.open > 0 {
+		j.fail(k, format, args...)
+	}
 }
 
-// Sent returns the tasks that w holds without an end.
-func (j *Job) Sent(w host.Ref) []contract.TaskID {
-	var out []contract.TaskID
+// Held returns the tasks that w may hold without an end, each with the last
+// attempt that may have been sent.
+func (j *Job) Held(w host.Ref) (ids []contract.TaskID, attempts []uint32) {
 	for i := range j.tasks {
-		if j.tasks[i].phase == phaseSent && j.tasks[i].worker == w {
-			out = append(out, contract.TaskID{Job: j.id, Index: uint32(i)})
+		t := &j.tasks[i]
+		sent := t.phase == phaseSent && t.worker == w
+		if sent || t.phase == phaseAsked && slices.Contains(t.asked, w) {
+			ids = append(ids, contract.TaskID{Job: j.id, Index: uint32(i)})
+			attempts = append(attempts, t.attempt)
 		}
 	}
-	return out
+	return ids, attempts
 }
 
 // Holders returns the workers that hold tasks without an end.
@@ -126,9 +290,15 @@
 	var out []host.Ref
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if t.phase == phaseSent && !seen[t.worker] {
-			seen[t.worker] = true
-			out = append(out, t.worker)
+		holders := t.asked
+		if t.phase == phaseSent {
+			holders = []host.Ref{t.worker}
+		}
+		for _, w := range holders {
+			if !seen[w] {
+				seen[w] = true
+				out = append(out, w)
+			}
 		}
 	}
 	return out
@@ -229,7 +399,7 @@
 
 // fail records the first reason and ends what waits.
 func (j *Job) fail(k contract.Kind, format string, args ...any) {
-	if j.failed != nil || j.open == 0 && k.Name != contract.ErrTaskFailed.Name && k.Name != contract.ErrUpstreamLost.Name {
+	if j.failed != nil {
 		return
 	}
 	j.failed = k.With(format, args...)
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -24,7 +24,7 @@
 	must.True(t, ok)
 	_, ok = j.Place(0, second)
 	must.False(t, ok)
-	must.True(t, j.Unsent(0, first))
+	must.True(t, j.Unsent(0, first, 1))
 	attempt, ok := j.Place(0, second)
 	must.True(t, ok)
 	must.Eq(t, 2, attempt)
@@ -33,8 +33,8 @@
 func TestResultOfAnotherWorkerIsDropped(t *testing.T) {
 	j := New("j", 1)
 	j.Place(0, first)
-	must.False(t, j.Result(second, ran(0)))
-	must.True(t, j.Result(first, ran(0)))
+	must.Eq(t, Stray, j.Result(second, ran(0)))
+	must.Eq(t, Ending, j.Result(first, ran(0)))
 	must.True(t, j.Done())
 	must.Nil(t, j.Err())
 }
--- a/node/links.go
+++ b/node/links.go
@@ -39,6 +39,10 @@
 		n.merge(m)
 	case *contract.Prepare, *contract.Accept, *contract.EditRequest, *contract.TablesRead:
 		n.forControl(l, seq, m)
+	case *contract.RecordWrite, *contract.RecordPrepare, *contract.RecordCopy:
+		l.Reply(seq, n.records.receive(m))
+	case *contract.JobWait:
+		n.waitJob(l, seq, m)
 	default:
 		if n.fromAgent(l) {
 			n.entry.Receive(l, m)
@@ -61,6 +65,19 @@
 	}()
 }
 
+// waitJob answers with a job's answer once it has one, or the link is down.
+func (n *Node) waitJob(l *link.Link, seq uint64, m *contract.JobWait) {
+	if n.entry == nil {
+		l.Reply(seq, &contract.JobAnswer{})
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), contract.MaxDeadline)
+		defer cancel()
+		l.Reply(seq, n.entry.WaitJob(ctx, m))
+	}()
+}
+
 func (n *Node) sawVersion(l *link.Link, v contract.Version) {
 	have := n.tables.Version()
 	if v > have {
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,7 @@
 	tables  *tables.Holder
 	peers   map[contract.HostID]*link.Dialer
 	entry   *entry.Entry
+	records *records
 	control *control.Control
 	store   *control.Store
 }
@@ -92,10 +93,16 @@
 	if n.store != nil {
 		defer n.store.Close()
 	}
+	var err error
+	n.records, err = newRecords(n.set.ID, n.set.RecordHolders, n.peers, n.set.DataDir, n.log)
+	if err != nil {
+		return err
+	}
 	if n.set.Has(contract.RoleEntry) {
 		n.entry = entry.New(entry.Config{
 			Identity: n.identity,
 			Tables:   n.tables,
+			Records:  n.records.client(n.identity.Ref),
 			NewScheduler: func(p contract.Pool) dispatch.Scheduler {
 				return dispatch.NewPool(dispatch.Config{MaxQueue: p.MaxQueue})
 			},
@@ -157,6 +164,7 @@
 		return err
 	}
 	g.Go(func() error { n.catchUp(linkCtx); return nil })
+	g.Go(func() error { n.records.run(linkCtx); return nil })
 	n.log.Info("started", "link", linkLn.Addr(), "admin", adminLn.Addr(), "roles", n.set.Roles)
 	g.Go(func() error {
 		<-ctx.Done()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,6 +47,8 @@
 	// Control are the first members of the agreement.
 	Control []contract.HostID
 	DataDir string
+	// RecordHolders hold the records of jobs with an idempotency key.
+	RecordHolders []contract.HostID
 
 	// Entries are the link addresses that an agent announces itself to.
 	Entries  []string
@@ -74,7 +76,7 @@
 
 // raw are the settings as written.
 type raw struct {
-	id, roles, peers, control, entries, pools string
+	id, roles, peers, control, entries, pools, holders string
 }
 
 // Parse reads the settings from the arguments and the environment. The error
@@ -107,6 +109,7 @@
 	fs.StringVar(&s.AdminAddr, "admin-addr", "", "IP:port of the operators' interface")
 	fs.StringVar(&r.peers, "peers", "", "comma-separated ID=IP:port of the other entry and control hosts")
 	fs.StringVar(&r.control, "control", "", "comma-separated IDs of the first control hosts")
+	fs.StringVar(&r.holders, "record-holders", "", "comma-separated IDs of the entry or control hosts that hold job records; the same on every host; empty means those of -control")
 	fs.StringVar(&s.DataDir, "data-dir", "", "folder of the synced state (control)")
 	fs.StringVar(&r.entries, "entries", "", "comma-separated link addresses of the entries (agent)")
 	fs.StringVar(&s.Upstream, "upstream", "", "base URL of the upstream beside this agent")
@@ -134,6 +137,13 @@
 	for _, id := range split(r.control) {
 		s.Control = append(s.Control, contract.HostID(id))
 	}
+	s.RecordHolders = s.Control
+	if r.holders != "" {
+		s.RecordHolders = nil
+	}
+	for _, id := range split(r.holders) {
+		s.RecordHolders = append(s.RecordHolders, contract.HostID(id))
+	}
 	for _, p := range split(r.peers) {
 		id, addr, ok := strings.Cut(p, "=")
 		if !ok {
@@ -178,6 +188,13 @@
 	return c.faults
 }
 
+func (s *Settings) holderFaults(c *checker) {
+	for _, id := range s.RecordHolders {
+		known := id == s.ID || slices.ContainsFunc(s.Peers, func(p Peer) bool { return p.Host == id })
+		c.check(known, "-record-holders: host %q is not among -peers: add it there", id)
+	}
+}
+
 func (s *Settings) roleFaults(c *checker) {
 	if s.Has(contract.RoleAgent) {
 		s.agentFaults(c)
@@ -185,6 +202,7 @@
 	if s.Has(contract.RoleEntry) || s.Has(contract.RoleControl) {
 		c.addr("-link-addr", s.LinkAddr)
 		c.addr("-admin-addr", s.AdminAddr)
+		s.holderFaults(c)
 		c.check(len(s.Control) > 0, "-control is empty: name the control hosts")
 		c.check(!s.Has(contract.RoleAgent), "-roles: agent goes with no other role: run it as its own process")
 	}
