--- a/node/records.go
+++ b/node/records.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -167,6 +168,26 @@
 	return r.holder.Serving(time.Now())
 }
 
+// RecordsAnswer is the body of GET /admin/records.
+type RecordsAnswer struct {
+	// Holder says that this host holds job records.
+	Holder bool `json:"holder"`
+	// Serving says that it votes; otherwise it has restarted and abstains.
+	Serving bool `json:"serving"`
+	Records int  `json:"records"`
+}
+
+func (r *records) serveRecords(w http.ResponseWriter, _ *http.Request) {
+	a := RecordsAnswer{Holder: r.holder != nil}
+	if a.Holder {
+		a.Serving = r.serving()
+		r.mu.Lock()
+		a.Records = r.holder.Len()
+		r.mu.Unlock()
+	}
+	answer(w, a)
+}
+
 func (r *records) sweep() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
