--- a/contract/message_record.go
+++ b/contract/message_record.go
@@ -124,10 +124,13 @@
 // answer that stands: the asker takes it over.
 type JobAnswer struct {
 	Final bool
-	// Kind and Message are set where the job failed.
-	Kind    string
-	Message string
-	Results []TaskResult
+	// Failed says that the job failed with the error that follows.
+	Failed     bool
+	Kind       Kind
+	Message    string
+	Outcome    Outcome
+	RetryAfter time.Duration
+	Results    []TaskResult
 }
 
 // MessageKind implements Message.
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -133,25 +133,32 @@
 		return answered{}, false
 	}
 	metrics.Resubmissions.Add(1)
-	if a.Kind == "" {
+	if !a.Failed {
 		return answered{id: id, results: a.Results}, true
 	}
-	return answered{id: id, err: contract.ErrTaskFailed.WithTasks(a.Results, "%s", a.Message)}, true
+	return answered{id: id, err: &contract.Error{
+		Kind: a.Kind, Message: a.Message, Outcome: a.Outcome, RetryAfter: a.RetryAfter, Tasks: a.Results,
+	}}, true
 }
 
-// WaitJob answers another entry that asks for a job's answer.
+// WaitJob answers another entry that asks for a job's answer. A submission that
+// finds the job in progress gets its answer, whatever it is; one that comes
+// after gets it only where it stands.
 func (e *Entry) WaitJob(ctx context.Context, m *contract.JobWait) contract.Message {
 	defer e.join()()
 	run, ok := e.jobs.get(m.Job).(*jobRun)
 	if !ok || run.digest != m.Digest {
 		return &contract.JobAnswer{}
 	}
+	if !run.standing() {
+		return &contract.JobAnswer{}
+	}
 	select {
 	case <-run.done:
 	case <-ctx.Done():
 		return &contract.JobAnswer{}
 	}
-	if !run.standing() {
+	if run.takenOver() != nil {
 		return &contract.JobAnswer{}
 	}
 	results, err := run.outcome()
@@ -165,7 +172,9 @@
 	if !ok {
 		return &contract.JobAnswer{}
 	}
-	return &contract.JobAnswer{Final: true, Kind: typed.Kind.Name, Message: typed.Message, Results: typed.Tasks}
+	return &contract.JobAnswer{
+		Final: true, Failed: true, Kind: typed.Kind, Message: typed.Message, Outcome: typed.Outcome, RetryAfter: typed.RetryAfter, Results: typed.Tasks,
+	}
 }
 
 // maxHandedBytes bounds the bodies of an answer that goes to another entry in
--- a/entry/plans.go
+++ b/entry/plans.go
@@ -52,7 +52,7 @@
 		plan[i] = contract.Placement{Task: p.id.Index, Attempt: p.attempt, Worker: p.worker.Host, Incarnation: p.worker.Incarnation}
 	}
 	records := r.entry.cfg.Records
-	tally := records.ask(&contract.RecordWrite{
+	tally := records.ask(RecordTimeout, &contract.RecordWrite{
 		Job: r.job.ID(), Digest: r.digest, Epoch: r.epoch, Plan: plan, TTL: records.ttl(r.deadline),
 	})
 	switch tally.Final() {
@@ -95,11 +95,42 @@
 	r.follow(events, failed)
 }
 
+// sealTimeout bounds how long an answer waits for its seal.
+const sealTimeout = 50 * time.Millisecond
+
+// mustSeal reports whether the answer says not-run of tasks that another owner
+// may have started by now; the caller holds r.mu.
+func (r *jobRun) mustSeal() bool {
+	return r.keyed() && !r.sealed && !r.unclaimed && r.owner == nil && r.job.Err() != nil && r.job.AnyNotRun()
+}
+
+// seal confirms with a quorum that this run still owns the job, and answers.
+// Where there is no quorum, what was not run is unknown. It is the
+// specification's Seal.
+func (r *jobRun) seal() {
+	records := r.entry.cfg.Records
+	tally := records.ask(sealTimeout, &contract.RecordWrite{
+		Job: r.job.ID(), Digest: r.digest, Epoch: r.epoch, TTL: records.ttl(r.deadline),
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sealed = true
+	switch tally.Final() {
+	case record.Granted:
+	case record.Owned:
+		owner := tally.Owner()
+		r.owner = &owner
+	default:
+		r.job.Doubt()
+	}
+	r.answer()
+}
+
 // handOver ends the run in favour of another owner. Its tasks are not
 // cancelled, and their outcomes are the other's to record.
 func (r *jobRun) handOver(owner contract.RecordEpoch) {
 	r.mu.Lock()
-	if !r.answered {
+	if !r.answered && r.owner == nil {
 		r.owner = &owner
 		r.job.Abort(contract.ErrCancelled, "the job was taken over by entry %s", owner.Host)
 		r.settle()
@@ -143,7 +174,7 @@
 // started, and places the rest. It is the specification's Takeover.
 func (r *jobRun) takeOver() {
 	records := r.entry.cfg.Records
-	tally := records.ask(&contract.RecordPrepare{
+	tally := records.ask(RecordTimeout, &contract.RecordPrepare{
 		Job: r.job.ID(), Digest: r.digest, Epoch: r.epoch, TTL: records.ttl(r.deadline),
 	})
 	switch tally.Final() {
--- a/entry/records.go
+++ b/entry/records.go
@@ -64,10 +64,10 @@
 }
 
 // ask sends m to every holder, and returns the answers once they decide or
-// their time has passed.
-func (r *Records) ask(m contract.Message) *record.Tally {
+// the limit, which is at most RecordTimeout, has passed.
+func (r *Records) ask(limit time.Duration, m contract.Message) *record.Tally {
 	metrics.RecordWrites.Add(1)
-	ctx, cancel := context.WithTimeout(context.Background(), RecordTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	answers := make(chan holderAnswer, len(r.Holders))
 	tally := record.NewTally(len(r.Holders))
 	began := time.Now()
@@ -87,7 +87,7 @@
 	for tally.Verdict() == record.Undecided {
 		select {
 		case a := <-answers:
-			if time.Since(began) < RecordTimeout {
+			if time.Since(began) < limit {
 				tally.Add(a.from, a.reply)
 				continue
 			}
--- a/entry/run.go
+++ b/entry/run.go
@@ -37,6 +37,9 @@
 	// unclaimed means that the record was refused: the run knows nothing of
 	// the tasks' outcomes.
 	unclaimed bool
+	// sealing means that the owner's epoch is being confirmed before an answer
+	// that says not-run; sealed that this is over.
+	sealing, sealed bool
 }
 
 // placement is a task that is to be started at a worker.
@@ -69,7 +72,7 @@
 // send sends a start; the caller holds r.mu, so that a cancel follows it.
 func (r *jobRun) send(p placement) []dispatch.Event {
 	w, ok := r.entry.worker(p.worker)
-	if ok && w.link != nil && !r.job.Done() && r.job.Holds(p.id.Index, p.worker, p.attempt) {
+	if ok && w.link != nil && r.job.Send(p.id.Index, p.worker, p.attempt) {
 		if err := w.link.Send(r.start(p)); err == nil {
 			metrics.StartsSent.Add(1)
 			return nil
@@ -265,10 +268,15 @@
 	for _, t := range r.job.TakeEnded() {
 		r.record(t)
 	}
-	if !r.job.Done() || r.answered {
+	if !r.job.Done() || r.answered || r.sealing {
 		return false
 	}
-	r.answer()
+	if r.mustSeal() {
+		r.sealing = true
+		go r.seal()
+	} else {
+		r.answer()
+	}
 	return !r.job.Settled()
 }
 
--- a/job/job.go
+++ b/job/job.go
@@ -22,6 +22,7 @@
 const (
 	phaseQueued phase = iota
 	phaseAsked
+	phasePlaced // has a worker, and its start has not left
 	phaseSent
 	phaseEnded
 )
@@ -63,19 +64,30 @@
 // ID returns the job's ID.
 func (j *Job) ID() contract.JobID { return j.id }
 
-// Place records that task i is about to be sent to w, and returns the attempt
-// number of the start. It reports false where the task must not start.
+// Place records that task i is to be sent to w, and returns the attempt number
+// of the start. It reports false where the task must not start.
 func (j *Job) Place(i uint32, w host.Ref) (uint32, bool) {
 	t := j.task(i)
 	if t == nil || t.phase != phaseQueued || j.failed != nil || j.closing {
 		return 0, false
 	}
-	t.phase = phaseSent
+	t.phase = phasePlaced
 	t.worker = w
 	t.attempt++
 	return t.attempt, true
 }
 
+// Send records that the start of the attempt leaves for w. It reports false
+// where it must not: the task was not placed so, or the job has ended.
+func (j *Job) Send(i uint32, w host.Ref, attempt uint32) bool {
+	t := j.task(i)
+	if t == nil || t.phase != phasePlaced || t.worker != w || t.attempt != attempt || j.failed != nil {
+		return false
+	}
+	t.phase = phaseSent
+	return true
+}
+
 // Unsent records that task i provably never left for w, or that w has fenced
 // the attempts up to the given one: it may be placed again. It reports whether
 // the task waits for placement. A report on an earlier attempt comes late and
@@ -85,10 +97,10 @@
 	if t == nil || attempt < t.attempt {
 		return false
 	}
-	if j.sentTo(i, w) == nil {
-		return j.unasked(i, w)
+	if t.phase == phasePlaced && t.worker == w || j.sentTo(i, w) != nil {
+		return j.requeue(t)
 	}
-	return j.requeue(t)
+	return j.unasked(i, w)
 }
 
 // requeue makes t wait for placement, unless the job places no more.
@@ -218,6 +230,25 @@
 	return ids, attempts
 }
 
+// AnyNotRun reports whether a task has ended without a start.
+func (j *Job) AnyNotRun() bool {
+	return slices.ContainsFunc(j.tasks, func(t task) bool {
+		return t.phase == phaseEnded && t.result.Outcome == contract.OutcomeNotRun
+	})
+}
+
+// Doubt makes unknown what has not run: another owner of the job may have
+// started it since.
+func (j *Job) Doubt() {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.phase == phaseEnded && t.result.Outcome == contract.OutcomeNotRun {
+			t.result.Outcome = contract.OutcomeUnknown
+			t.result.Reason = "no quorum could say whether another entry took the job over"
+		}
+	}
+}
+
 // Close stops placement: the deadline is near. A task that is fenced from now
 // on ends the job, since it can no longer be whole.
 func (j *Job) Close() { j.closing = true }
@@ -232,12 +263,6 @@
 	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.phase == phaseQueued })
 }
 
-// Holds reports whether attempt is the present one at task i, and at w.
-func (j *Job) Holds(i uint32, w host.Ref, attempt uint32) bool {
-	t := j.sentTo(i, w)
-	return t != nil && t.attempt == attempt
-}
-
 // Attempt returns the last attempt at task i that may have been sent.
 func (j *Job) Attempt(i uint32) uint32 {
 	if t := j.task(i); t != nil {
@@ -404,7 +429,7 @@
 	}
 	j.failed = k.With(format, args...)
 	for i := range j.tasks {
-		if t := &j.tasks[i]; t.phase == phaseQueued {
+		if t := &j.tasks[i]; t.phase == phaseQueued || t.phase == phasePlaced {
 			j.end(t, contract.OutcomeNotRun, 0, "the job ended first")
 		}
 	}
--- a/record/holder.go
+++ b/record/holder.go
@@ -178,13 +178,26 @@
 	if r.digest != c.Digest {
 		r.digest = tornDigest
 	}
-	if r.epoch.Less(c.Epoch) {
-		r.epoch = c.Epoch
-	}
+	r.epoch = mergeEpochs(r.epoch, c.Epoch)
 	h.keep(r, now, r.epoch, c.TTL)
 	r.plan.add(c.Plan)
 }
 
+// contested is the epoch of a record that two first-round owners claim: at most
+// one of them has a quorum, and neither knows the other's plan. Only a later
+// round may follow it.
+var contested = contract.RecordEpoch{Round: contract.FirstRound}
+
+func mergeEpochs(a, b contract.RecordEpoch) contract.RecordEpoch {
+	if a.Round == contract.FirstRound && b.Round == contract.FirstRound && a != b {
+		return contested
+	}
+	if a.Less(b) {
+		return b
+	}
+	return a
+}
+
 // Recovery gathers the records of the other holders for one that restarted.
 type Recovery struct {
 	need   int
