--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,9 @@
 
 model:
 	@spec/check
+
+shares:
+	@$(GO) run ./internal/shares
+
+capacity: build
+	@$(GO) run ./internal/capacity -bin $(BIN)
--- /dev/null
+++ b/internal/capacity/state.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/dispatch"
+	"github.com/carawaylanding/carawaylanding/failuredomain"
+	"github.com/carawaylanding/carawaylanding/host"
+)
+
+// heapAfter returns the bytes of live heap that make adds.
+func heapAfter(make func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := make()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// queueSizes are the numbers of waiting tasks.
+var queueSizes = []int{1000, 10_000, 100_000}
+
+// workerCounts are the numbers of workers that one scheduler knows.
+var workerCounts = []int{11, 110, 1100, 7000}
+
+// queueSlopes measures the memory of a queued task, and the time of a decision
+// as the workers grow.
+func queueSlopes() ([]slope, error) {
+	var mem, cost []point
+	for _, n := range queueSizes {
+		mem = append(mem, point{float64(n), heapAfter(func() any { return loaded(1, n) })})
+	}
+	for _, n := range workerCounts {
+		cost = append(cost, point{float64(n), decisionTime(n)})
+	}
+	return collect(
+		slopeOf("scheduler memory", "queued task", "bytes", mem),
+		slopeOf("scheduler decision", "worker known", "ns", cost),
+	)
+}
+
+// loaded returns a scheduler with the given workers, all busy, and tasks that
+// wait.
+func loaded(workers, tasks int) dispatch.Scheduler {
+	p := dispatch.NewPool(dispatch.Config{MaxQueue: 2 * (tasks + workers)})
+	now := time.Unix(0, 0)
+	for i := range workers {
+		p.Step(now, dispatch.WorkerUp{Worker: benchWorker(i)})
+	}
+	for id := 0; tasks > 0; id++ {
+		n := min(tasks, contract.MaxTasks)
+		tasks -= n
+		p.Step(now, submitOf(id, n, now))
+	}
+	return p
+}
+
+func benchWorker(i int) host.Worker {
+	return host.Worker{
+		Identity: host.Identity{
+			Ref:   host.Ref{Host: contract.HostID(fmt.Sprintf("w%05d", i)), Incarnation: 1},
+			Place: failuredomain.Place{Domain: failuredomain.Name(fmt.Sprint(i % fdDomains))},
+		},
+		Pools:    []string{benchPool},
+		Capacity: contract.Capacity{Slots: 1},
+	}
+}
+
+func submitOf(id, n int, now time.Time) dispatch.Submit {
+	return dispatch.Submit{
+		Job: contract.JobID(fmt.Sprintf("j%08d", id)), Team: "bench", Route: benchRoute,
+		Deadline: now.Add(time.Hour), Demands: make([]contract.Demand, n),
+	}
+}
+
+// decisionRounds is how many tasks are placed and finished for one figure.
+const decisionRounds = 5000
+
+// decisionTime returns the nanoseconds to submit, place and finish one task
+// among the workers.
+func decisionTime(workers int) float64 {
+	p := loaded(workers, 0)
+	now := time.Unix(0, 0)
+	began := time.Now()
+	for i := range decisionRounds {
+		for _, a := range p.Step(now, submitOf(i, 1, now)) {
+			if place, ok := a.(dispatch.Place); ok {
+				p.Step(now, dispatch.Finished{Task: place.Task, Worker: place.Worker, Elapsed: time.Second})
+			}
+		}
+	}
+	return float64(time.Since(began).Nanoseconds()) / decisionRounds
+}
+
+// tableSizes are the numbers of routes in the table.
+var tableSizes = []int{100, 300, 1000}
+
+// tableSlopes measures the agreed value as the routes grow.
+func tableSlopes() ([]slope, error) {
+	var size, cost []point
+	for _, n := range tableSizes {
+		t := contract.Tables{Version: contract.Version(n), Pools: []contract.Pool{{Name: benchPool}}}
+		for i := range n {
+			t.Routes = append(t.Routes, route(i))
+		}
+		began := time.Now()
+		raw, err := msgpack.Marshal(&t)
+		if err != nil {
+			return nil, err
+		}
+		var back contract.Tables
+		if err := msgpack.Unmarshal(raw, &back); err != nil {
+			return nil, err
+		}
+		cost = append(cost, point{float64(n), float64(time.Since(began).Nanoseconds())})
+		size = append(size, point{float64(n), float64(len(raw))})
+	}
+	return collect(
+		slopeOf("tables value", "route", "bytes", size),
+		slopeOf("tables value codec", "route", "ns", cost),
+	)
+}
--- /dev/null
+++ b/internal/capacity/workers.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/internal/testbed"
+	"github.com/carawaylanding/carawaylanding/link"
+)
+
+// crowd is many announced workers in this process: links that answer
+// heartbeats and take no work.
+type crowd struct{ up sync.WaitGroup }
+
+func (c *crowd) LinkUp(l *link.Link) {
+	l.Send(&contract.Announce{Pools: []string{benchPool}, Capacity: contract.Capacity{Slots: 8}, HTTPAddr: "127.0.0.1:1"})
+	c.up.Done()
+}
+
+func (c *crowd) LinkDown(*link.Link, error) {}
+
+func (c *crowd) Receive(*link.Link, uint64, contract.Message) {}
+
+const (
+	benchPool  = "formula"
+	benchRoute = "cards"
+	idleWindow = 6 * time.Second
+	settleTime = 2 * time.Second
+	rackHosts  = 3
+	fdDomains  = 22
+	startLimit = 20 * time.Second
+)
+
+// crowdSizes are the numbers of idle workers.
+var crowdSizes = []int{50, 200, 800}
+
+// workerSlopes measures what an idle worker costs the entry that knows it.
+func workerSlopes(ctx context.Context, bin, dir string) ([]slope, error) {
+	var mem, cpu, traffic []point
+	for i, n := range crowdSizes {
+		u, r, err := idleEntry(ctx, bin, fmt.Sprintf("%s/crowd%d", dir, i), n)
+		if err != nil {
+			return nil, err
+		}
+		mem = append(mem, point{float64(n), u.resident})
+		cpu = append(cpu, point{float64(n), r.cpu})
+		traffic = append(traffic, point{float64(n), r.bytes})
+	}
+	return collect(
+		slopeOf("entry memory", "idle worker", "bytes", mem),
+		slopeOf("entry processor time", "idle worker", "core share", cpu),
+		slopeOf("entry link traffic", "idle worker", "bytes/s", traffic),
+	)
+}
+
+// idleEntry runs one entry with n announced idle workers.
+func idleEntry(ctx context.Context, bin, dir string, n int) (usage, rate, error) {
+	sys, err := startSystem(ctx, bin, dir, testbed.Plan{Domains: []string{"north"}, Hubs: 1})
+	if err != nil {
+		return usage{}, rate{}, err
+	}
+	defer sys.Close()
+	hub := sys.Hubs[0]
+	linkCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	c := &crowd{}
+	c.up.Add(n)
+	for i := range n {
+		hello := contract.Hello{
+			Host:          contract.HostID(fmt.Sprintf("w%05d", i)),
+			Incarnation:   contract.Incarnation(i + 1),
+			FailureDomain: fmt.Sprintf("domain%02d", i%fdDomains),
+			Rack:          fmt.Sprintf("rack%04d", i/rackHosts),
+			Roles:         []contract.Role{contract.RoleAgent},
+		}
+		d := &link.Dialer{Addr: hub.Link, Local: hello, Handler: c}
+		go d.Run(linkCtx)
+	}
+	c.up.Wait()
+	time.Sleep(settleTime)
+	before, err := readUsage(hub.PID(), hub.Admin)
+	if err != nil {
+		return usage{}, rate{}, err
+	}
+	time.Sleep(idleWindow)
+	after, err := readUsage(hub.PID(), hub.Admin)
+	return after, rateBetween(before, after), err
+}
+
+// startSystem starts a planned system and puts one route and one pool in force.
+func startSystem(ctx context.Context, bin, dir string, plan testbed.Plan) (*testbed.System, error) {
+	bed, err := newBed(bin, dir)
+	if err != nil {
+		return nil, err
+	}
+	plan.HubArgs = append(plan.HubArgs, "-drain-delay", "10ms")
+	sys, err := bed.Build(plan)
+	if err != nil {
+		return nil, err
+	}
+	if err := sys.StartAll(); err != nil {
+		bed.Close()
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	if err := testbed.Await(ctx, func() error { return putTables(sys.Hubs[0].Admin) }); err != nil {
+		bed.Close()
+		return nil, err
+	}
+	for _, h := range sys.Hubs {
+		if err := testbed.Await(ctx, func() error { return testbed.Ready(h.HTTP) }); err != nil {
+			bed.Close()
+			return nil, err
+		}
+	}
+	return sys, nil
+}
+
+func putTables(admin string) error {
+	e := contract.Edit{
+		ID:        "capacity",
+		PutRoutes: []contract.Route{{Name: benchRoute, PathPrefix: "/cards", Pool: benchPool}},
+		PutPools:  []contract.Pool{{Name: benchPool}},
+	}
+	raw, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	res, err := http.Post("http://"+admin+"/admin/edits", "application/json", bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("the edit was answered with %s", res.Status)
+	}
+	return nil
+}
