--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -46,6 +46,11 @@
 		all = append(all, slopes...)
 	}
 	printSlopes(os.Stdout, all)
+	lines, err := workout(all)
+	if err != nil {
+		return err
+	}
+	printWorkout(os.Stdout, lines)
 	return nil
 }
 
