Send fewer heartbeats on idle links

Cause: two heartbeats a second each way put an entry of 318 idle links at 20 KB/s, against a budget of 9.

Ruled out: a smaller read buffer as the cure for memory. 16 KB to 4 KB changed a link's 25 KB to 24 KB only; 14 KB of it are the stacks of its two goroutines. The smaller buffer stays, since it costs nothing.

Silence is now noticed after 2 s in place of 1.8 s, under the 3 s in which a worker that left may get no new work.

Conclusion: with two links a worker the links' payload is 8.7 KB/s an entry; packet headers are not in that figure.

--- a/internal/capacity/workout.go
+++ b/internal/capacity/workout.go
@@ -19,7 +19,7 @@
 const (
 	entriesPerDomain = 3
 	designEntries    = entriesPerDomain * designDomains
-	linksPerWorker   = 3
+	linksPerWorker   = 2
 	workersPerEntry  = designWorkers * linksPerWorker / designEntries
 	startsPerEntry   = designStarts / designEntries
 	startsPerWorker  = designStarts / designWorkers
--- a/link/link.go
+++ b/link/link.go
@@ -38,8 +38,8 @@
 
 // The defaults of Config.
 const (
-	DefaultIdle       = 500 * time.Millisecond
-	DefaultSilence    = 1800 * time.Millisecond
+	DefaultIdle       = 800 * time.Millisecond
+	DefaultSilence    = 2 * time.Second
 	DefaultMaxBacklog = 64 << 20
 )
 
@@ -234,7 +234,7 @@
 	return err
 }
 
-const readBufferBytes = 16 << 10
+const readBufferBytes = 4 << 10
 
 func (l *Link) readLoop(h Handler) error {
 	r := bufio.NewReaderSize(countingReader{l.conn}, readBufferBytes)
