Let operators edit each table, wait for it, drain hosts and see statuses

carawayctl: routes|pools get|diff|apply|history, apply -wait, status, drain, documented exit codes.

Cause of a fault met on the way: an agent learnt the version in force only from heartbeats, which a busy link never carries; a hub polled every 20 ms kept its agent at version 0 for the 30 s that the test waited. The version is now sent to agents at once when it changes and when a link comes up. The test in node/ failed before and passes after.

--- /dev/null
+++ b/agent/admin.go
@@ -0,0 +1,24 @@
+package agent
+
+import (
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/link"
+)
+
+// receiveAdmin answers an operator's request that an entry passes on.
+func (a *Agent) receiveAdmin(l *link.Link, seq uint64, m contract.Message) {
+	switch m.(type) {
+	case *contract.StatusRequest:
+		l.Reply(seq, &contract.StatusReply{Tables: a.tablesVersion()})
+	case *contract.DrainRequest:
+		a.cfg.Log.Info("drain asked", "by", l.Remote().Host)
+		l.Reply(seq, &contract.DrainReply{})
+		a.cfg.Stop()
+	}
+}
+
+func (a *Agent) tablesVersion() contract.Version {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.tables
+}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -34,7 +34,9 @@
 	// HTTPListener takes single requests from the entries.
 	HTTPListener net.Listener
 	Link         link.Config
-	Log          logr.Logger
+	// Stop begins the drain when an operator asks for it.
+	Stop func()
+	Log  logr.Logger
 }
 
 // Agent runs the role.
@@ -206,6 +208,8 @@
 		a.fence(l, seq, m)
 	case *contract.Cancel:
 		a.cancelJob(l, m.Job)
+	case *contract.StatusRequest, *contract.DrainRequest:
+		a.receiveAdmin(l, seq, m)
 	}
 }
 
--- a/cmd/carawayctl/main.go
+++ b/cmd/carawayctl/main.go
@@ -7,7 +7,11 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"strings"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -21,46 +25,99 @@
 	exitFailed   = 1
 	exitUsage    = 2
 	exitConflict = 3
+	exitDiffers  = 4
+	exitNotYet   = 5
 )
 
+// exitCodes tells the exit code of each error that has its own.
+var exitCodes = []struct {
+	err  error
+	code int
+}{
+	{flag.ErrHelp, exitUsage},
+	{errUsage, exitUsage},
+	{errConflict, exitConflict},
+	{errDiffers, exitDiffers},
+	{errNotYet, exitNotYet},
+}
+
+// errUsage says that the command line is wrong.
+var errUsage = errors.New("usage")
+
 func main() {
-	os.Exit(run(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
 
-func run(args []string) int {
-	c := &client{out: os.Stdout}
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	c := &client{out: out, errOut: errOut}
 	fs := flag.NewFlagSet("carawayctl", flag.ContinueOnError)
-	fs.StringVar(&c.admin, "admin", "127.0.0.1:9090", "IP:port of a host's operators' interface")
-	fs.StringVar(&c.format, "o", "table", "output: table or json")
+	fs.SetOutput(errOut)
+	fs.StringVar(&c.admin, "admin", "127.0.0.1:9090", "IP:port of a host's operators' interface; several, comma-separated, are tried in turn")
+	fs.StringVar(&c.format, "o", formatTable, "output: table or json")
 	root := &ffcli.Command{
-		ShortUsage: "carawayctl [-admin IP:port] COMMAND",
+		ShortUsage: "carawayctl [-admin IP:port,...] [-o table|json] COMMAND",
+		LongHelp:   exitHelp,
 		FlagSet:    fs,
 		Options:    []ff.Option{ff.WithEnvVarPrefix("CARAWAYCTL")},
 		Subcommands: []*ffcli.Command{
-			applyCommand(c),
+			applyCommand(c, bothTables),
+			tableCommand(c, routesTable),
+			tableCommand(c, poolsTable),
 			upstreamsCommand(c),
+			statusCommand(c),
+			drainCommand(c),
 			versionCommand(c),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: groupExec,
 	}
-	err := root.ParseAndRun(context.Background(), args)
-	switch {
-	case err == nil:
-		return exitOK
-	case errors.Is(err, flag.ErrHelp):
+	err := root.Parse(args)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		return exitUsage
-	case errors.Is(err, errConflict):
-		fmt.Fprintln(os.Stderr, err)
-		return exitConflict
 	}
-	fmt.Fprintln(os.Stderr, err)
+	if err == nil {
+		err = c.checkFormat()
+	}
+	if err == nil {
+		err = root.Run(ctx)
+	}
+	return report(errOut, err)
+}
+
+// exitHelp documents the exit codes.
+const exitHelp = `Exit codes: 0 done; 1 failed; 2 wrong command line; 3 another edit came first;
+4 diff found a difference; 5 not yet in force everywhere (apply -wait).
+Settings may be environment variables too: CARAWAYCTL_ADMIN, CARAWAYCTL_O.`
+
+func report(errOut io.Writer, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	if !errors.Is(err, flag.ErrHelp) && !errors.Is(err, errDiffers) {
+		fmt.Fprintln(errOut, "carawayctl:", err)
+	}
+	for _, e := range exitCodes {
+		if errors.Is(err, e.err) {
+			return e.code
+		}
+	}
 	return exitFailed
 }
 
+// groupExec is run when a command that only groups others is named alone.
+func groupExec(_ context.Context, args []string) error {
+	if len(args) == 0 {
+		return flag.ErrHelp
+	}
+	return fmt.Errorf("%w: %q is no command: see carawayctl -h", errUsage, strings.Join(args, " "))
+}
+
 func versionCommand(c *client) *ffcli.Command {
 	return &ffcli.Command{
-		Name:      "version",
-		ShortHelp: "print the version",
+		Name:       "version",
+		ShortUsage: "carawayctl version",
+		ShortHelp:  "print the version",
 		Exec: func(context.Context, []string) error {
 			fmt.Fprintln(c.out, "carawayctl", version.Version)
 			return nil
--- /dev/null
+++ b/cmd/carawayctl/tables.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/node"
+)
+
+// table says which of the two tables a command is about.
+type table struct {
+	name          string
+	routes, pools bool
+}
+
+var (
+	bothTables  = table{name: "tables", routes: true, pools: true}
+	routesTable = table{name: "routes", routes: true}
+	poolsTable  = table{name: "pools", pools: true}
+)
+
+// tablesFile is the form of an operator's file: the whole of one table or of
+// both.
+type tablesFile struct {
+	Routes *[]contract.Route `json:"routes"`
+	Pools  *[]contract.Pool  `json:"pools"`
+}
+
+// errDiffers says that diff found a difference.
+var errDiffers = errors.New("the file differs from the version in force")
+
+func tableCommand(c *client, t table) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       t.name,
+		ShortUsage: "carawayctl " + t.name + " get|diff|apply|history",
+		ShortHelp:  "show and edit the table of " + t.name,
+		Subcommands: []*ffcli.Command{
+			getCommand(c, t),
+			diffCommand(c, t),
+			applyCommand(c, t),
+			historyCommand(c, t),
+		},
+		Exec: groupExec,
+	}
+}
+
+func getCommand(c *client, t table) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "get",
+		ShortUsage: "carawayctl " + t.name + " get [NAME]",
+		ShortHelp:  "show the rows in force",
+		Exec:       func(ctx context.Context, args []string) error { return c.getTable(ctx, t, args) },
+	}
+}
+
+func (c *client) getTable(ctx context.Context, t table, names []string) error {
+	var have contract.Tables
+	if err := c.get(ctx, "/admin/tables", &have); err != nil {
+		return err
+	}
+	if t.routes {
+		return printRows(c, have.Routes, names, routeName, writeRoutes)
+	}
+	return printRows(c, have.Pools, names, poolName, writePools)
+}
+
+// printRows shows the named rows, or all where none is named.
+func printRows[R any](c *client, rows []R, names []string, name func(R) string, write func(*tabwriter.Writer, []R)) error {
+	if len(names) > 0 {
+		rows = slices.DeleteFunc(rows, func(r R) bool { return !slices.Contains(names, name(r)) })
+		if len(rows) == 0 {
+			return fmt.Errorf("no row is named %s: leave the name out to see all", strings.Join(names, " or "))
+		}
+	}
+	return c.print(rows, func(w *tabwriter.Writer) { write(w, rows) })
+}
+
+func writeRoutes(w *tabwriter.Writer, rows []contract.Route) {
+	fmt.Fprintln(w, "ROUTE\tHOST\tPATH PREFIX\tMETHOD\tPOOL\tTIMEOUT MS\tOBJECTIVE MS\tSINCE")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\n", r.Name, anyIfEmpty(r.Host), r.PathPrefix, anyIfEmpty(r.Method), r.Pool, r.TimeoutMS, r.ObjectiveMS, r.Version)
+	}
+}
+
+func anyIfEmpty(s string) string {
+	if s == "" {
+		return "*"
+	}
+	return s
+}
+
+func writePools(w *tabwriter.Writer, rows []contract.Pool) {
+	fmt.Fprintln(w, "POOL\tPROFILE\tMAX QUEUE\tQUOTAS\tSINCE")
+	for _, p := range rows {
+		var quotas []string
+		for _, q := range p.Quotas {
+			quotas = append(quotas, fmt.Sprintf("%s=%d", q.Team, q.Slots))
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\n", p.Name, p.Profile, p.MaxQueue, strings.Join(quotas, ","), p.Version)
+	}
+}
+
+func diffCommand(c *client, t table) *ffcli.Command {
+	fs, file := fileFlag(c, "diff")
+	return &ffcli.Command{
+		Name:       "diff",
+		ShortUsage: "carawayctl " + t.name + " diff -f FILE",
+		ShortHelp:  "show what apply would change; exit code 4 where it would",
+		FlagSet:    fs,
+		Exec:       func(ctx context.Context, _ []string) error { return c.diff(ctx, t, *file) },
+	}
+}
+
+func fileFlag(c *client, name string) (*flag.FlagSet, *string) {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(c.errOut)
+	return fs, fs.String("f", "", "file with the tables as JSON; - is the standard input")
+}
+
+func (c *client) diff(ctx context.Context, t table, file string) error {
+	have, e, err := c.plan(ctx, t, file)
+	if err != nil {
+		return err
+	}
+	if c.format == formatJSON {
+		if err := c.print(e, nil); err != nil {
+			return err
+		}
+	} else {
+		printEdit(c, have, e)
+	}
+	if !empty(e) {
+		return errDiffers
+	}
+	c.say("no change; version %d is in force", have.Version)
+	return nil
+}
+
+// plan returns the tables in force and the edit that makes them as the file
+// says.
+func (c *client) plan(ctx context.Context, t table, file string) (contract.Tables, contract.Edit, error) {
+	var have contract.Tables
+	want, err := readTables(t, file)
+	if err != nil {
+		return have, contract.Edit{}, err
+	}
+	if err := c.get(ctx, "/admin/tables", &have); err != nil {
+		return have, contract.Edit{}, err
+	}
+	return have, diffTables(have, want), nil
+}
+
+func readTables(t table, file string) (tablesFile, error) {
+	var want tablesFile
+	if file == "" {
+		return want, fmt.Errorf("%w: -f is empty: name the file with the tables", errUsage)
+	}
+	in := io.Reader(os.Stdin)
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return want, err
+		}
+		defer f.Close()
+		in = f
+	}
+	dec := json.NewDecoder(in)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&want); err != nil {
+		return want, fmt.Errorf("%s: %w: correct the file", file, err)
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return want, fmt.Errorf("%s goes on after the first JSON object: keep one object", file)
+	}
+	return want, t.check(file, want)
+}
+
+// check reports a table that is missing, or one that the command is not about.
+func (t table) check(file string, want tablesFile) error {
+	switch {
+	case t.routes && want.Routes == nil:
+		return fmt.Errorf("%s has no \"routes\": write them all, or [] to delete all", file)
+	case t.pools && want.Pools == nil:
+		return fmt.Errorf("%s has no \"pools\": write them all, or [] to delete all", file)
+	case want.Routes != nil && !t.routes, want.Pools != nil && !t.pools:
+		return fmt.Errorf("%s has more than %q: take the rest out, or use carawayctl apply for both tables", file, t.name)
+	}
+	return nil
+}
+
+func historyCommand(c *client, t table) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "history",
+		ShortUsage: "carawayctl " + t.name + " history",
+		ShortHelp:  "show the changes that came in force at the host since it started",
+		Exec:       func(ctx context.Context, _ []string) error { return c.history(ctx, t) },
+	}
+}
+
+func (c *client) history(ctx context.Context, t table) error {
+	var changes []node.Change
+	if err := c.get(ctx, "/admin/history", &changes); err != nil {
+		return err
+	}
+	changes = slices.DeleteFunc(changes, func(ch node.Change) bool { return len(t.put(ch))+len(t.deleted(ch)) == 0 })
+	return c.print(changes, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "VERSION\tFROM\tIN FORCE AT\tPUT\tDELETED")
+		for _, ch := range changes {
+			fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%s\n", ch.Version, ch.From, ch.At.Format("2006-01-02T15:04:05.000Z07:00"), strings.Join(t.put(ch), ","), strings.Join(t.deleted(ch), ","))
+		}
+	})
+}
+
+func (t table) put(ch node.Change) []string {
+	if t.routes {
+		return ch.PutRoutes
+	}
+	return ch.PutPools
+}
+
+func (t table) deleted(ch node.Change) []string {
+	if t.routes {
+		return ch.DeletedRoutes
+	}
+	return ch.DeletedPools
+}
--- /dev/null
+++ b/contract/message_admin.go
@@ -0,0 +1,45 @@
+package contract
+
+// The message kinds for operators' requests from one process to another.
+const (
+	KindStatusRequest MessageKind = 80
+	KindStatusReply   MessageKind = 81
+	KindDrainRequest  MessageKind = 82
+	KindDrainReply    MessageKind = 83
+)
+
+// StatusRequest asks a process for its status.
+type StatusRequest struct{}
+
+// StatusReply answers StatusRequest.
+type StatusReply struct {
+	// Tables is the version in force at the sender.
+	Tables Version
+}
+
+// DrainRequest asks a process to drain and to end, as SIGTERM does.
+type DrainRequest struct{}
+
+// DrainReply answers DrainRequest: the drain has begun.
+type DrainReply struct{}
+
+// MessageKind implements Message.
+func (*StatusRequest) MessageKind() MessageKind { return KindStatusRequest }
+
+// MessageKind implements Message.
+func (*StatusReply) MessageKind() MessageKind { return KindStatusReply }
+
+// MessageKind implements Message.
+func (*DrainRequest) MessageKind() MessageKind { return KindDrainRequest }
+
+// MessageKind implements Message.
+func (*DrainReply) MessageKind() MessageKind { return KindDrainReply }
+
+func init() {
+	register(
+		func() Message { return new(StatusRequest) },
+		func() Message { return new(StatusReply) },
+		func() Message { return new(DrainRequest) },
+		func() Message { return new(DrainReply) },
+	)
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -31,6 +31,9 @@
 	mux.HandleFunc("GET /admin/tables", n.serveTables)
 	mux.HandleFunc("POST /admin/edits", n.serveEdit)
 	mux.HandleFunc("GET /admin/upstreams", n.serveUpstreams)
+	mux.HandleFunc("GET /admin/processes", n.serveProcesses)
+	mux.HandleFunc("GET /admin/history", n.serveHistory)
+	mux.HandleFunc("POST /admin/drain", n.serveDrain)
 	return mux
 }
 
--- /dev/null
+++ b/node/admin_test.go
@@ -0,0 +1,138 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/internal/standin"
+	"github.com/carawaylanding/carawaylanding/internal/testbed"
+	"github.com/carawaylanding/carawaylanding/node"
+	"github.com/carawaylanding/carawaylanding/settings"
+)
+
+// testLimit bounds one test's waiting.
+const testLimit = 30 * time.Second
+
+// process is one node of a test, run in the test's own process.
+type process struct {
+	set  settings.Settings
+	done chan error
+}
+
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	set, err := settings.Parse(args, t.Output())
+	must.NoError(t, err)
+	p := &process{set: set, done: make(chan error, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { p.done <- node.Run(ctx, set, logr.Discard()) }()
+	t.Cleanup(func() {
+		cancel()
+		<-p.done
+	})
+	return p
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	addr, err := testbed.FreeAddr()
+	must.NoError(t, err)
+	return addr
+}
+
+func startHub(t *testing.T, args ...string) *process {
+	return start(t, append([]string{
+		"-id", "hub", "-roles", "entry,control", "-failure-domain", "patan", "-control", "hub", "-data-dir", t.TempDir(),
+		"-link-addr", freeAddr(t), "-http-addr", freeAddr(t), "-admin-addr", freeAddr(t), "-drain-delay", "0s",
+	}, args...)...)
+}
+
+func startWorker(t *testing.T, hub *process, upstream string) *process {
+	return start(t, "-id", "worker", "-roles", "agent", "-failure-domain", "thamel", "-http-addr", freeAddr(t),
+		"-entries", hub.set.LinkAddr, "-upstream", upstream, "-pools", "formula")
+}
+
+func (p *process) admin(t *testing.T, method, path string, body string, into any) error {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+p.set.AdminAddr+path, strings.NewReader(body))
+	must.NoError(t, err)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s %s: %s", method, path, res.Status)
+	}
+	return json.NewDecoder(res.Body).Decode(into)
+}
+
+func await(t *testing.T, check func() error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	must.NoError(t, testbed.Await(ctx, check))
+}
+
+func (p *process) awaitEnd(t *testing.T) {
+	t.Helper()
+	select {
+	case err := <-p.done:
+		must.NoError(t, err)
+		p.done <- err
+	case <-time.After(testLimit):
+		t.Fatalf("%s did not end", p.set.ID)
+	}
+}
+
+// awaitLinked waits until the hub counts n linked processes at the version.
+func awaitLinked(t *testing.T, hub *process, n int, v contract.Version) {
+	t.Helper()
+	await(t, func() error {
+		var all []node.ProcessStatus
+		if err := hub.admin(t, "GET", "/admin/processes", "", &all); err != nil {
+			return err
+		}
+		count := 0
+		for _, p := range all {
+			if p.Linked && p.Version >= v {
+				count++
+			}
+		}
+		if count != n {
+			return fmt.Errorf("%d of %d processes have version %d: %+v", count, n, v, all)
+		}
+		return nil
+	})
+}
+
+func TestOperatorDrainsWorkerAndHost(t *testing.T) {
+	upstream := httptest.NewServer(new(standin.Upstream).Handler())
+	t.Cleanup(upstream.Close)
+	hub := startHub(t)
+	worker := startWorker(t, hub, upstream.URL)
+	awaitLinked(t, hub, 2, 0)
+	edit := `{"id": "e1", "base": 0, "put_pools": [{"name": "formula"}]}`
+	await(t, func() error { return hub.admin(t, "POST", "/admin/edits", edit, &node.EditAnswer{}) })
+	awaitLinked(t, hub, 2, 1)
+	var changes []node.Change
+	must.NoError(t, hub.admin(t, "GET", "/admin/history", "", &changes))
+	must.Len(t, 1, changes)
+	must.Eq(t, []string{"formula"}, changes[0].PutPools)
+
+	must.Error(t, hub.admin(t, "POST", "/admin/drain?host=nobody", "{}", &node.DrainAnswer{}))
+	must.NoError(t, hub.admin(t, "POST", "/admin/drain?host=worker", "{}", &node.DrainAnswer{}))
+	worker.awaitEnd(t)
+	must.NoError(t, hub.admin(t, "POST", "/admin/drain", "{}", &node.DrainAnswer{}))
+	hub.awaitEnd(t)
+}
--- a/node/links.go
+++ b/node/links.go
@@ -13,6 +13,7 @@
 // LinkUp implements link.Handler.
 func (n *Node) LinkUp(l *link.Link) {
 	if n.fromAgent(l) {
+		l.Send(&contract.Heartbeat{Tables: n.tables.Version()})
 		n.entry.LinkUp(l)
 	}
 }
@@ -37,6 +38,8 @@
 		l.Send(n.tables.Delta(m.Have))
 	case *contract.TablesDelta:
 		n.merge(m)
+	case *contract.StatusRequest, *contract.DrainRequest:
+		n.receiveAdmin(l, seq, m)
 	case *contract.Prepare, *contract.Accept, *contract.EditRequest, *contract.TablesRead:
 		n.forControl(l, seq, m)
 	default:
@@ -86,6 +89,20 @@
 			l.Send(d)
 		}
 	}
+	n.tellAgents(v.Version)
+}
+
+// tellAgents sends the version in force to each agent: a busy link carries no
+// heartbeat by itself.
+func (n *Node) tellAgents(v contract.Version) {
+	if n.entry == nil {
+		return
+	}
+	for _, l := range n.entry.AgentLinks() {
+		if l != nil {
+			l.Send(&contract.Heartbeat{Tables: v})
+		}
+	}
 }
 
 // catchUpWait is how long a starting process waits between two quorum reads.
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,9 @@
 	entry   *entry.Entry
 	control *control.Control
 	store   *control.Store
+	history history
+	// stop begins the drain, as SIGTERM does.
+	stop context.CancelFunc
 }
 
 // Run runs the process until ctx is done, then drains it.
@@ -48,14 +51,16 @@
 		},
 		Roles: set.Roles,
 	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	if set.Has(contract.RoleAgent) {
-		return runAgent(ctx, set, id, log)
+		return runAgent(ctx, stop, set, id, log)
 	}
-	n := &Node{set: set, identity: id, log: log, tables: tables.NewHolder(), peers: make(map[contract.HostID]*link.Dialer)}
+	n := &Node{set: set, identity: id, log: log, tables: tables.NewHolder(), peers: make(map[contract.HostID]*link.Dialer), stop: stop}
 	return n.run(ctx)
 }
 
-func runAgent(ctx context.Context, set settings.Settings, id host.Identity, log logr.Logger) error {
+func runAgent(ctx context.Context, stop context.CancelFunc, set settings.Settings, id host.Identity, log logr.Logger) error {
 	ln, err := net.Listen("tcp", set.HTTPAddr)
 	if err != nil {
 		return err
@@ -68,6 +73,7 @@
 		Entries:      set.Entries,
 		HTTPListener: ln,
 		Link:         link.Config{Idle: set.Heartbeat, Silence: set.Silence},
+		Stop:         stop,
 		Log:          log,
 	})
 	log.Info("agent started", "upstream", set.Upstream, "http", ln.Addr())
@@ -103,6 +109,7 @@
 		})
 	}
 	n.tables.Watch(n.tablesChanged)
+	n.tables.Watch(n.history.changed)
 	return n.serve(ctx)
 }
 
