--- a/agent/admin.go
+++ b/agent/admin.go
@@ -1,10 +1,16 @@
 package agent
 
 import (
+	"time"
+
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/link"
 )
 
+// drainReplyDelay lets the reply to a drain request leave before an idle agent
+// closes its links.
+const drainReplyDelay = 100 * time.Millisecond
+
 // receiveAdmin answers an operator's request that an entry passes on.
 func (a *Agent) receiveAdmin(l *link.Link, seq uint64, m contract.Message) {
 	switch m.(type) {
@@ -13,7 +19,7 @@
 	case *contract.DrainRequest:
 		a.cfg.Log.Info("drain asked", "by", l.Remote().Host)
 		l.Reply(seq, &contract.DrainReply{})
-		a.cfg.Stop()
+		time.AfterFunc(drainReplyDelay, a.cfg.Stop)
 	}
 }
 
--- a/node/processes.go
+++ b/node/processes.go
@@ -28,6 +28,8 @@
 	statusLimit   = 2 * time.Second
 	statusAskers  = 64
 	drainAskLimit = 5 * time.Second
+	// drainReplyDelay lets the reply leave before the links close.
+	drainReplyDelay = 100 * time.Millisecond
 )
 
 // errNoHost says that a named host is not linked.
@@ -135,6 +137,6 @@
 	case *contract.DrainRequest:
 		n.log.Info("drain asked", "by", l.Remote().Host)
 		l.Reply(seq, &contract.DrainReply{})
-		n.stop()
+		time.AfterFunc(drainReplyDelay, n.stop)
 	}
 }
