Keep the outcome of every task in a synced, replicated ledger

Operators could not say whether a line ran once after a process had restarted: outcomes lived in the entry's memory only.

Entries gather outcomes into batches and send them off the answer's path to every control host, until a majority has synced them; at 50,000 outcomes without a majority new work is refused. Control hosts exchange the batches they lack, and a host with an empty disk answers no reads until it is filled. Rows merge from unknown to known only; contradictions are kept and shown. GET /admin/outcomes/{job} and carawayctl outcome read a merged majority. Results that find no job resolve outcomes that were unknown.

Ruled out: the agreed register (an order that outcomes don't need, and a value without bound), a sync before the answer, the entry's own disk; see docs/design/ledger.md, with the window of loss that TestWindowOfLoss shows.

--- a/cmd/carawayctl/main.go
+++ b/cmd/carawayctl/main.go
@@ -38,6 +38,7 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix("CARAWAYCTL")},
 		Subcommands: []*ffcli.Command{
 			applyCommand(c),
+			outcomeCommand(c),
 			upstreamsCommand(c),
 			versionCommand(c),
 		},
--- a/entry/links.go
+++ b/entry/links.go
@@ -129,6 +129,8 @@
 func (e *Entry) resulted(l *link.Link, ref host.Ref, m *contract.Result) {
 	if r, ok := e.jobs.get(m.Task.Job).(*jobRun); ok {
 		r.result(ref, m)
+	} else {
+		e.recordStray(ref, m)
 	}
 	l.Send(&contract.ResultAck{Tasks: []contract.TaskID{m.Task}})
 }
@@ -192,6 +194,9 @@
 
 // begin counts work in progress; it fails once the entry drains.
 func (e *Entry) begin() error {
+	if err := e.ledgerRoom(); err != nil {
+		return err
+	}
 	e.drainMu.Lock()
 	defer e.drainMu.Unlock()
 	if e.draining {
--- /dev/null
+++ b/entry/outcomes.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/forward"
+	"github.com/carawaylanding/carawaylanding/host"
+)
+
+// boundedSink is an OutcomeSink that can be full.
+type boundedSink interface {
+	// Full reports whether new work must be refused, so that no outcome is
+	// forgotten.
+	Full() bool
+}
+
+// ledgerWait is when a refused caller may come back once the ledger is full.
+const ledgerWait = 5 * time.Second
+
+// ledgerRoom fails while the ledger can't take the outcomes of new work.
+func (e *Entry) ledgerRoom() error {
+	if s, ok := e.cfg.Outcomes.(boundedSink); ok && s.Full() {
+		return contract.ErrOverload.Refuse(ledgerWait, "the outcome ledger is full: the operator brings back a majority of the control hosts")
+	}
+	return nil
+}
+
+// recordSingle records the end of a single request that was placed at a
+// worker. The answer's header says what the agent knows; where there is none,
+// err says it, and otherwise the outcome is unknown.
+func (e *Entry) recordSingle(rec contract.OutcomeRecord, answer http.Header, err error) {
+	rec.Outcome = contract.OutcomeUnknown
+	if typed, ok := contract.AsError(err); ok {
+		rec.Outcome = typed.Outcome
+		rec.Reason = typed.Message
+	}
+	if text := answer.Get(forward.HeaderOutcome); text != "" {
+		if err := rec.Outcome.UnmarshalText([]byte(text)); err != nil {
+			rec.Reason = err.Error()
+		}
+	}
+	e.recordOutcome(rec)
+}
+
+// recordStray records a result whose job this process does not know: the job
+// ended, or the entry restarted. It resolves an outcome that was unknown.
+func (e *Entry) recordStray(w host.Ref, m *contract.Result) {
+	e.recordOutcome(contract.OutcomeRecord{
+		Task:        m.Task,
+		Outcome:     m.Outcome,
+		Status:      m.Status,
+		Worker:      w.Host,
+		Incarnation: w.Incarnation,
+		Attempt:     m.Attempt,
+		Reason:      m.Reason,
+	})
+}
+
+func (e *Entry) recordOutcome(r contract.OutcomeRecord) {
+	if e.cfg.Outcomes == nil {
+		return
+	}
+	r.Entry = e.cfg.Identity.Host
+	r.At = time.Now()
+	e.cfg.Outcomes.Record(r)
+}
--- a/entry/single.go
+++ b/entry/single.go
@@ -65,7 +65,10 @@
 	select {
 	case wk := <-run.placed:
 		began := time.Now()
-		err := e.relay(w, r, contract.TaskID{Job: id}, wk, deadline)
+		rec := contract.OutcomeRecord{Task: contract.TaskID{Job: id}, Team: team, Route: route.Name, Worker: wk.Host, Incarnation: wk.Incarnation, Attempt: 1}
+		err := contract.ErrUpstreamLost.With("the answer was cut")
+		defer func() { e.recordSingle(rec, w.Header(), err) }()
+		err = e.relay(w, r, contract.TaskID{Job: id}, wk, deadline)
 		e.step(p, dispatch.Finished{Task: contract.TaskID{Job: id}, Worker: wk.Ref, Elapsed: time.Since(began), Failed: err != nil})
 		return err
 	case err := <-run.refused:
--- /dev/null
+++ b/ledger/row_test.go
@@ -0,0 +1,112 @@
+package ledger
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+)
+
+// seed makes the random histories the same in each run.
+const seed = "20261203"
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", seed)
+	os.Exit(m.Run())
+}
+
+var day0 = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+func record(o contract.Outcome, worker contract.HostID) contract.OutcomeRecord {
+	return contract.OutcomeRecord{Task: contract.TaskID{Job: "j"}, Team: "t", Outcome: o, Worker: worker, Incarnation: 1, Attempt: 1, At: day0}
+}
+
+func TestJudge(t *testing.T) {
+	unknown := record(contract.OutcomeUnknown, "w1")
+	notRun := record(contract.OutcomeNotRun, "")
+	ran1 := record(contract.OutcomeRan, "w1")
+	ran2 := record(contract.OutcomeRan, "w2")
+	cases := []struct {
+		name     string
+		records  []contract.OutcomeRecord
+		want     Verdict
+		conflict bool
+	}{
+		{"no record", nil, Unknown, false},
+		{"unknown stays unknown", []contract.OutcomeRecord{unknown, unknown}, Unknown, false},
+		{"known replaces unknown", []contract.OutcomeRecord{unknown, ran1}, RanOnce, false},
+		{"known never goes back", []contract.OutcomeRecord{ran1, unknown}, RanOnce, false},
+		{"never ran", []contract.OutcomeRecord{notRun, unknown}, NeverRan, false},
+		{"two entries agree", []contract.OutcomeRecord{ran1, ran1}, RanOnce, false},
+		{"two workers", []contract.OutcomeRecord{ran1, ran2}, Ran, true},
+		{"ran against not-run", []contract.OutcomeRecord{notRun, ran1}, Ran, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			row := Merge(c.records...)
+			must.Eq(t, c.want, Judge(row))
+			must.Eq(t, c.conflict, Conflict(row))
+		})
+	}
+}
+
+func drawRecord(t *rapid.T) contract.OutcomeRecord {
+	return contract.OutcomeRecord{
+		Task:        contract.TaskID{Job: "j"},
+		Team:        rapid.SampledFrom([]string{"", "salon"}).Draw(t, "team"),
+		Outcome:     rapid.SampledFrom([]contract.Outcome{contract.OutcomeUnknown, contract.OutcomeNotRun, contract.OutcomeRan}).Draw(t, "outcome"),
+		Worker:      rapid.SampledFrom([]contract.HostID{"w1", "w2"}).Draw(t, "worker"),
+		Incarnation: contract.Incarnation(rapid.IntRange(1, 2).Draw(t, "incarnation")),
+		Attempt:     uint32(rapid.IntRange(0, 2).Draw(t, "attempt")),
+		At:          day0.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "at"))),
+	}
+}
+
+// TestMergeIsAJoin checks that the order, grouping and repetition of records
+// don't matter, and that a known outcome is never lost.
+func TestMergeIsAJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(drawRecord), 1, 8).Draw(t, "records")
+		want := Merge(records...)
+		must.Eq(t, want, Merge(rapid.Permutation(records).Draw(t, "order")...))
+		cut := rapid.IntRange(0, len(records)).Draw(t, "cut")
+		must.Eq(t, want, MergeRows(Merge(records[cut:]...), Merge(records[:cut]...)))
+		must.Eq(t, want, MergeRows(want, Merge(records[:cut]...)))
+		anyKnown := slices.ContainsFunc(records, known)
+		must.Eq(t, anyKnown, slices.ContainsFunc(want.Records, known))
+	})
+}
+
+func TestSeqSetAgainstAMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var set SeqSet
+		model := make(map[uint64]bool)
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			n := rapid.Uint64Range(1, 12).Draw(t, "n")
+			if rapid.Bool().Draw(t, "add") {
+				set = set.Add(n)
+				model[n] = true
+			} else {
+				set = set.Remove(n)
+				delete(model, n)
+			}
+		}
+		var want []uint64
+		for n := uint64(1); n <= 12; n++ {
+			must.Eq(t, model[n], set.Has(n))
+			if model[n] && n > 6 {
+				want = append(want, n)
+			}
+		}
+		must.Eq(t, want, set.Minus(SeqSet{{First: 1, Last: 6}}, 12))
+		for i := 1; i < len(set); i++ {
+			must.True(t, set[i-1].Last+1 < set[i].First)
+		}
+	})
+}
--- /dev/null
+++ b/ledger/store.go
@@ -0,0 +1,248 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/metrics"
+)
+
+// Store keeps the ledger of one control host in its data folder. Apply
+// returns only after a sync.
+type Store struct {
+	db *bbolt.DB
+
+	mu     sync.Mutex // guards held and filled
+	held   map[contract.LedgerOrigin]SeqSet
+	filled bool
+}
+
+// The buckets: rows by task, the tasks of each batch by origin and sequence
+// number, the batches by time, and facts on the file itself.
+var (
+	rowsBucket    = []byte("rows")
+	batchesBucket = []byte("batches")
+	byTimeBucket  = []byte("by-time")
+	metaBucket    = []byte("meta")
+	filledKey     = []byte("filled")
+)
+
+const (
+	fileName = "ledger.db"
+	// openTimeout bounds the wait for another process that holds the file.
+	openTimeout = 2 * time.Second
+	// maxGroupWait is how long concurrent appends wait for a common sync.
+	maxGroupWait = 2 * time.Millisecond
+)
+
+// storedBatch is a batch as it is kept: its records are in the rows.
+type storedBatch struct {
+	At    time.Time
+	Tasks []contract.TaskID
+}
+
+// OpenStore opens or creates the ledger in dir.
+func OpenStore(dir string) (*Store, error) {
+	path := filepath.Join(dir, fileName)
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openTimeout})
+	if errors.Is(err, berrors.ErrTimeout) {
+		return nil, fmt.Errorf("%s is in use: stop the other carawayd with this data folder", path)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("open %s: %w", path, err)
+	}
+	db.MaxBatchDelay = maxGroupWait
+	s := &Store{db: db, held: make(map[contract.LedgerOrigin]SeqSet)}
+	if err := s.load(); err != nil {
+		db.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Close closes the file.
+func (s *Store) Close() error { return s.db.Close() }
+
+// load makes the buckets and reads which batches are held.
+func (s *Store) load() error {
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		for _, name := range [][]byte{rowsBucket, batchesBucket, byTimeBucket, metaBucket} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		s.filled = tx.Bucket(metaBucket).Get(filledKey) != nil
+		return tx.Bucket(batchesBucket).ForEach(func(k, _ []byte) error {
+			origin, seq, err := parseBatchKey(k)
+			if err != nil {
+				return err
+			}
+			s.held[origin] = s.held[origin].Add(seq)
+			return nil
+		})
+	})
+}
+
+// Filled reports whether the file has once held all that this host may have
+// acknowledged. A new file has not: its predecessor may have been lost.
+func (s *Store) Filled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.filled
+}
+
+// SetFilled syncs that the file is filled.
+func (s *Store) SetFilled() error {
+	err := s.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(metaBucket).Put(filledKey, []byte{1}) })
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.filled = true
+	return nil
+}
+
+// Apply merges and syncs the batches that are not held yet, and returns how
+// many those were. Concurrent calls share a sync.
+func (s *Store) Apply(batches []contract.LedgerBatch) (int, error) {
+	var fresh []contract.LedgerBatch
+	err := s.db.Batch(func(tx *bbolt.Tx) error {
+		fresh = fresh[:0]
+		for _, b := range batches {
+			if tx.Bucket(batchesBucket).Get(batchKey(b.Origin, b.Seq)) != nil {
+				continue
+			}
+			if err := putBatch(tx, b); err != nil {
+				return err
+			}
+			fresh = append(fresh, b)
+		}
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range fresh {
+		s.held[b.Origin] = s.held[b.Origin].Add(b.Seq)
+	}
+	metrics.LedgerBatchesSynced.Add(int64(len(fresh)))
+	return len(fresh), nil
+}
+
+func putBatch(tx *bbolt.Tx, b contract.LedgerBatch) error {
+	stored := storedBatch{At: b.At, Tasks: make([]contract.TaskID, len(b.Records))}
+	for i, r := range b.Records {
+		stored.Tasks[i] = r.Task
+		if err := mergeRow(tx, r); err != nil {
+			return err
+		}
+	}
+	key := batchKey(b.Origin, b.Seq)
+	if err := put(tx.Bucket(batchesBucket), key, &stored); err != nil {
+		return err
+	}
+	return tx.Bucket(byTimeBucket).Put(timeKey(b.At, key), nil)
+}
+
+func mergeRow(tx *bbolt.Tx, r contract.OutcomeRecord) error {
+	key := rowKey(r.Task)
+	before, err := getRow(tx, key)
+	if err != nil {
+		return err
+	}
+	after := MergeRows(before, contract.OutcomeRow{Records: []contract.OutcomeRecord{r}})
+	if Conflict(after) && !Conflict(before) {
+		metrics.LedgerConflicts.Add(1)
+	}
+	return put(tx.Bucket(rowsBucket), key, &after)
+}
+
+func getRow(tx *bbolt.Tx, key []byte) (contract.OutcomeRow, error) {
+	var row contract.OutcomeRow
+	raw := tx.Bucket(rowsBucket).Get(key)
+	if raw == nil {
+		return row, nil
+	}
+	err := msgpack.Unmarshal(raw, &row)
+	return row, err
+}
+
+func put(b *bbolt.Bucket, key []byte, v any) error {
+	raw, err := msgpack.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return b.Put(key, raw)
+}
+
+// Job returns the rows of a job in the order of its tasks.
+func (s *Store) Job(id contract.JobID) ([]contract.OutcomeRow, error) {
+	var out []contract.OutcomeRow
+	prefix := append([]byte(id), 0)
+	err := s.db.View(func(tx *bbolt.Tx) error {
+		c := tx.Bucket(rowsBucket).Cursor()
+		for k, raw := c.Seek(prefix); bytes.HasPrefix(k, prefix); k, raw = c.Next() {
+			var row contract.OutcomeRow
+			if err := msgpack.Unmarshal(raw, &row); err != nil {
+				return err
+			}
+			out = append(out, row)
+		}
+		return nil
+	})
+	return out, err
+}
+
+// Held returns which batches are held.
+func (s *Store) Held() []contract.LedgerHeld {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]contract.LedgerHeld, 0, len(s.held))
+	for origin, set := range s.held {
+		out = append(out, contract.LedgerHeld{Origin: origin, Ranges: set})
+	}
+	return out
+}
+
+func rowKey(t contract.TaskID) []byte {
+	key := append([]byte(t.Job), 0)
+	return binary.BigEndian.AppendUint32(key, t.Index)
+}
+
+// numberBytes is the size of a number in a key.
+const numberBytes = 8
+
+func batchKey(o contract.LedgerOrigin, seq uint64) []byte {
+	key := binary.BigEndian.AppendUint64([]byte(o.Host), uint64(o.Incarnation))
+	return binary.BigEndian.AppendUint64(key, seq)
+}
+
+func parseBatchKey(k []byte) (contract.LedgerOrigin, uint64, error) {
+	n := len(k) - 2*numberBytes
+	if n < 0 {
+		return contract.LedgerOrigin{}, 0, fmt.Errorf("%s is damaged: replace the disk and remove the file, the other control hosts refill it", fileName)
+	}
+	origin := contract.LedgerOrigin{
+		Host:        contract.HostID(k[:n]),
+		Incarnation: contract.Incarnation(binary.BigEndian.Uint64(k[n:])),
+	}
+	return origin, binary.BigEndian.Uint64(k[n+numberBytes:]), nil
+}
+
+func timeKey(at time.Time, batch []byte) []byte {
+	key := binary.BigEndian.AppendUint64(nil, uint64(at.UnixNano()))
+	return append(key, batch...)
+}
--- a/node/links.go
+++ b/node/links.go
@@ -39,6 +39,8 @@
 		n.merge(m)
 	case *contract.Prepare, *contract.Accept, *contract.EditRequest, *contract.TablesRead:
 		n.forControl(l, seq, m)
+	case *contract.LedgerAppend, *contract.LedgerRead, *contract.LedgerPull:
+		n.forLedger(l, seq, m)
 	default:
 		if n.fromAgent(l) {
 			n.entry.Receive(l, m)
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,7 @@
 	entry   *entry.Entry
 	control *control.Control
 	store   *control.Store
+	ledger  ledgerPart
 }
 
 // Run runs the process until ctx is done, then drains it.
@@ -92,6 +93,10 @@
 	if n.store != nil {
 		defer n.store.Close()
 	}
+	if err := n.openLedger(); err != nil {
+		return err
+	}
+	defer n.closeLedger()
 	if n.set.Has(contract.RoleEntry) {
 		n.entry = entry.New(entry.Config{
 			Identity: n.identity,
@@ -99,7 +104,8 @@
 			NewScheduler: func(p contract.Pool) dispatch.Scheduler {
 				return dispatch.NewPool(dispatch.Config{MaxQueue: p.MaxQueue})
 			},
-			Log: n.log,
+			Outcomes: n.outcomes(),
+			Log:      n.log,
 		})
 	}
 	n.tables.Watch(n.tablesChanged)
@@ -157,6 +163,7 @@
 		return err
 	}
 	g.Go(func() error { n.catchUp(linkCtx); return nil })
+	n.runLedger(linkCtx, g.Go)
 	n.log.Info("started", "link", linkLn.Addr(), "admin", adminLn.Addr(), "roles", n.set.Roles)
 	g.Go(func() error {
 		<-ctx.Done()
@@ -200,6 +207,7 @@
 		n.entry.Drain(ctx)
 		callers.Shutdown(ctx)
 	}
+	n.flushLedger()
 	admin.Shutdown(ctx)
 	n.log.Info("stopped")
 }
