Let tests cut, slow and lose each link, and start processes without port races

The test bed could only kill and freeze. A relay on each link now holds back bytes one way or both without closing anything, delays them, or makes the open connections silent for good while new ones work. Ports are drawn below those of outgoing connections, and a start waits for a port that is held and returns once the process listens. The stand-in counts starts by echo too, so that a check does not rest on the task IDs that the system gives.

--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -52,13 +53,15 @@
 	mu     sync.Mutex // guards all below
 	mode   Mode
 	counts map[string]Count
+	echoes map[string]int
 }
 
-// Handler returns the stand-in's interface: /_counts and /_mode are for the
-// test, all else is work.
+// Handler returns the stand-in's interface: /_counts, /_echoes and /_mode are
+// for the test, all else is work.
 func (u *Upstream) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /_counts", u.serveCounts)
+	mux.HandleFunc("GET /_echoes", u.serveEchoes)
 	mux.HandleFunc("PUT /_mode", u.serveMode)
 	mux.HandleFunc("/", u.serveWork)
 	return mux
@@ -86,6 +89,30 @@
 	json.NewEncoder(w).Encode(u.Counts())
 }
 
+// Echoes returns the number of starts by what they asked to echo. It counts
+// submissions independently of the task IDs that the system gave them.
+func (u *Upstream) Echoes() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return maps.Clone(u.echoes)
+}
+
+func (u *Upstream) countEcho(echo string) {
+	if echo == "" {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.echoes == nil {
+		u.echoes = make(map[string]int)
+	}
+	u.echoes[echo]++
+}
+
+func (u *Upstream) serveEchoes(w http.ResponseWriter, _ *http.Request) {
+	json.NewEncoder(w).Encode(u.Echoes())
+}
+
 func (u *Upstream) serveMode(w http.ResponseWriter, r *http.Request) {
 	var m Mode
 	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
@@ -105,6 +132,7 @@
 	}
 	var work Work
 	json.Unmarshal(body, &work) // a body that asks for nothing gets no work
+	u.countEcho(work.Echo)
 	if mode.FailAll {
 		http.Error(w, "told to fail", http.StatusInternalServerError)
 		return
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -6,16 +6,15 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/carawaylanding/carawaylanding/contract"
 )
 
@@ -26,36 +25,19 @@
 	// Dir holds logs and data.
 	Dir string
 
-	mu    sync.Mutex // guards procs
-	procs map[string]*Process
-}
-
-// New returns a bed without processes.
-func New(bin, dir string) *Bed {
-	return &Bed{Bin: bin, Dir: dir, procs: make(map[string]*Process)}
+	mu     sync.Mutex // guards procs and relays
+	procs  map[string]*Process
+	relays map[Way]*Relay
 }
 
-// Process is one process of the bed.
-type Process struct {
-	Name string
-	// HTTP, Link and Admin are the process's addresses, where it has them.
-	HTTP, Link, Admin string
-
-	path string
-	args []string
-	log  string
-	cmd  *exec.Cmd
-	done chan struct{}
+// Way names the relay from the process that dials to the one that listens.
+type Way struct {
+	From, To string
 }
 
-// FreeAddr returns a loopback address that was free a moment ago.
-func FreeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+// New returns a bed without processes.
+func New(bin, dir string) *Bed {
+	return &Bed{Bin: bin, Dir: dir, procs: make(map[string]*Process), relays: make(map[Way]*Relay)}
 }
 
 // Add registers a process without starting it.
@@ -75,64 +57,16 @@
 	return b.procs[name]
 }
 
-// Start starts the process, again where it has ended.
-func (p *Process) Start() error {
-	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return err
-	}
-	defer log.Close()
-	cmd := exec.Command(p.path, p.args...)
-	cmd.Stdout = log
-	cmd.Stderr = log
-	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("start %s: %w", p.Name, err)
-	}
-	done := make(chan struct{})
-	p.cmd = cmd
-	p.done = done
-	go func() {
-		cmd.Wait()
-		close(done)
-	}()
-	return nil
-}
-
-// Signal sends a signal to the process.
-func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
-
-// Kill kills the process at once and waits for its end.
-func (p *Process) Kill() {
-	if p.cmd == nil {
-		return
-	}
-	p.Signal(syscall.SIGKILL)
-	<-p.done
-}
-
-// Stop asks the process to drain and waits for its end, or for ctx.
-func (p *Process) Stop(ctx context.Context) error {
-	if err := p.Signal(syscall.SIGTERM); err != nil {
-		return err
-	}
-	select {
-	case <-p.done:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("%s did not end: %w", p.Name, ctx.Err())
-	}
-}
-
-// PID returns the process's ID.
-func (p *Process) PID() int { return p.cmd.Process.Pid }
-
-// Close kills all processes.
+// Close kills all processes and closes the relays.
 func (b *Bed) Close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.procs {
 		p.Kill()
 	}
+	for _, r := range b.relays {
+		r.Close()
+	}
 }
 
 // Await polls until check succeeds, and returns its last error where ctx ends
@@ -180,9 +114,8 @@
 	Pools []string
 	// HubArgs and AgentArgs are further settings.
 	HubArgs, AgentArgs []string
-	// EntryLinks, where set, are the addresses through which agents reach the
-	// hubs in place of their own.
-	EntryLinks []string
+	// Relayed puts a relay on each link.
+	Relayed bool
 }
 
 // System is a planned system within a bed.
@@ -208,7 +141,7 @@
 }
 
 func (s *System) addHubs(plan Plan) error {
-	var peers, ids []string
+	var ids []string
 	for i := range plan.Hubs {
 		p := &Process{Name: fmt.Sprintf("hub%d", i+1)}
 		for _, addr := range []*string{&p.HTTP, &p.Link, &p.Admin} {
@@ -219,10 +152,13 @@
 			*addr = free
 		}
 		s.Hubs = append(s.Hubs, p)
-		peers = append(peers, p.Name+"="+p.Link)
 		ids = append(ids, p.Name)
 	}
 	for i, p := range s.Hubs {
+		peers, err := s.peersOf(plan, p)
+		if err != nil {
+			return err
+		}
 		data := filepath.Join(s.Dir, p.Name)
 		if err := os.MkdirAll(data, 0o755); err != nil {
 			return err
@@ -238,6 +174,57 @@
 	return nil
 }
 
+// peersOf returns the -peers setting of a hub.
+func (s *System) peersOf(plan Plan, p *Process) ([]string, error) {
+	var out []string
+	for _, other := range s.Hubs {
+		if other == p {
+			continue
+		}
+		addr, err := s.linkAddr(plan, p, other)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, other.Name+"="+addr)
+	}
+	return out, nil
+}
+
+// linkAddr returns the address through which one process links to a hub.
+func (s *System) linkAddr(plan Plan, from, hub *Process) (string, error) {
+	if !plan.Relayed {
+		return hub.Link, nil
+	}
+	r, err := NewRelay(hub.Link)
+	if err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relays[Way{From: from.Name, To: hub.Name}] = r
+	return r.Addr(), nil
+}
+
+// Relay returns the relay of a way, or nil.
+func (b *Bed) Relay(w Way) *Relay {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.relays[w]
+}
+
+// RelaysOf returns the relays of all ways to and from a process.
+func (b *Bed) RelaysOf(name string) []*Relay {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []*Relay
+	for w, r := range b.relays {
+		if w.From == name || w.To == name {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // rackSize is the number of workers in a rack.
 const rackSize = 3
 
@@ -253,13 +240,15 @@
 	up := &Process{Name: fmt.Sprintf("upstream%d", i+1), HTTP: upAddr}
 	s.Add(up, "standin", "-addr", upAddr)
 	s.Upstreams = append(s.Upstreams, up)
-	links := plan.EntryLinks
-	if links == nil {
-		for _, h := range s.Hubs {
-			links = append(links, h.Link)
+	agent := &Process{Name: fmt.Sprintf("worker%d", i+1), HTTP: httpAddr}
+	var links []string
+	for _, h := range s.Hubs {
+		addr, err := s.linkAddr(plan, agent, h)
+		if err != nil {
+			return err
 		}
+		links = append(links, addr)
 	}
-	agent := &Process{Name: fmt.Sprintf("worker%d", i+1), HTTP: httpAddr}
 	args := append([]string{
 		"-id", agent.Name, "-roles", string(contract.RoleAgent),
 		"-failure-domain", plan.Domains[i%len(plan.Domains)], "-rack", fmt.Sprintf("rack%d", i/rackSize+1),
@@ -271,13 +260,15 @@
 	return nil
 }
 
-// StartAll starts every process.
+// StartAll starts every process and returns once all listen.
 func (s *System) StartAll() error {
 	for _, group := range [][]*Process{s.Upstreams, s.Hubs, s.Agents} {
+		var g errgroup.Group
 		for _, p := range group {
-			if err := p.Start(); err != nil {
-				return err
-			}
+			g.Go(p.Start)
+		}
+		if err := g.Wait(); err != nil {
+			return err
 		}
 	}
 	return nil
