--- a/node/admin.go
+++ b/node/admin.go
@@ -35,6 +35,7 @@
 	mux.HandleFunc("GET /admin/history", n.serveHistory)
 	mux.HandleFunc("POST /admin/drain", n.serveDrain)
 	mux.HandleFunc("GET /admin/outcomes/{job}", n.serveOutcomes)
+	mux.HandleFunc("GET /admin/records", n.records.serveRecords)
 	return mux
 }
 
--- a/node/admin_test.go
+++ b/node/admin_test.go
@@ -20,8 +20,8 @@
 	"github.com/carawaylanding/carawaylanding/settings"
 )
 
-// testLimit bounds one test's waiting.
-const testLimit = 30 * time.Second
+// adminLimit bounds one test's waiting.
+const adminLimit = 30 * time.Second
 
 // process is one node of a test, run in the test's own process.
 type process struct {
@@ -79,7 +79,7 @@
 
 func await(t *testing.T, check func() error) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), adminLimit)
 	defer cancel()
 	must.NoError(t, testbed.Await(ctx, check))
 }
@@ -90,7 +90,7 @@
 	case err := <-p.done:
 		must.NoError(t, err)
 		p.done <- err
-	case <-time.After(testLimit):
+	case <-time.After(adminLimit):
 		t.Fatalf("%s did not end", p.set.ID)
 	}
 }
