Agree on the control hosts with the tables, and back each answer by a chosen value

Cause: a conflict or a validation failure was answered from a value that only a minority may have accepted. A test with one host's accepts cut off got a conflict 'version 1 is in force' while a read through the others then gave version 0; and an edit whose accept had been sent was answered 'not run'. The members were fixed by settings, so a host with an empty disk voted under its old identity.

A refusal now writes the value back first, unless all promises carry it. An edit that was sent and not confirmed is answered edit-unknown. Members are part of the value, each a host with a random disk ID; a change copies the state to the new member, agrees on the joint group, then on the new one alone. The first group forms once all named hosts answer. The state has checksums, and a host whose file is torn, corrupt or can't be opened runs on without a vote. Removals travel as bounded tombstones. Forwarded edits and reads ask another control host when one is slow or has no majority.

Ruled out: changing members in one step (two racing changes of an even group have majorities that don't meet), and a promise of an undecided change that can be taken back (both directions unchosen can each gather their majority).

--- a/contract/message.go
+++ b/contract/message.go
@@ -24,13 +24,6 @@
 
 	KindTablesPull  MessageKind = 30
 	KindTablesDelta MessageKind = 31
-	KindTablesRead  MessageKind = 32
-	KindEditRequest MessageKind = 33
-	KindEditReply   MessageKind = 34
-	KindPrepare     MessageKind = 35
-	KindPromise     MessageKind = 36
-	KindAccept      MessageKind = 37
-	KindAccepted    MessageKind = 38
 )
 
 // Message is one message between processes.
@@ -156,13 +149,11 @@
 	Have Version
 }
 
-// TablesDelta holds the rows changed after version From, and the names of all
-// rows, so that removed ones are known.
+// TablesDelta holds the rows changed and removed after version From. Where
+// From is zero it holds all rows.
 type TablesDelta struct {
-	From       Version
-	Tables     Tables
-	RouteNames []string
-	PoolNames  []string
+	From   Version
+	Tables Tables
 }
 
 // Fault answers a call that failed.
@@ -171,58 +162,6 @@
 	Message string
 }
 
-// Ballot orders the rounds of agreement.
-type Ballot struct {
-	Round uint64
-	Host  HostID
-}
-
-// Less reports whether b comes before o.
-func (b Ballot) Less(o Ballot) bool {
-	if b.Round != o.Round {
-		return b.Round < o.Round
-	}
-	return b.Host < o.Host
-}
-
-// Prepare asks an acceptor to promise ballot Ballot.
-type Prepare struct {
-	Ballot Ballot
-}
-
-// Promise answers Prepare. Where OK is false, Promised is the higher ballot.
-type Promise struct {
-	OK       bool
-	Promised Ballot
-	Accepted Ballot
-	Value    []byte
-}
-
-// Accept asks an acceptor to accept Value under Ballot.
-type Accept struct {
-	Ballot Ballot
-	Value  []byte
-}
-
-// Accepted answers Accept. Where OK is false, Promised is the higher ballot.
-type Accepted struct {
-	OK       bool
-	Promised Ballot
-}
-
-// TablesRead asks a control host for the tables as agreed by a quorum.
-type TablesRead struct{}
-
-// EditRequest asks a control host to agree on an edit.
-type EditRequest struct {
-	Edit Edit
-}
-
-// EditReply answers EditRequest: the version that the edit made.
-type EditReply struct {
-	Version Version
-}
-
 // MessageKind implements Message.
 func (*Hello) MessageKind() MessageKind { return KindHello }
 
@@ -262,30 +201,9 @@
 // MessageKind implements Message.
 func (*TablesDelta) MessageKind() MessageKind { return KindTablesDelta }
 
-// MessageKind implements Message.
-func (*Prepare) MessageKind() MessageKind { return KindPrepare }
-
-// MessageKind implements Message.
-func (*Promise) MessageKind() MessageKind { return KindPromise }
-
-// MessageKind implements Message.
-func (*Accept) MessageKind() MessageKind { return KindAccept }
-
-// MessageKind implements Message.
-func (*Accepted) MessageKind() MessageKind { return KindAccepted }
-
 // MessageKind implements Message.
 func (*Fault) MessageKind() MessageKind { return KindFault }
 
-// MessageKind implements Message.
-func (*TablesRead) MessageKind() MessageKind { return KindTablesRead }
-
-// MessageKind implements Message.
-func (*EditRequest) MessageKind() MessageKind { return KindEditRequest }
-
-// MessageKind implements Message.
-func (*EditReply) MessageKind() MessageKind { return KindEditReply }
-
 // messageKinds is the number of message kinds that one byte can tell apart.
 const messageKinds = 256
 
@@ -327,13 +245,6 @@
 		func() Message { return new(Drain) },
 		func() Message { return new(TablesPull) },
 		func() Message { return new(TablesDelta) },
-		func() Message { return new(Prepare) },
-		func() Message { return new(Promise) },
-		func() Message { return new(Accept) },
-		func() Message { return new(Accepted) },
 		func() Message { return new(Fault) },
-		func() Message { return new(TablesRead) },
-		func() Message { return new(EditRequest) },
-		func() Message { return new(EditReply) },
 	)
 }
--- a/contract/tables.go
+++ b/contract/tables.go
@@ -71,6 +71,12 @@
 	Version Version `json:"version"`
 	Routes  []Route `json:"routes"`
 	Pools   []Pool  `json:"pools"`
+	// Removals are the last rows removed, oldest first. They reach back to
+	// RemovalsFrom: a process at an older version needs all rows.
+	Removals     []Removal `json:"-"`
+	RemovalsFrom Version   `json:"-"`
+	// Group are the control hosts.
+	Group Group `json:"group"`
 }
 
 // Route returns the named route.
@@ -95,7 +101,11 @@
 
 // Clone returns a copy that shares no slice with t.
 func (t *Tables) Clone() Tables {
-	c := Tables{Version: t.Version, Routes: slices.Clone(t.Routes), Pools: slices.Clone(t.Pools)}
+	c := *t
+	c.Routes = slices.Clone(t.Routes)
+	c.Pools = slices.Clone(t.Pools)
+	c.Removals = slices.Clone(t.Removals)
+	c.Group = t.Group.Clone()
 	for i := range c.Pools {
 		c.Pools[i].Quotas = slices.Clone(c.Pools[i].Quotas)
 	}
@@ -111,19 +121,17 @@
 	PutPools     []Pool   `json:"put_pools,omitempty"`
 	DeleteRoutes []string `json:"delete_routes,omitempty"`
 	DeletePools  []string `json:"delete_pools,omitempty"`
+	// Floor makes the edit's version higher than Floor, for a restore into
+	// control hosts that have lost the versions up to it.
+	Floor Version `json:"floor,omitempty"`
 }
 
 // Apply returns the tables after the edit. It does not compare Base: that is
 // the agreement's part. It fails when the tables would not be valid.
 func (t *Tables) Apply(e Edit) (Tables, error) {
 	next := t.Clone()
-	next.Version = t.Version + 1
-	for _, name := range e.DeleteRoutes {
-		next.Routes = slices.DeleteFunc(next.Routes, func(r Route) bool { return r.Name == name })
-	}
-	for _, name := range e.DeletePools {
-		next.Pools = slices.DeleteFunc(next.Pools, func(p Pool) bool { return p.Name == name })
-	}
+	next.Version = max(t.Version, e.Floor) + 1
+	next.remove(e)
 	for _, r := range e.PutRoutes {
 		r.Version = next.Version
 		next.putRoute(r)
--- a/link/fault.go
+++ b/link/fault.go
@@ -11,6 +11,7 @@
 	all := []contract.Kind{
 		contract.ErrBadRequest, contract.ErrInvalidTables, contract.ErrConflict,
 		contract.ErrNoQuorum, contract.ErrInternal, contract.ErrKeyReused, contract.ErrDraining,
+		contract.ErrEditUnknown, contract.ErrMembers,
 	}
 	m := make(map[string]contract.Kind, len(all))
 	for _, k := range all {
--- a/node/admin.go
+++ b/node/admin.go
@@ -31,6 +31,7 @@
 	mux.HandleFunc("GET /admin/tables", n.serveTables)
 	mux.HandleFunc("POST /admin/edits", n.serveEdit)
 	mux.HandleFunc("GET /admin/upstreams", n.serveUpstreams)
+	n.membersRoutes(mux)
 	return mux
 }
 
--- a/node/links.go
+++ b/node/links.go
@@ -7,11 +7,14 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/host"
 	"github.com/carawaylanding/carawaylanding/link"
+	"github.com/carawaylanding/carawaylanding/metrics"
 	"github.com/carawaylanding/carawaylanding/tables"
 )
 
-// LinkUp implements link.Handler.
+// LinkUp implements link.Handler. It tells the version in force at once, so
+// that neither side waits for an idle link to learn that it is behind.
 func (n *Node) LinkUp(l *link.Link) {
+	l.Send(n.heartbeat())
 	if n.fromAgent(l) {
 		n.entry.LinkUp(l)
 	}
@@ -19,6 +22,7 @@
 
 // LinkDown implements link.Handler.
 func (n *Node) LinkDown(l *link.Link, err error) {
+	n.versions.down(l)
 	if n.fromAgent(l) {
 		n.entry.LinkDown(l, err)
 	}
@@ -28,16 +32,22 @@
 	return n.entry != nil && host.FromHello(l.Remote()).Has(contract.RoleAgent)
 }
 
+func (n *Node) heartbeat() *contract.Heartbeat {
+	return &contract.Heartbeat{Tables: n.tables.Version()}
+}
+
 // Receive implements link.Handler.
 func (n *Node) Receive(l *link.Link, seq uint64, m contract.Message) {
 	switch m := m.(type) {
 	case *contract.Heartbeat:
 		n.sawVersion(l, m.Tables)
 	case *contract.TablesPull:
-		l.Send(n.tables.Delta(m.Have))
+		n.versions.saw(l, m.Have)
+		n.sendDelta(l, n.tables.Delta(m.Have))
 	case *contract.TablesDelta:
-		n.merge(m)
-	case *contract.Prepare, *contract.Accept, *contract.EditRequest, *contract.TablesRead:
+		n.merge(l, m)
+	case *contract.Prepare, *contract.Accept, *contract.Copy, *contract.VoterQuery, *contract.EditRequest,
+		*contract.TablesRead, *contract.HistoryRead, *contract.MemberRequest:
 		n.forControl(l, seq, m)
 	default:
 		if n.fromAgent(l) {
@@ -61,30 +71,50 @@
 	}()
 }
 
+// sawVersion pulls what a peer has newer. Agents hold no tables to pull.
 func (n *Node) sawVersion(l *link.Link, v contract.Version) {
-	have := n.tables.Version()
-	if v > have {
-		l.Send(&contract.TablesPull{Have: have})
+	n.versions.saw(l, v)
+	if v > n.tables.Version() && !host.FromHello(l.Remote()).Has(contract.RoleAgent) {
+		l.Send(&contract.TablesPull{Have: n.tables.Version()})
 	}
 }
 
-func (n *Node) merge(d *contract.TablesDelta) {
+// merge puts a delta in force; where rows between are missing it pulls them.
+func (n *Node) merge(l *link.Link, d *contract.TablesDelta) {
+	n.versions.saw(l, d.Tables.Version)
 	if n.tables.Merge(d) {
 		n.log.Info("tables in force", "version", d.Tables.Version)
+		return
 	}
+	n.sawVersion(l, d.Tables.Version)
+}
+
+func (n *Node) sendDelta(l *link.Link, d *contract.TablesDelta) {
+	metrics.TablesDeltasSent.Add(1)
+	l.Send(d)
 }
 
-// tablesChanged pushes the rows that the last edit changed to the peers. A
-// peer that is further behind pulls the rest on the next heartbeat.
+// tablesChanged pushes to the peers what they are known to lack. A peer that
+// has the version already is told that it is in force here too.
 func (n *Node) tablesChanged(v *tables.View) {
 	if v.Version == 0 {
 		return
 	}
-	d := tables.Since(v.Tables, v.Version-1)
-	for _, p := range n.peers {
-		if l := p.Link(); l != nil {
-			l.Send(d)
+	n.dialMembers(v.Group)
+	for id, p := range n.peers.all() {
+		l := p.Link()
+		if l == nil {
+			continue
+		}
+		have := n.versions.of(id)
+		if have >= v.Version {
+			l.Send(n.heartbeat())
+			continue
 		}
+		if have == 0 {
+			have = v.Version - 1
+		}
+		n.sendDelta(l, tables.Since(v.Tables, have))
 	}
 }
 
@@ -95,9 +125,9 @@
 // then it is not ready.
 func (n *Node) catchUp(ctx context.Context) {
 	for ctx.Err() == nil {
-		t, err := n.readTables(ctx)
+		d, err := n.readTables(ctx)
 		if err == nil {
-			n.tables.Offer(t)
+			n.tables.Merge(d)
 			n.log.Info("caught up", "version", n.tables.Version())
 			return
 		}
@@ -108,39 +138,14 @@
 	}
 }
 
-func (n *Node) readTables(ctx context.Context) (contract.Tables, error) {
+// readTables returns what the quorum has newer than the version in force.
+func (n *Node) readTables(ctx context.Context) (*contract.TablesDelta, error) {
+	have := n.tables.Version()
 	if n.control != nil {
-		return n.control.Read(ctx)
+		t, err := n.control.Read(ctx)
+		return tables.Since(t, have), err
 	}
-	reply, err := n.callControl(ctx, &contract.TablesRead{})
-	if err != nil {
-		return contract.Tables{}, err
-	}
-	d, ok := reply.(*contract.TablesDelta)
-	if !ok {
-		return contract.Tables{}, contract.ErrInternal.With("unexpected reply %T", reply)
-	}
-	return d.Tables, nil
-}
-
-// callControl asks the control hosts in turn until one answers.
-func (n *Node) callControl(ctx context.Context, m contract.Message) (contract.Message, error) {
-	var last error = contract.ErrNoQuorum.Refuse(time.Second, "no control host is linked")
-	for _, id := range n.set.Control {
-		p := n.peers[id]
-		if p == nil || p.Link() == nil {
-			continue
-		}
-		reply, err := p.Call(ctx, m)
-		if err == nil {
-			return reply, nil
-		}
-		if _, typed := contract.AsError(err); typed {
-			return nil, err
-		}
-		last = contract.ErrNoQuorum.Refuse(time.Second, "control host %s: %v", id, err)
-	}
-	return nil, last
+	return askControl[*contract.TablesDelta](ctx, n, &contract.TablesRead{Have: have})
 }
 
 // edit agrees on an edit, here or at a control host.
@@ -148,13 +153,9 @@
 	if n.control != nil {
 		return n.control.Edit(ctx, e)
 	}
-	reply, err := n.callControl(ctx, &contract.EditRequest{Edit: e})
+	r, err := askControl[*contract.EditReply](ctx, n, &contract.EditRequest{Edit: e})
 	if err != nil {
 		return 0, err
 	}
-	r, ok := reply.(*contract.EditReply)
-	if !ok {
-		return 0, contract.ErrInternal.With("unexpected reply %T", reply)
-	}
 	return r.Version, nil
 }
--- /dev/null
+++ b/node/members.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/control"
+	"github.com/carawaylanding/carawaylanding/entry"
+)
+
+// HistoryAnswer is the body of GET /admin/history, oldest edit first.
+type HistoryAnswer struct {
+	Edits []contract.EditRecord `json:"edits"`
+}
+
+// InForceAnswer is the body of GET /admin/inforce: the versions in force at
+// the processes that this one is linked with, itself first.
+type InForceAnswer struct {
+	Version contract.Version `json:"version"`
+	// Current counts the processes that have the version or a later one.
+	Current   int              `json:"current"`
+	Processes []ProcessVersion `json:"processes"`
+}
+
+func (n *Node) membersRoutes(mux *http.ServeMux) {
+	mux.HandleFunc("GET /admin/members", n.serveMembers)
+	mux.HandleFunc("POST /admin/members", n.serveMemberChange)
+	mux.HandleFunc("GET /admin/history", n.serveHistory)
+	mux.HandleFunc("GET /admin/inforce", n.serveInForce)
+	mux.HandleFunc("GET /admin/backup", n.serveBackup)
+}
+
+func (n *Node) serveMembers(w http.ResponseWriter, r *http.Request) {
+	if n.control == nil {
+		entry.WriteError(w, contract.ErrBadRequest.With("host %s is no control host: ask one of %v", n.set.ID, n.controlHosts()))
+		return
+	}
+	answer(w, n.control.Status(r.Context()))
+}
+
+func (n *Node) serveMemberChange(w http.ResponseWriter, r *http.Request) {
+	var m contract.MemberRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEditBytes)).Decode(&m); err != nil {
+		entry.WriteError(w, contract.ErrBadRequest.With("the body is not a change of members: %v", err))
+		return
+	}
+	g, err := n.changeMembers(r, m)
+	if err != nil {
+		entry.WriteError(w, err)
+		return
+	}
+	answer(w, g)
+}
+
+func (n *Node) changeMembers(r *http.Request, m contract.MemberRequest) (contract.Group, error) {
+	if n.control == nil {
+		reply, err := askControl[*contract.MemberReply](r.Context(), n, &m)
+		if err != nil {
+			return contract.Group{}, err
+		}
+		return reply.Group, nil
+	}
+	if m.Addr != "" {
+		n.dialJoining(m.Host, m.Addr)
+	}
+	return n.control.ChangeMembers(r.Context(), m)
+}
+
+func (n *Node) serveHistory(w http.ResponseWriter, r *http.Request) {
+	edits, err := n.history(r)
+	if err != nil {
+		entry.WriteError(w, err)
+		return
+	}
+	answer(w, HistoryAnswer{Edits: edits})
+}
+
+func (n *Node) history(r *http.Request) ([]contract.EditRecord, error) {
+	if n.control != nil {
+		return n.control.History(r.Context())
+	}
+	h, err := askControl[*contract.History](r.Context(), n, &contract.HistoryRead{})
+	if err != nil {
+		return nil, err
+	}
+	return h.Edits, nil
+}
+
+func (n *Node) serveInForce(w http.ResponseWriter, _ *http.Request) {
+	own := ProcessVersion{Host: n.set.ID, Roles: n.set.Roles, Version: n.tables.Version()}
+	a := InForceAnswer{Version: own.Version, Processes: append([]ProcessVersion{own}, n.versions.list()...)}
+	for _, p := range a.Processes {
+		if p.Version >= own.Version {
+			a.Current++
+		}
+	}
+	answer(w, a)
+}
+
+// serveBackup answers with the tables as a quorum has them.
+func (n *Node) serveBackup(w http.ResponseWriter, r *http.Request) {
+	d, err := n.readTables(r.Context())
+	if err != nil {
+		entry.WriteError(w, err)
+		return
+	}
+	n.tables.Merge(d)
+	answer(w, n.tables.View().Tables)
+}
+
+// openStore opens the control role's store. A host whose file can't be used
+// runs on without a vote.
+func (n *Node) openStore() (control.Store, func()) {
+	s, err := control.OpenStore(n.set.DataDir)
+	if err != nil {
+		return control.FailedStore{Err: err}, func() {}
+	}
+	return s, func() { s.Close() }
+}
--- a/node/node.go
+++ b/node/node.go
@@ -30,11 +30,12 @@
 	identity host.Identity
 	log      logr.Logger
 
-	tables  *tables.Holder
-	peers   map[contract.HostID]*link.Dialer
-	entry   *entry.Entry
-	control *control.Control
-	store   *control.Store
+	tables   *tables.Holder
+	peers    peers
+	versions versions
+	linkCtx  context.Context // ends with the node's links
+	entry    *entry.Entry
+	control  *control.Control
 }
 
 // Run runs the process until ctx is done, then drains it.
@@ -51,7 +52,7 @@
 	if set.Has(contract.RoleAgent) {
 		return runAgent(ctx, set, id, log)
 	}
-	n := &Node{set: set, identity: id, log: log, tables: tables.NewHolder(), peers: make(map[contract.HostID]*link.Dialer)}
+	n := &Node{set: set, identity: id, log: log, tables: tables.NewHolder()}
 	return n.run(ctx)
 }
 
@@ -78,19 +79,19 @@
 	return link.Config{
 		Idle:      n.set.Heartbeat,
 		Silence:   n.set.Silence,
-		Heartbeat: func() *contract.Heartbeat { return &contract.Heartbeat{Tables: n.tables.Version()} },
+		Heartbeat: n.heartbeat,
 	}
 }
 
 func (n *Node) run(ctx context.Context) error {
+	linkCtx, closeLinks := context.WithCancel(context.WithoutCancel(ctx))
+	defer closeLinks()
+	n.linkCtx = linkCtx
 	for _, p := range n.set.Peers {
-		n.peers[p.Host] = &link.Dialer{Addr: p.Addr, Local: n.identity.Hello(), Config: n.linkConfig(), Handler: n}
+		n.peers.add(p.Host, n.dialer(p.Addr))
 	}
-	if err := n.openControl(); err != nil {
-		return err
-	}
-	if n.store != nil {
-		defer n.store.Close()
+	if n.set.Has(contract.RoleControl) {
+		defer n.openControl()()
 	}
 	if n.set.Has(contract.RoleEntry) {
 		n.entry = entry.New(entry.Config{
@@ -103,37 +104,35 @@
 		})
 	}
 	n.tables.Watch(n.tablesChanged)
-	return n.serve(ctx)
+	return n.serve(ctx, linkCtx, closeLinks)
 }
 
-func (n *Node) openControl() error {
-	if !n.set.Has(contract.RoleControl) {
-		return nil
-	}
-	store, err := control.OpenStore(n.set.DataDir)
-	if err != nil {
-		return err
-	}
-	peers := make(map[contract.HostID]control.Peer, len(n.peers))
-	for id, d := range n.peers {
-		peers[id] = d
-	}
-	n.store = store
-	n.control, err = control.New(control.Config{
+// openControl starts the control role; the returned function closes its store.
+func (n *Node) openControl() func() {
+	store, closeStore := n.openStore()
+	n.control = control.New(control.Config{
 		Self:    n.set.ID,
-		Members: n.set.Control,
-		Peers:   peers,
+		First:   n.set.Control,
+		Peer:    n.controlPeer,
 		Store:   store,
 		Learned: func(t contract.Tables) { n.tables.Offer(t) },
+		InForce: func() contract.Tables { return n.tables.View().Tables },
 		Log:     n.log,
 	})
-	return err
+	return closeStore
+}
+
+func (n *Node) controlPeer(id contract.HostID) control.Peer {
+	if d := n.peers.get(id); d != nil {
+		return d
+	}
+	return nil
 }
 
 // serve opens the listeners and runs until ctx is done. Shutdown goes in
 // order: readiness ends, the balancer's delay passes, work in progress ends,
 // listeners close, links close.
-func (n *Node) serve(ctx context.Context) error {
+func (n *Node) serve(ctx, linkCtx context.Context, closeLinks func()) error {
 	linkLn, err := net.Listen("tcp", n.set.LinkAddr)
 	if err != nil {
 		return err
@@ -142,14 +141,15 @@
 	if err != nil {
 		return err
 	}
-	linkCtx, closeLinks := context.WithCancel(context.WithoutCancel(ctx))
-	defer closeLinks()
 	var g errgroup.Group
 	srv := &link.Server{Local: n.identity.Hello(), Config: n.linkConfig(), Handler: n}
 	g.Go(func() error { return srv.Serve(linkCtx, linkLn) })
-	for _, d := range n.peers {
+	for _, d := range n.peers.all() {
 		g.Go(func() error { return d.Run(linkCtx) })
 	}
+	if n.control != nil {
+		g.Go(func() error { return n.control.Run(linkCtx) })
+	}
 	admin := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	g.Go(func() error { return ignoreClosed(admin.Serve(adminLn)) })
 	callers, err := n.serveCallers(&g)
--- a/tables/tables.go
+++ b/tables/tables.go
@@ -3,8 +3,6 @@
 package tables
 
 import (
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -70,66 +68,3 @@
 	}
 	return true
 }
-
-// Delta returns the rows changed after version from.
-func (h *Holder) Delta(from contract.Version) *contract.TablesDelta {
-	return Since(h.View().Tables, from)
-}
-
-// Full returns the delta from the empty tables to t.
-func Full(t contract.Tables) *contract.TablesDelta { return Since(t, 0) }
-
-// Since returns the rows of t changed after version from.
-func Since(t contract.Tables, from contract.Version) *contract.TablesDelta {
-	d := &contract.TablesDelta{From: from, Tables: contract.Tables{Version: t.Version}}
-	for _, r := range t.Routes {
-		d.RouteNames = append(d.RouteNames, r.Name)
-		if r.Version > from {
-			d.Tables.Routes = append(d.Tables.Routes, r)
-		}
-	}
-	for _, p := range t.Pools {
-		d.PoolNames = append(d.PoolNames, p.Name)
-		if p.Version > from {
-			d.Tables.Pools = append(d.Tables.Pools, p)
-		}
-	}
-	return d
-}
-
-// Merge puts the delta in force and reports whether the view changed. A delta
-// that begins after the version in force is not taken: the rows between would
-// be missing.
-func (h *Holder) Merge(d *contract.TablesDelta) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	cur := h.View().Tables
-	if d.From > cur.Version || d.Tables.Version <= cur.Version {
-		return false
-	}
-	next := cur.Clone()
-	next.Version = d.Tables.Version
-	next.Routes = mergeRows(next.Routes, d.Tables.Routes, d.RouteNames, func(r contract.Route) string { return r.Name })
-	next.Pools = mergeRows(next.Pools, d.Tables.Pools, d.PoolNames, func(p contract.Pool) string { return p.Name })
-	return h.offer(next)
-}
-
-// mergeRows returns the rows named by names, changed rows first choice, sorted
-// by name.
-func mergeRows[R any](have, changed []R, names []string, name func(R) string) []R {
-	byName := make(map[string]R, len(names))
-	for _, r := range have {
-		byName[name(r)] = r
-	}
-	for _, r := range changed {
-		byName[name(r)] = r
-	}
-	out := make([]R, 0, len(names))
-	for _, n := range names {
-		if r, ok := byName[n]; ok {
-			out = append(out, r)
-		}
-	}
-	slices.SortFunc(out, func(a, b R) int { return strings.Compare(name(a), name(b)) })
-	return out
-}
