--- a/node/links.go
+++ b/node/links.go
@@ -46,6 +46,8 @@
 		n.sendDelta(l, n.tables.Delta(m.Have))
 	case *contract.TablesDelta:
 		n.merge(l, m)
+	case *contract.StatusRequest, *contract.DrainRequest:
+		n.receiveAdmin(l, seq, m)
 	case *contract.Prepare, *contract.Accept, *contract.Copy, *contract.VoterQuery, *contract.EditRequest,
 		*contract.TablesRead, *contract.HistoryRead, *contract.MemberRequest:
 		n.forControl(l, seq, m)
@@ -116,6 +118,20 @@
 		}
 		n.sendDelta(l, tables.Since(v.Tables, have))
 	}
+	n.tellAgents(v.Version)
+}
+
+// tellAgents sends the version in force to each agent: a busy link carries no
+// heartbeat by itself.
+func (n *Node) tellAgents(v contract.Version) {
+	if n.entry == nil {
+		return
+	}
+	for _, l := range n.entry.AgentLinks() {
+		if l != nil {
+			l.Send(&contract.Heartbeat{Tables: v})
+		}
+	}
 }
 
 // catchUpWait is how long a starting process waits between two quorum reads.
--- a/node/members.go
+++ b/node/members.go
@@ -9,25 +9,16 @@
 	"github.com/carawaylanding/carawaylanding/entry"
 )
 
-// HistoryAnswer is the body of GET /admin/history, oldest edit first.
-type HistoryAnswer struct {
+// EditsAnswer is the body of GET /admin/edits: the last accepted edits, oldest
+// first.
+type EditsAnswer struct {
 	Edits []contract.EditRecord `json:"edits"`
 }
 
-// InForceAnswer is the body of GET /admin/inforce: the versions in force at
-// the processes that this one is linked with, itself first.
-type InForceAnswer struct {
-	Version contract.Version `json:"version"`
-	// Current counts the processes that have the version or a later one.
-	Current   int              `json:"current"`
-	Processes []ProcessVersion `json:"processes"`
-}
-
 func (n *Node) membersRoutes(mux *http.ServeMux) {
 	mux.HandleFunc("GET /admin/members", n.serveMembers)
 	mux.HandleFunc("POST /admin/members", n.serveMemberChange)
-	mux.HandleFunc("GET /admin/history", n.serveHistory)
-	mux.HandleFunc("GET /admin/inforce", n.serveInForce)
+	mux.HandleFunc("GET /admin/edits", n.serveEdits)
 	mux.HandleFunc("GET /admin/backup", n.serveBackup)
 }
 
@@ -67,16 +58,16 @@
 	return n.control.ChangeMembers(r.Context(), m)
 }
 
-func (n *Node) serveHistory(w http.ResponseWriter, r *http.Request) {
-	edits, err := n.history(r)
+func (n *Node) serveEdits(w http.ResponseWriter, r *http.Request) {
+	edits, err := n.acceptedEdits(r)
 	if err != nil {
 		entry.WriteError(w, err)
 		return
 	}
-	answer(w, HistoryAnswer{Edits: edits})
+	answer(w, EditsAnswer{Edits: edits})
 }
 
-func (n *Node) history(r *http.Request) ([]contract.EditRecord, error) {
+func (n *Node) acceptedEdits(r *http.Request) ([]contract.EditRecord, error) {
 	if n.control != nil {
 		return n.control.History(r.Context())
 	}
@@ -87,17 +78,6 @@
 	return h.Edits, nil
 }
 
-func (n *Node) serveInForce(w http.ResponseWriter, _ *http.Request) {
-	own := ProcessVersion{Host: n.set.ID, Roles: n.set.Roles, Version: n.tables.Version()}
-	a := InForceAnswer{Version: own.Version, Processes: append([]ProcessVersion{own}, n.versions.list()...)}
-	for _, p := range a.Processes {
-		if p.Version >= own.Version {
-			a.Current++
-		}
-	}
-	answer(w, a)
-}
-
 // serveBackup answers with the tables as a quorum has them.
 func (n *Node) serveBackup(w http.ResponseWriter, r *http.Request) {
 	d, err := n.readTables(r.Context())
--- a/node/peers.go
+++ b/node/peers.go
@@ -1,13 +1,10 @@
 package node
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 	"sync"
 
 	"github.com/carawaylanding/carawaylanding/contract"
-	"github.com/carawaylanding/carawaylanding/host"
 	"github.com/carawaylanding/carawaylanding/link"
 )
 
@@ -65,58 +62,43 @@
 	n.dialMembers(contract.Group{Members: []contract.Member{{Host: id, Addr: addr}}})
 }
 
-// ProcessVersion is the version in force at one process, as it last said.
-type ProcessVersion struct {
-	Host    contract.HostID  `json:"host"`
-	Roles   []contract.Role  `json:"roles"`
-	Version contract.Version `json:"version"`
+// versions are the versions in force at the processes linked with this one, as
+// they last said.
+type versions struct {
+	mu     sync.Mutex // guards byHost
+	byHost map[contract.HostID]processVersion
 }
 
-// versions are the versions in force at the processes linked with this one.
-type versions struct {
-	mu      sync.Mutex // guards byHost
-	byHost  map[contract.HostID]ProcessVersion
-	current map[contract.HostID]contract.Incarnation
+// processVersion is the version in force at one incarnation of a host.
+type processVersion struct {
+	incarnation contract.Incarnation
+	version     contract.Version
 }
 
 // saw takes the version that a peer says is in force at it.
 func (v *versions) saw(l *link.Link, have contract.Version) {
-	id := host.FromHello(l.Remote())
+	id := l.Remote()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.byHost == nil {
-		v.byHost = make(map[contract.HostID]ProcessVersion)
-		v.current = make(map[contract.HostID]contract.Incarnation)
+		v.byHost = make(map[contract.HostID]processVersion)
 	}
 	p := v.byHost[id.Host]
-	if v.current[id.Host] != id.Incarnation {
-		v.current[id.Host] = id.Incarnation
-		p.Version = 0
+	if p.incarnation == id.Incarnation {
+		have = max(have, p.version)
 	}
-	v.byHost[id.Host] = ProcessVersion{Host: id.Host, Roles: id.Roles, Version: max(p.Version, have)}
+	v.byHost[id.Host] = processVersion{incarnation: id.Incarnation, version: have}
 }
 
 // down forgets a process that is no longer linked.
 func (v *versions) down(l *link.Link) {
-	id := host.FromHello(l.Remote())
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.current[id.Host] == id.Incarnation {
-		delete(v.byHost, id.Host)
-	}
+	delete(v.byHost, l.Remote().Host)
 }
 
 func (v *versions) of(id contract.HostID) contract.Version {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.byHost[id].Version
-}
-
-// list returns the processes by host.
-func (v *versions) list() []ProcessVersion {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	out := slices.Collect(maps.Values(v.byHost))
-	slices.SortFunc(out, func(a, b ProcessVersion) int { return cmp.Compare(a.Host, b.Host) })
-	return out
+	return v.byHost[id].version
 }
