--- a/cmd/carawayctl/client.go
+++ b/cmd/carawayctl/client.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
 )
 
 // errConflict says that the tables changed since the edit's base version.
@@ -99,6 +101,9 @@
 		return fmt.Errorf("%s %s: check that -admin is a host's -admin-addr, and that its version knows the command", res.Request.URL, res.Status)
 	}
 	err := fmt.Errorf("%s: %s (%s)", f.Kind, f.Message, f.Remedy)
+	if f.Kind == contract.ErrEditUnknown.Name {
+		return fmt.Errorf("%w: %w", errNoAnswer, err)
+	}
 	if f.Kind == "version-conflict" {
 		return fmt.Errorf("%w: %w", errConflict, err)
 	}
--- a/cmd/carawayctl/main_test.go
+++ b/cmd/carawayctl/main_test.go
@@ -34,6 +34,7 @@
 	f.taken = make(map[contract.EditID]contract.Version)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /admin/tables", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(f.tables) })
+	mux.HandleFunc("GET /admin/backup", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(f.tables) })
 	mux.HandleFunc("GET /admin/processes", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(f.processes) })
 	mux.HandleFunc("POST /admin/edits", f.serveEdit)
 	srv := httptest.NewServer(mux)
--- /dev/null
+++ b/cmd/carawayctl/members.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/control"
+	"github.com/carawaylanding/carawaylanding/node"
+)
+
+func membersCommand(c *client) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "members",
+		ShortUsage: "carawayctl members",
+		ShortHelp:  "show the control hosts, whether a repair is complete, and how many further losses are survived",
+		Exec:       func(ctx context.Context, _ []string) error { return c.members(ctx) },
+	}
+}
+
+func (c *client) members(ctx context.Context) error {
+	var s control.GroupStatus
+	if err := c.get(ctx, "/admin/members", &s); err != nil {
+		return err
+	}
+	return c.print(s, func(w *tabwriter.Writer) { printMembers(w, s) })
+}
+
+func printMembers(w *tabwriter.Writer, s control.GroupStatus) {
+	fmt.Fprintln(w, "HOST\tANSWERS\tDISK\tVERSION\tFAULT")
+	for _, m := range s.Members {
+		disk := "kept"
+		switch {
+		case !m.Answers:
+			disk = "?"
+		case !m.DiskKept:
+			disk = "another: replace the member"
+		}
+		fmt.Fprintf(w, "%s\t%t\t%s\t%d\t%s\n", m.Host, m.Answers, disk, m.Version, m.Fault)
+	}
+	fmt.Fprintf(w, "version %d, epoch %d\n", s.Version, s.Epoch)
+	switch {
+	case !s.Agreed:
+		fmt.Fprintln(w, "no majority answers: edits are refused, traffic goes on; bring back a host with its disk")
+	case s.Joint:
+		fmt.Fprintln(w, "a change of members is open: it settles by itself once a majority of both answers")
+	case s.RepairComplete:
+		fmt.Fprintln(w, "repair complete: each member's disk holds every row")
+	default:
+		fmt.Fprintf(w, "repair not complete: %d of %d disks hold every row\n", s.Holding, len(s.Members))
+	}
+	fmt.Fprintf(w, "further losses survived: %d\n", s.LossesSurvived)
+}
+
+func memberCommand(c *client) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "member",
+		ShortUsage: "carawayctl member add|remove|replace HOST",
+		ShortHelp:  "change the control hosts by one",
+		Subcommands: []*ffcli.Command{
+			memberChangeCommand(c, contract.MemberAdd, "make a host with an empty data folder a control host"),
+			memberChangeCommand(c, contract.MemberRemove, "take a control host out"),
+			memberChangeCommand(c, contract.MemberReplace, "give a control host that lost its disk its vote again"),
+		},
+		Exec: groupExec,
+	}
+}
+
+func memberChangeCommand(c *client, action contract.MemberAction, help string) *ffcli.Command {
+	fs := flag.NewFlagSet(string(action), flag.ContinueOnError)
+	fs.SetOutput(c.errOut)
+	addr := fs.String("addr", "", "IP:port of the host's link address, where the settings of the others don't name it")
+	return &ffcli.Command{
+		Name:       string(action),
+		ShortUsage: "carawayctl member " + string(action) + " [-addr IP:port] HOST",
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return fmt.Errorf("%w: name one host", errUsage)
+			}
+			return c.changeMember(ctx, contract.MemberRequest{Action: action, Host: contract.HostID(args[0]), Addr: *addr})
+		},
+	}
+}
+
+func (c *client) changeMember(ctx context.Context, m contract.MemberRequest) error {
+	var g contract.Group
+	hosts := c.hosts()
+	if len(hosts) == 0 {
+		return fmt.Errorf("%w: -admin is empty: give IP:port of a host", errUsage)
+	}
+	if err := c.postTo(ctx, hosts[0], "/admin/members", m, &g); err != nil {
+		return err
+	}
+	return c.print(g, func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "epoch %d: members", g.Epoch)
+		for _, member := range g.Members {
+			fmt.Fprintf(w, " %s", member.Host)
+		}
+		fmt.Fprintln(w)
+	})
+}
+
+func editsCommand(c *client) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "edits",
+		ShortUsage: "carawayctl edits",
+		ShortHelp:  "show the last accepted edits: version, edit ID, time, what changed",
+		Exec: func(ctx context.Context, _ []string) error {
+			var a node.EditsAnswer
+			if err := c.get(ctx, "/admin/edits", &a); err != nil {
+				return err
+			}
+			return c.print(a, func(w *tabwriter.Writer) {
+				fmt.Fprintln(w, "VERSION\tTIME\tEDIT\tCHANGE")
+				for _, e := range a.Edits {
+					fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", e.Version, e.At.UTC().Format(time.RFC3339), e.ID, e.Change)
+				}
+			})
+		},
+	}
+}
--- a/control/faults_test.go
+++ b/control/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -21,7 +22,8 @@
 	synced quorum.State
 	// full makes Save fail without writing; torn makes it write and then
 	// fail, as when the sync reports an error; corrupt makes Load fail.
-	full, torn, corrupt bool
+	// amnesia makes Save forget what it was given, once the disk has a vote.
+	full, torn, corrupt, amnesia bool
 }
 
 var errDisk = errors.New("no space left on device")
@@ -35,12 +37,14 @@
 	return d.synced, nil
 }
 
-func (d *fakeDisk) Save(st quorum.State) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+// save does Save's work; the caller holds d.mu.
+func (d *fakeDisk) save(st quorum.State) error {
 	if d.full {
 		return errDisk
 	}
+	if d.amnesia && d.synced.Voter {
+		return nil
+	}
 	d.synced = st
 	if d.torn {
 		return errDisk
@@ -54,6 +58,30 @@
 	f(d)
 }
 
+// openFile is one process's use of a disk: it ends with the process.
+type openFile struct {
+	disk   *fakeDisk
+	closed *atomic.Bool
+}
+
+var errProcessEnded = errors.New("the process has ended")
+
+func (f openFile) Load() (quorum.State, error) {
+	if f.closed.Load() {
+		return quorum.State{}, errProcessEnded
+	}
+	return f.disk.Load()
+}
+
+func (f openFile) Save(st quorum.State) error {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	if f.closed.Load() {
+		return errProcessEnded
+	}
+	return f.disk.save(st)
+}
+
 // verdict is what the network does with a message.
 type verdict uint8
 
@@ -78,6 +106,14 @@
 	id     contract.HostID
 	disk   *fakeDisk
 	tables *tables.Holder
+	ended  atomic.Bool
+}
+
+// end ends the process: it writes to its disk no more.
+func (h *testHost) end() {
+	h.disk.mu.Lock()
+	defer h.disk.mu.Unlock()
+	h.ended.Store(true)
 }
 
 type netPeer struct {
@@ -120,11 +156,14 @@
 // start starts a host, again where it runs already: its memory is lost.
 func (n *network) start(id contract.HostID, disk *fakeDisk, first ...contract.HostID) *testHost {
 	h := &testHost{id: id, disk: disk, tables: tables.NewHolder()}
+	if old := n.host(id); old != nil {
+		old.end()
+	}
 	h.Control = New(Config{
 		Self:    id,
 		First:   first,
 		Peer:    func(to contract.HostID) Peer { return netPeer{n, id, to} },
-		Store:   disk,
+		Store:   openFile{disk, &h.ended},
 		Learned: func(t contract.Tables) { h.tables.Offer(t) },
 		InForce: func() contract.Tables { return h.tables.View().Tables },
 		Log:     logr.Discard(),
