--- a/node/links.go
+++ b/node/links.go
@@ -51,6 +51,8 @@
 	case *contract.Prepare, *contract.Accept, *contract.Copy, *contract.VoterQuery, *contract.EditRequest,
 		*contract.TablesRead, *contract.HistoryRead, *contract.MemberRequest:
 		n.forControl(l, seq, m)
+	case *contract.LedgerAppend, *contract.LedgerRead, *contract.LedgerPull:
+		n.forLedger(l, seq, m)
 	default:
 		if n.fromAgent(l) {
 			n.entry.Receive(l, m)
