Refuse bad input with the remedy before anything starts

Requests are checked before they reach a pool: oversize, malformed, trailing, doubly given keys, absurd demands and deadlines, the system's own control fields, Connection that names an end-to-end field, bodies that stall or end early. A deadline_ms near the largest integer overflowed and was taken before.

--- a/contract/job.go
+++ b/contract/job.go
@@ -13,6 +13,8 @@
 	MaxPayloadBytes = 1 << 20
 	// MaxJobBytes is the largest body of a job submission.
 	MaxJobBytes = 16 << 20
+	// MaxDemand is the largest number that a demand may name.
+	MaxDemand = 1 << 30
 	// MaxDeadline is the longest deadline that a job may ask for.
 	MaxDeadline = 10 * time.Minute
 	// DefaultDeadline applies where a job names none.
@@ -94,7 +96,7 @@
 	if s.Team == "" {
 		return ErrBadRequest.With("team is empty: name the team that the job is charged to")
 	}
-	if s.DeadlineMS < 0 || s.Deadline() > MaxDeadline {
+	if s.DeadlineMS < 0 || int64(s.DeadlineMS) > MaxDeadline.Milliseconds() {
 		return ErrBadRequest.With("deadline_ms is %d: give 1 to %d, or leave it out", s.DeadlineMS, MaxDeadline.Milliseconds())
 	}
 	if len(s.Tasks) == 0 || len(s.Tasks) > MaxTasks {
@@ -113,8 +115,8 @@
 		return ErrBadRequest.With("task %d: the payload has %d bytes: give at most %d", i, len(t.Payload), MaxPayloadBytes)
 	}
 	for _, v := range []int{t.Slots, t.MilliCPU, t.MemoryMB, t.Accelerators, t.Millis} {
-		if v < 0 {
-			return ErrBadRequest.With("task %d: a demand is %d: give zero or more", i, v)
+		if v < 0 || v > MaxDemand {
+			return ErrBadRequest.With("task %d: a demand is %d: give 0 to %d", i, v, MaxDemand)
 		}
 	}
 	return nil
--- a/entry/http.go
+++ b/entry/http.go
@@ -13,17 +13,20 @@
 	"github.com/carawaylanding/carawaylanding/metrics"
 )
 
+// jobsPath is where jobs are submitted.
+const jobsPath = "/v1/jobs"
+
 // Handler returns the callers' interface.
 func (e *Entry) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/jobs", e.serveSubmit)
+	mux.HandleFunc("POST "+jobsPath, e.serveSubmit)
 	mux.HandleFunc("GET /v1/jobs/{id}", e.serveStatus)
 	mux.HandleFunc("DELETE /v1/jobs/{id}", e.serveCancel)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", e.serveReady)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", e.serveSingle)
-	return mux
+	return checkRequests(bodyStall, mux)
 }
 
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -65,23 +63,6 @@
 	return d
 }
 
-func readSpec(w http.ResponseWriter, r *http.Request) (contract.JobSpec, error) {
-	var spec contract.JobSpec
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, contract.MaxJobBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&spec); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return spec, contract.ErrTooLarge.With("the job has more than %d bytes", contract.MaxJobBytes)
-		}
-		return spec, contract.ErrBadRequest.With("the body is not a job: %v", err)
-	}
-	if _, err := dec.Token(); err != io.EOF {
-		return spec, contract.ErrBadRequest.With("the body goes on after the job: send one JSON object")
-	}
-	return spec, spec.Validate()
-}
-
 // submit admits a job and begins to place its tasks.
 func (e *Entry) submit(spec contract.JobSpec) (*jobRun, error) {
 	view := e.cfg.Tables.View()
--- /dev/null
+++ b/entry/request_test.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/dispatch"
+	"github.com/carawaylanding/carawaylanding/forward"
+	"github.com/carawaylanding/carawaylanding/tables"
+)
+
+// countingScheduler refuses all work, and counts what reached it.
+type countingScheduler struct{ submits *atomic.Int32 }
+
+func (s countingScheduler) Step(_ time.Time, ev dispatch.Event) []dispatch.Action {
+	if ev, ok := ev.(dispatch.Submit); ok {
+		s.submits.Add(1)
+		return []dispatch.Action{dispatch.Refuse{Job: ev.Job, Err: contract.ErrNoUpstream.Refuse(time.Second, "counted")}}
+	}
+	return nil
+}
+
+// testStall is how long the test's server waits for a stalled body.
+const testStall = 200 * time.Millisecond
+
+// startServer serves an entry; submits counts the work that reached its pool.
+func startServer(t *testing.T) (addr string, submits *atomic.Int32) {
+	t.Helper()
+	h := tables.NewHolder()
+	h.Offer(contract.Tables{
+		Version: 1,
+		Routes:  []contract.Route{{Name: "cards", PathPrefix: "/cards", Pool: "formula"}},
+		Pools:   []contract.Pool{{Name: "formula"}},
+	})
+	submits = new(atomic.Int32)
+	e := New(Config{
+		Tables:       h,
+		NewScheduler: func(contract.Pool) dispatch.Scheduler { return countingScheduler{submits} },
+		Log:          logr.Discard(),
+	})
+	handler := checkRequests(testStall, e.Handler())
+	srv := httptest.NewUnstartedServer(handler)
+	srv.Config.MaxHeaderBytes = MaxHeaderBytes
+	srv.Config.ReadHeaderTimeout = testStall
+	srv.Start()
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String(), submits
+}
+
+// sendRaw writes bytes as they are, and reads the first answer; the connection
+// stays open on the caller's side.
+func sendRaw(t *testing.T, addr, raw string) (*http.Response, []byte, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	must.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(20 * time.Second))
+	go io.WriteString(conn, raw)
+	r := bufio.NewReader(conn)
+	res, err := http.ReadResponse(r, nil)
+	must.NoError(t, err)
+	body, err := io.ReadAll(res.Body)
+	must.NoError(t, err)
+	return res, body, r
+}
+
+func post(path, body string, fields ...string) string {
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: desk\r\nContent-Length: %d\r\n", path, len(body))
+	for _, f := range fields {
+		head += f + "\r\n"
+	}
+	return head + "\r\n" + body
+}
+
+func jobBody(task string) string {
+	return `{"route": "cards", "team": "thamel", "tasks": [` + task + `]}`
+}
+
+// refusalCase is a request that must be refused with nothing started.
+type refusalCase struct {
+	name, raw string
+	status    int
+	// want is a part of the answer that names the remedy.
+	want string
+}
+
+var badJobs = []refusalCase{
+	{"oversize by length", "POST /v1/jobs HTTP/1.1\r\nHost: desk\r\nContent-Length: 99999999\r\n\r\n", 413, "split it"},
+	{"oversize by chunks", "POST /v1/jobs HTTP/1.1\r\nHost: desk\r\nTransfer-Encoding: chunked\r\n\r\n1100000\r\n" + strings.Repeat(" ", 0x1100000) + "\r\n0\r\n\r\n", 413, "split it"},
+	{"malformed", post("/v1/jobs", `{"route": `), 400, "not a job"},
+	{"trailing data", post("/v1/jobs", jobBody(`{}`)+`{}`), 400, "send one JSON object"},
+	{"no task", post("/v1/jobs", jobBody(``)), 400, "give 1 to 150"},
+	{"too many tasks", post("/v1/jobs", jobBody(strings.Repeat(`{},`, 150)+`{}`)), 400, "give 1 to 150"},
+	{"negative demand", post("/v1/jobs", jobBody(`{"slots": -1}`)), 400, "give 0 to"},
+	{"absurd demand", post("/v1/jobs", jobBody(`{"memory_mb": 9223372036854775807}`)), 400, "give 0 to"},
+	{"unknown field", post("/v1/jobs", jobBody(`{"slotz": 1}`)), 400, "slotz"},
+	{"key given twice", post("/v1/jobs", `{"route": "cards", "Route": "other", "team": "thamel", "tasks": [{}]}`), 400, "give it once"},
+	{"task's key given twice", post("/v1/jobs", jobBody(`{"slots": 1, "slots": 2}`)), 400, "give it once"},
+	{"absurd deadline", post("/v1/jobs", `{"route": "cards", "team": "thamel", "deadline_ms": 9223372036854775807, "tasks": [{}]}`), 400, "deadline_ms"},
+	{"control character in the team", post("/v1/jobs", `{"route": "cards", "team": "tha\u0007mel", "tasks": [{}]}`), 400, "visible ASCII"},
+	{"absurd key", post("/v1/jobs", jobBody(`{}`), "Idempotency-Key: "+strings.Repeat("k", 256)), 400, "such as a UUID"},
+	{"two keys", post("/v1/jobs", jobBody(`{}`), "Idempotency-Key: a", "Idempotency-Key: b"), 400, "give it once"},
+	{"slow body", "POST /v1/jobs HTTP/1.1\r\nHost: desk\r\nContent-Length: 100\r\n\r\n{\"route\":", 408, "without pauses"},
+}
+
+var badRequests = []refusalCase{
+	{"own control field", post("/cards/1", `{}`, "Caraway-Attempt: 7"), 400, "leave it out"},
+	{"control field twice", post("/cards/1", `{}`, "Caraway-Team: a", "Caraway-Team: b"), 400, "give it once"},
+	{"control field named by Connection", post("/cards/1", `{}`, "Connection: close, caraway-non-idempotent"), 400, "take it out"},
+	{"length named by Connection", post("/cards/1", `{}`, "Connection: content-length"), 400, "take it out"},
+	{"absurd deadline", post("/cards/1", `{}`, "Caraway-Deadline-Ms: 99999999999999999999"), 400, "give 1 to"},
+	{"unclear mark", post("/cards/1", `{}`, "Caraway-Non-Idempotent: no"), 400, "give 1"},
+	{"slow body", "POST /cards/1 HTTP/1.1\r\nHost: desk\r\nContent-Length: 100\r\n\r\nabc", 408, "without pauses"},
+	{"body cut short", "POST /cards/1 HTTP/1.1\r\nHost: desk\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcdeXX", 400, "ended early"},
+}
+
+func TestBadInputIsRefusedWithNothingStarted(t *testing.T) {
+	addr, submits := startServer(t)
+	for group, cases := range map[string][]refusalCase{"job": badJobs, "single": badRequests} {
+		for _, tc := range cases {
+			t.Run(group+"/"+tc.name, func(t *testing.T) {
+				res, body, _ := sendRaw(t, addr, tc.raw)
+				must.Eq(t, tc.status, res.StatusCode, must.Sprintf("%s", body))
+				must.Eq(t, contract.OutcomeNotRun.String(), res.Header.Get(forward.HeaderOutcome))
+				var f errorBody
+				must.NoError(t, json.Unmarshal(body, &f))
+				must.StrContains(t, f.Message+" "+f.Remedy, tc.want)
+				must.Eq(t, 0, submits.Load())
+			})
+		}
+	}
+}
+
+// TestAmbiguousFramingIsRefused shows what net/http itself refuses.
+func TestAmbiguousFramingIsRefused(t *testing.T) {
+	addr, submits := startServer(t)
+	for name, head := range map[string]string{
+		"two lengths":             "Content-Length: 2\r\nContent-Length: 3\r\n",
+		"two transfer encodings":  "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+		"space before the colon":  "Transfer-Encoding : chunked\r\n",
+		"signed length":           "Content-Length: +2\r\n",
+		"header of absurd length": "X: " + strings.Repeat("x", 4*MaxHeaderBytes) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			res, _, _ := sendRaw(t, addr, "POST /cards/1 HTTP/1.1\r\nHost: desk\r\n"+head+"\r\n{}")
+			must.Between(t, 400, res.StatusCode, 501)
+			must.Eq(t, 0, submits.Load())
+		})
+	}
+}
+
+// TestChunksBesideLengthEndTheConnection: the request is taken by its chunks,
+// and what follows on the connection is never read as another request.
+func TestChunksBesideLengthEndTheConnection(t *testing.T) {
+	addr, submits := startServer(t)
+	smuggled := "GET /cards/smuggled HTTP/1.1\r\nHost: desk\r\n\r\n"
+	raw := fmt.Sprintf("POST /cards/1 HTTP/1.1\r\nHost: desk\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", 5+len(smuggled), smuggled)
+	res, _, rest := sendRaw(t, addr, raw)
+	must.Eq(t, http.StatusServiceUnavailable, res.StatusCode)
+	must.True(t, res.Close)
+	_, err := http.ReadResponse(rest, nil)
+	must.Error(t, err)
+	must.Eq(t, 1, submits.Load())
+}
+
+func TestSlowHeaderGetsNothing(t *testing.T) {
+	addr, submits := startServer(t)
+	conn, err := net.Dial("tcp", addr)
+	must.NoError(t, err)
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(conn, "POST /cards/1 HTTP/1.1\r\nHost: de")
+	answer, err := io.ReadAll(conn)
+	must.NoError(t, err)
+	must.StrNotContains(t, string(answer), "200")
+	must.Eq(t, 0, submits.Load())
+}
+
+// TestGoodInputReachesThePool keeps the refusals above from passing for a
+// reason of their own.
+func TestGoodInputReachesThePool(t *testing.T) {
+	addr, submits := startServer(t)
+	for i, raw := range []string{
+		post("/v1/jobs", jobBody(`{"payload": {"a": 1, "a": 2}, "slots": 1}`), "Idempotency-Key: 8e03978e-40d5-43dd-bc93-6894a57f9324"),
+		post("/cards/1", `{}`, "Caraway-Team: thamel", "Caraway-Deadline-Ms: 500", "Caraway-Non-Idempotent: 1", "Connection: keep-alive"),
+		"POST /cards/1 HTTP/1.1\r\nHost: desk\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	} {
+		res, body, _ := sendRaw(t, addr, raw)
+		must.Eq(t, http.StatusServiceUnavailable, res.StatusCode, must.Sprintf("%s", body))
+		must.Eq(t, int32(i+1), submits.Load())
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -177,6 +177,9 @@
 // readHeaderTimeout bounds how slowly a request's header may arrive.
 const readHeaderTimeout = 10 * time.Second
 
+// idleConnTimeout bounds how long a caller's connection may be idle.
+const idleConnTimeout = 2 * time.Minute
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -192,7 +195,12 @@
 	if err != nil {
 		return nil, err
 	}
-	srv := &http.Server{Handler: n.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	srv := &http.Server{
+		Handler:           n.entry.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    entry.MaxHeaderBytes,
+		IdleTimeout:       idleConnTimeout,
+	}
 	g.Go(func() error { return ignoreClosed(srv.Serve(ln)) })
 	return srv, nil
 }
