--- a/cmd/carawayctl/main.go
+++ b/cmd/carawayctl/main.go
@@ -65,6 +65,7 @@
 			applyCommand(c, bothTables),
 			tableCommand(c, routesTable),
 			tableCommand(c, poolsTable),
+			outcomeCommand(c),
 			upstreamsCommand(c),
 			statusCommand(c),
 			drainCommand(c),
