--- a/cmd/carawayd/main.go
+++ b/cmd/carawayd/main.go
@@ -6,13 +6,10 @@
 	"errors"
 	"flag"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/go-logr/logr"
-
 	"github.com/carawaylanding/carawaylanding/node"
 	"github.com/carawaylanding/carawaylanding/settings"
 	"github.com/carawaylanding/carawaylanding/version"
@@ -47,8 +44,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	handler := slog.NewTextHandler(os.Stderr, nil).WithAttrs([]slog.Attr{slog.String("host", string(set.ID))})
-	log := logr.FromSlogHandler(handler)
+	log := newLogger(os.Stderr, string(set.ID))
 	if err := node.Run(ctx, set, log); err != nil {
 		log.Error(err, "stopped by an error")
 		return exitFailed
--- a/node/node.go
+++ b/node/node.go
@@ -78,7 +78,17 @@
 		Log:          log,
 	})
 	log.Info("agent started", "upstream", set.Upstream, "http", ln.Addr())
-	return a.Run(ctx)
+	var g errgroup.Group
+	closeAdmin, err := serveAgentAdmin(&g, set.AdminAddr)
+	if err != nil {
+		ln.Close()
+		return err
+	}
+	g.Go(func() error {
+		defer closeAdmin()
+		return a.Run(ctx)
+	})
+	return g.Wait()
 }
 
 func (n *Node) linkConfig() link.Config {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,10 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
-	"net/url"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
@@ -85,13 +82,18 @@
 	fs := flag.NewFlagSet("carawayd", flag.ContinueOnError)
 	fs.SetOutput(usage)
 	s.bind(fs, &r)
+	values := collectFaults(fs)
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
 		return s, err
 	}
 	if s.Version {
 		return s, nil
 	}
-	faults := s.fill(r)
+	faults := append(*values, unknownVariables(fs, os.Environ())...)
+	if fs.NArg() > 0 {
+		faults = append(faults, fmt.Errorf("%q is no setting: write settings as -name value", fs.Arg(0)))
+	}
+	faults = append(faults, s.fill(r)...)
 	faults = append(faults, s.faults()...)
 	return s, errors.Join(faults...)
 }
@@ -104,7 +106,7 @@
 	fs.StringVar(&s.Rack, "rack", "", "rack of this host")
 	fs.StringVar(&s.LinkAddr, "link-addr", "", "IP:port that takes links from other processes (entry, control)")
 	fs.StringVar(&s.HTTPAddr, "http-addr", "", "IP:port that takes requests: from callers (entry) or entries (agent)")
-	fs.StringVar(&s.AdminAddr, "admin-addr", "", "IP:port of the operators' interface")
+	fs.StringVar(&s.AdminAddr, "admin-addr", "", "IP:port of the operators' interface; optional for an agent")
 	fs.StringVar(&r.peers, "peers", "", "comma-separated ID=IP:port of the other entry and control hosts")
 	fs.StringVar(&r.control, "control", "", "comma-separated IDs of the first control hosts")
 	fs.StringVar(&s.DataDir, "data-dir", "", "folder of the synced state (control)")
@@ -156,74 +158,3 @@
 	}
 	return out
 }
-
-// Has reports whether the process plays the role.
-func (s *Settings) Has(r contract.Role) bool { return slices.Contains(s.Roles, r) }
-
-func (s *Settings) faults() []error {
-	var c checker
-	c.require("-id", string(s.ID), "name this host")
-	c.require("-failure-domain", s.FailureDomain, "name the failure domain")
-	c.check(len(s.Roles) > 0, "-roles is empty: give entry, control, agent, or several")
-	for _, role := range s.Roles {
-		known := role == contract.RoleEntry || role == contract.RoleControl || role == contract.RoleAgent
-		c.check(known, "-roles: %q is not known: give entry, control or agent", role)
-	}
-	c.check(s.Heartbeat > 0 && s.Silence >= 2*s.Heartbeat, "-silence %v is under twice -heartbeat %v: raise it", s.Silence, s.Heartbeat)
-	c.check(s.DrainDelay >= 0 && s.DrainLimit > 0, "-drain-delay or -drain-limit is negative: give a duration such as 2s")
-	for _, p := range s.Peers {
-		c.addr("-peers "+string(p.Host), p.Addr)
-	}
-	s.roleFaults(&c)
-	return c.faults
-}
-
-func (s *Settings) roleFaults(c *checker) {
-	if s.Has(contract.RoleAgent) {
-		s.agentFaults(c)
-	}
-	if s.Has(contract.RoleEntry) || s.Has(contract.RoleControl) {
-		c.addr("-link-addr", s.LinkAddr)
-		c.addr("-admin-addr", s.AdminAddr)
-		c.check(len(s.Control) > 0, "-control is empty: name the control hosts")
-		c.check(!s.Has(contract.RoleAgent), "-roles: agent goes with no other role: run it as its own process")
-	}
-	if s.Has(contract.RoleEntry) {
-		c.addr("-http-addr", s.HTTPAddr)
-	}
-	if s.Has(contract.RoleControl) {
-		info, err := os.Stat(s.DataDir)
-		c.check(err == nil && info.IsDir(), "-data-dir %q is not a folder: create it", s.DataDir)
-	}
-}
-
-func (s *Settings) agentFaults(c *checker) {
-	c.addr("-http-addr", s.HTTPAddr)
-	c.check(len(s.Entries) > 0, "-entries is empty: give the link addresses of the entries")
-	for _, e := range s.Entries {
-		c.addr("-entries", e)
-	}
-	c.check(len(s.Pools) > 0, "-pools is empty: name the pools that the upstream belongs to")
-	u, err := url.Parse(s.Upstream)
-	c.check(err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "", "-upstream %q is not a URL: give http://IP:port", s.Upstream)
-	c.check(s.Capacity.Slots > 0, "-slots is %d: give one or more", s.Capacity.Slots)
-	c.check(s.Capacity.MilliCPU >= 0 && s.Capacity.MemoryMB >= 0 && s.Capacity.Accelerators >= 0, "-milli-cpu, -memory-mb or -accelerators is negative: give zero or more")
-}
-
-// checker collects faults.
-type checker struct{ faults []error }
-
-func (c *checker) check(ok bool, format string, args ...any) {
-	if !ok {
-		c.faults = append(c.faults, fmt.Errorf(format, args...))
-	}
-}
-
-func (c *checker) require(name, value, remedy string) {
-	c.check(value != "", "%s is empty: %s", name, remedy)
-}
-
-func (c *checker) addr(name, value string) {
-	host, _, err := net.SplitHostPort(value)
-	c.check(err == nil && (host == "" || net.ParseIP(host) != nil), "%s %q is not IP:port: write it so", name, value)
-}
