Report service-level burn over several windows

burn keeps three objectives for each route (lag against route.objective_ms, whole answers, truthful answers) in rings of small buckets, and evaluates the workbook's four pairs of windows. Single requests are not yet observed.

--- a/node/admin.go
+++ b/node/admin.go
@@ -34,6 +34,7 @@
 	mux.HandleFunc("GET /admin/processes", n.serveProcesses)
 	mux.HandleFunc("GET /admin/history", n.serveHistory)
 	mux.HandleFunc("POST /admin/drain", n.serveDrain)
+	mux.HandleFunc("GET /admin/burn", n.serveBurn)
 	mux.HandleFunc("GET /admin/outcomes/{job}", n.serveOutcomes)
 	return mux
 }
--- /dev/null
+++ b/node/burn.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/burn"
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/metrics"
+	"github.com/carawaylanding/carawaylanding/tables"
+)
+
+// observer counts the answers of this entry under the objectives of the
+// routes in force.
+type observer struct {
+	tracker    *burn.Tracker
+	objectives atomic.Pointer[map[string]time.Duration]
+}
+
+func newObserver(h *tables.Holder) *observer {
+	o := &observer{tracker: burn.New(burn.Config{})}
+	h.Watch(o.tablesChanged)
+	metrics.SetBurn(func() any { return o.report(time.Now()) })
+	return o
+}
+
+func (o *observer) tablesChanged(v *tables.View) {
+	m := make(map[string]time.Duration, len(v.Routes))
+	for _, r := range v.Routes {
+		m[r.Name] = time.Duration(r.ObjectiveMS) * time.Millisecond
+	}
+	o.objectives.Store(&m)
+}
+
+// Answered implements entry.Observer.
+func (o *observer) Answered(s contract.AnswerSample) {
+	o.tracker.Add(time.Now(), s, (*o.objectives.Load())[s.Route])
+}
+
+func (o *observer) report(now time.Time) burn.Report {
+	return burn.Evaluate(o.tracker.Counts(now), burn.DefaultTargets())
+}
+
+// serveBurn answers with the counts of this entry; a process that is no entry
+// has none.
+func (n *Node) serveBurn(w http.ResponseWriter, _ *http.Request) {
+	if n.observer == nil {
+		answer(w, burn.Counts{At: time.Now(), Routes: []burn.RouteCounts{}})
+		return
+	}
+	answer(w, n.observer.tracker.Counts(time.Now()))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,8 @@
 	control *control.Control
 	store   *control.Store
 	history history
+	// observer is nil where the process is no entry.
+	observer *observer
 	// stop begins the drain, as SIGTERM does.
 	stop   context.CancelFunc
 	ledger ledgerPart
@@ -114,6 +116,7 @@
 	}
 	defer n.closeLedger()
 	if n.set.Has(contract.RoleEntry) {
+		n.observer = newObserver(n.tables)
 		n.entry = entry.New(entry.Config{
 			Identity: n.identity,
 			Tables:   n.tables,
@@ -121,6 +124,7 @@
 				return dispatch.NewPool(dispatch.Config{MaxQueue: p.MaxQueue})
 			},
 			Outcomes: n.outcomes(),
+			Observer: n.observer,
 			Log:      n.log,
 		})
 	}
