Add a load tool that states its mix and checks each answer

carawayctl load drives an open loop: arrivals are planned from a seed before the run, answers are timed from when their request was due, arrivals beyond the bound are told of rather than delayed. It prints lag against the ideal from HDR histograms, messages beyond a start and a result for each useful answer, and counts answers that are cut, partial, swapped or meant for another request.

--- a/cmd/carawayctl/main.go
+++ b/cmd/carawayctl/main.go
@@ -70,6 +70,7 @@
 			statusCommand(c),
 			drainCommand(c),
 			burnCommand(c),
+			loadCommand(c),
 			versionCommand(c),
 		},
 		Exec: groupExec,
--- /dev/null
+++ b/link/count.go
@@ -0,0 +1,33 @@
+package link
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/metrics"
+)
+
+// kindNames holds the name of each message kind.
+var kindNames = func() (names [256]string) {
+	for k := range names {
+		names[k] = "unknown"
+		if m := contract.NewMessage(contract.MessageKind(k)); m != nil {
+			names[k] = strings.TrimPrefix(fmt.Sprintf("%T", m), "*contract.")
+		}
+	}
+	return names
+}()
+
+func countSent(m contract.Message) {
+	metrics.MessagesSent.Add(kindNames[m.MessageKind()], 1)
+}
+
+// countReceived counts a message where the peer is an agent: all other peers
+// count what they send themselves.
+func (l *Link) countReceived(m contract.Message) {
+	if slices.Contains(l.remote.Roles, contract.RoleAgent) {
+		metrics.AgentMessagesReceived.Add(kindNames[m.MessageKind()], 1)
+	}
+}
--- a/link/link.go
+++ b/link/link.go
@@ -181,6 +181,7 @@
 		return err
 	}
 	l.pending = out
+	countSent(f.Message)
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -244,6 +245,7 @@
 		if err != nil {
 			return err
 		}
+		l.countReceived(f.Message)
 		if f.Reply {
 			l.deliver(f)
 			continue
--- /dev/null
+++ b/load/counters.go
@@ -0,0 +1,91 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Counters are what the entries counted during a run, summed over the targets.
+type Counters struct {
+	// Sent and FromAgents count messages by kind: together each message
+	// between the system's processes once.
+	Sent       map[string]int64 `json:"messages_sent"`
+	FromAgents map[string]int64 `json:"messages_from_agents"`
+	// BytesSent and BytesReceived are on the targets' links.
+	BytesSent     int64 `json:"link_bytes_sent"`
+	BytesReceived int64 `json:"link_bytes_received"`
+	// Missing counts the targets that could not be read.
+	Missing int `json:"targets_not_read"`
+}
+
+// variables are the part of a host's /debug/vars that is read.
+type variables struct {
+	Sent          map[string]int64 `json:"caraway_messages_sent"`
+	FromAgents    map[string]int64 `json:"caraway_agent_messages_received"`
+	BytesSent     int64            `json:"caraway_link_bytes_sent"`
+	BytesReceived int64            `json:"caraway_link_bytes_received"`
+}
+
+// readLimit bounds the reading of one host's counters.
+const readLimit = 5 * time.Second
+
+func readCounters(ctx context.Context, client *http.Client, targets []string) Counters {
+	c := Counters{Sent: make(map[string]int64), FromAgents: make(map[string]int64)}
+	for _, target := range targets {
+		v, err := readVariables(ctx, client, target)
+		if err != nil {
+			c.Missing++
+			continue
+		}
+		addCounts(c.Sent, v.Sent, 1)
+		addCounts(c.FromAgents, v.FromAgents, 1)
+		c.BytesSent += v.BytesSent
+		c.BytesReceived += v.BytesReceived
+	}
+	return c
+}
+
+func readVariables(ctx context.Context, client *http.Client, target string) (variables, error) {
+	var v variables
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target+"/debug/vars", nil)
+	if err != nil {
+		return v, err
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return v, err
+	}
+	defer res.Body.Close()
+	return v, json.NewDecoder(res.Body).Decode(&v)
+}
+
+func addCounts(into, from map[string]int64, sign int64) {
+	for kind, n := range from {
+		into[kind] += sign * n
+	}
+}
+
+// minus returns what was counted since before.
+func (c Counters) minus(before Counters) Counters {
+	addCounts(c.Sent, before.Sent, -1)
+	addCounts(c.FromAgents, before.FromAgents, -1)
+	c.BytesSent -= before.BytesSent
+	c.BytesReceived -= before.BytesReceived
+	c.Missing = max(c.Missing, before.Missing)
+	return c
+}
+
+// Messages returns the number of messages between the system's processes.
+func (c Counters) Messages() int64 {
+	var n int64
+	for _, m := range []map[string]int64{c.Sent, c.FromAgents} {
+		for _, count := range m {
+			n += count
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,206 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func mix(t *testing.T) Mix {
+	w, err := ParseWork(DefaultWork)
+	must.NoError(t, err)
+	return Mix{
+		Seed: 7, Arrivals: Poisson, Rate: 50, Duration: time.Minute, MaxArrivals: 100000, Work: w, MinTasks: 1, MaxTasks: 150,
+		SingleShare: 0.25, CancelShare: 0.1, Deadline: 10 * time.Second, Route: "cards", Path: "/cards", Teams: []string{"a", "b"},
+		BurstEvery: 5 * time.Second, BurstLength: 500 * time.Millisecond, BurstFactor: 8,
+	}
+}
+
+func drawAll(m Mix) []Arrival {
+	p := NewPlan(m)
+	var out []Arrival
+	for a, ok := p.Next(); ok; a, ok = p.Next() {
+		out = append(out, a)
+	}
+	return out
+}
+
+func TestPlanKeepsTheStatedMix(t *testing.T) {
+	m := mix(t)
+	all := drawAll(m)
+	must.Eq(t, all, drawAll(m))
+	must.InDelta(t, 3000, float64(len(all)), 250)
+	var singles, left, tasks int
+	var logs float64
+	for _, a := range all {
+		if a.Single {
+			singles++
+		}
+		if a.LeaveAfter > 0 {
+			left++
+		}
+		must.Between(t, 1, len(a.Work), 150)
+		for _, w := range a.Work {
+			must.Between(t, minWork, w, maxWork)
+			logs += math.Log(w.Seconds())
+			tasks++
+		}
+	}
+	must.InDelta(t, 0.25, float64(singles)/float64(len(all)), 0.03)
+	must.InDelta(t, 0.1, float64(left)/float64(len(all)), 0.03)
+	want := 0.92*math.Log(0.15) + 0.08*math.Log(2)
+	must.InDelta(t, want, logs/float64(tasks), 0.08)
+}
+
+func TestBurstsKeepTheMeanRate(t *testing.T) {
+	m := mix(t)
+	m.Arrivals = Bursty
+	m.Duration = 10 * time.Minute
+	all := drawAll(m)
+	in := 0
+	for _, a := range all {
+		if a.At%m.BurstEvery < m.BurstLength {
+			in++
+		}
+	}
+	must.InDelta(t, 30000, float64(len(all)), 900)
+	must.InDelta(t, 8.0/17, float64(in)/float64(len(all)), 0.02) // 0.1*8 of 0.1*8+0.9
+}
+
+func TestValidateNamesEveryFault(t *testing.T) {
+	err := Mix{Arrivals: "comb", SingleShare: 2, MaxTasks: 151}.Validate()
+	for _, want := range []string{"comb", "rate", "bound", "work", "job sizes", "single requests", "deadline", "team", "path"} {
+		must.ErrorContains(t, err, want)
+	}
+	_, err = ParseWork("0.5:soon:1")
+	must.ErrorContains(t, err, "median")
+}
+
+// fakeEntry answers whole, but for what spoil does to the answer.
+func fakeEntry(t *testing.T, spoil func(results []map[string]any) []map[string]any) string {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Caraway-Outcome", "ran")
+		if r.URL.Path != "/v1/jobs" {
+			io.Copy(w, r.Body)
+			return
+		}
+		var spec struct {
+			Tasks []struct{ Payload json.RawMessage }
+		}
+		json.NewDecoder(r.Body).Decode(&spec)
+		var results []map[string]any
+		for i, task := range spec.Tasks {
+			results = append(results, map[string]any{"task": i, "body": task.Payload})
+		}
+		json.NewEncoder(w).Encode(map[string]any{"results": spoil(results)})
+	}))
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+func short(t *testing.T) Mix {
+	m := mix(t)
+	m.Rate, m.MaxArrivals, m.CancelShare, m.MinTasks = 2000, 60, 0, 2
+	return m
+}
+
+func TestRightAnswersAreCountedWhole(t *testing.T) {
+	var out bytes.Buffer
+	csv := NewCSV(&out)
+	addr := fakeEntry(t, func(r []map[string]any) []map[string]any { return r })
+	rep, err := Run(context.Background(), Config{Mix: short(t), Targets: []string{addr}, Each: csv.Write})
+	must.NoError(t, err)
+	must.Eq(t, 60, rep.Sent)
+	must.Eq(t, 0, rep.Faults, must.Sprint(rep.Examples))
+	must.Eq(t, 60, rep.Useful())
+	must.NoError(t, csv.Flush())
+	must.Eq(t, 61, strings.Count(out.String(), "\n"))
+}
+
+func TestWrongAnswersAreFaults(t *testing.T) {
+	for name, spoil := range map[string]func([]map[string]any) []map[string]any{
+		"one result missing": func(r []map[string]any) []map[string]any { return r[1:] },
+		"two swapped": func(r []map[string]any) []map[string]any {
+			r[0]["body"], r[1]["body"] = r[1]["body"], r[0]["body"]
+			return r
+		},
+		"of another request": func(r []map[string]any) []map[string]any {
+			r[0]["body"] = map[string]string{"echo": "7-9999-0"}
+			return r
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := short(t)
+			m.SingleShare = 0
+			rep, err := Run(context.Background(), Config{Mix: m, Targets: []string{fakeEntry(t, spoil)}})
+			must.NoError(t, err)
+			must.Eq(t, rep.Sent, rep.Faults)
+		})
+	}
+}
+
+func TestRefusalsAreCheckedToo(t *testing.T) {
+	for body, want := range map[string]string{
+		`{"kind": "overload", "remedy": "come back"}`:                "",
+		`{"kind": "overload"}`:                                       "without a remedy",
+		`{"kind": "task-failed", "remedy": "read", "results": [{}]}`: "a part of the results",
+		`busy`: "without a typed kind",
+	} {
+		res := &http.Response{StatusCode: 503, Header: http.Header{"Caraway-Outcome": {"not-run"}}}
+		_, fault := check(mix(t), Arrival{}, res, []byte(body))
+		must.StrContains(t, fault, want)
+		must.Eq(t, want == "", fault == "")
+	}
+	_, fault := check(mix(t), Arrival{}, &http.Response{StatusCode: 200, Header: http.Header{}}, nil)
+	must.StrContains(t, fault, "without an outcome")
+}
+
+// TestOpenLoopTimesFromWhenDue: arrivals do not wait for answers, and an
+// answer is timed from when its request was due. The server answers nothing
+// until the last arrival was due.
+func TestOpenLoopTimesFromWhenDue(t *testing.T) {
+	stall := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-stall
+		w.Header().Set("Caraway-Outcome", "ran")
+		io.Copy(w, r.Body)
+	}))
+	t.Cleanup(srv.Close)
+	const sent, beyond = 30, 10
+	m := short(t)
+	m.SingleShare, m.Rate, m.MaxArrivals = 1, 1000, sent+beyond
+	answers := make(map[int]Answer)
+	cfg := Config{Mix: m, Targets: []string{srv.Listener.Addr().String()}, MaxInFlight: sent, Each: func(a Answer) { answers[a.Arrival.Number] = a }}
+	r := newRunner(cfg)
+	done := make(chan struct{})
+	go func() {
+		r.drive(context.Background())
+		close(done)
+	}()
+	for r.beyond() < beyond {
+		time.Sleep(time.Millisecond)
+	}
+	close(stall)
+	<-done
+	must.Eq(t, sent, r.report.Sent)
+	must.Eq(t, 0, r.report.Faults, must.Sprint(r.report.Examples))
+	all := drawAll(m)
+	for n, a := range answers {
+		must.GreaterEq(t, all[len(all)-1].At-all[n].At, a.Response, must.Sprintf("answer %d", n))
+	}
+}
+
+func (r *runner) beyond() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.report.NotSent
+}
--- /dev/null
+++ b/load/request.go
@@ -0,0 +1,195 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/forward"
+)
+
+// Answer is what became of one arrival.
+type Answer struct {
+	Arrival Arrival
+	// Response is from the time that the arrival was due to its whole answer.
+	Response time.Duration
+	// Late is how long after it was due the request was sent.
+	Late    time.Duration
+	Status  int
+	Outcome string
+	// Kind is the kind of a refusal; empty for a whole answer.
+	Kind string
+	// Left means that the caller left as planned.
+	Left bool
+	// Fault says what was wrong with the answer; empty where it was right.
+	Fault string
+}
+
+// Whole reports whether it is a right and whole answer.
+func (a Answer) Whole() bool { return !a.Left && a.Fault == "" && a.Status == http.StatusOK }
+
+// work is the payload that the upstream obeys.
+type work struct {
+	WorkMS int64  `json:"work_ms"`
+	Echo   string `json:"echo"`
+}
+
+// echoed is the part of an upstream's answer that is checked.
+type echoed struct {
+	Echo string `json:"echo"`
+}
+
+// jobAnswer is the part of a job's answer that is checked.
+type jobAnswer struct {
+	Results []struct {
+		Task int    `json:"task"`
+		Body echoed `json:"body"`
+	} `json:"results"`
+}
+
+// refusal is the part of an error's body that is checked.
+type refusal struct {
+	Kind    string          `json:"kind"`
+	Remedy  string          `json:"remedy"`
+	Results json.RawMessage `json:"results"`
+}
+
+func newRequest(ctx context.Context, m Mix, target string, a Arrival) (*http.Request, error) {
+	if a.Single {
+		return newSingle(ctx, m, target, a)
+	}
+	spec := contract.JobSpec{Route: m.Route, Team: a.Team, DeadlineMS: int(m.Deadline.Milliseconds())}
+	for i := range a.Work {
+		spec.Tasks = append(spec.Tasks, contract.TaskSpec{Payload: payload(m, a, i)})
+	}
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+"/v1/jobs", bytes.NewReader(body))
+	if err == nil && m.Keyed {
+		req.Header.Set(forward.HeaderIdempotencyKey, a.Token(m.Seed, 0))
+	}
+	return req, err
+}
+
+func newSingle(ctx context.Context, m Mix, target string, a Arrival) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+m.Path, bytes.NewReader(payload(m, a, 0)))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(forward.HeaderTeam, a.Team)
+	req.Header.Set(forward.HeaderDeadlineMS, strconv.FormatInt(m.Deadline.Milliseconds(), 10))
+	return req, nil
+}
+
+func payload(m Mix, a Arrival, task int) json.RawMessage {
+	raw, err := json.Marshal(work{WorkMS: a.Work[task].Milliseconds(), Echo: a.Token(m.Seed, task)})
+	if err != nil {
+		panic(err) // a struct of a number and a string always marshals
+	}
+	return raw
+}
+
+// answerGrace is how long after its deadline an answer may still come.
+const answerGrace = 5 * time.Second
+
+// send sends an arrival and checks its answer. Due is when it should be sent.
+func send(ctx context.Context, client *http.Client, m Mix, target string, a Arrival, due time.Time) Answer {
+	ans := Answer{Arrival: a, Late: time.Since(due)}
+	limit := m.Deadline + answerGrace
+	if a.LeaveAfter > 0 {
+		limit = a.LeaveAfter
+	}
+	ctx, cancel := context.WithDeadline(ctx, due.Add(limit))
+	defer cancel()
+	req, err := newRequest(ctx, m, target, a)
+	if err != nil {
+		ans.Fault = err.Error()
+		return ans
+	}
+	res, err := client.Do(req)
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(res.Body)
+		res.Body.Close()
+	}
+	ans.Response = time.Since(due)
+	if err != nil {
+		ans.Left = a.LeaveAfter > 0 && errors.Is(err, context.DeadlineExceeded)
+		if !ans.Left {
+			ans.Fault = "no answer: " + err.Error()
+		}
+		return ans
+	}
+	ans.Status = res.StatusCode
+	ans.Outcome = res.Header.Get(forward.HeaderOutcome)
+	ans.Kind, ans.Fault = check(m, a, res, body)
+	return ans
+}
+
+// check returns the kind of a refusal, and what is wrong with the answer.
+func check(m Mix, a Arrival, res *http.Response, body []byte) (kind, fault string) {
+	var outcome contract.Outcome
+	if err := outcome.UnmarshalText([]byte(res.Header.Get(forward.HeaderOutcome))); err != nil {
+		return "", fmt.Sprintf("status %d without an outcome", res.StatusCode)
+	}
+	if res.StatusCode != http.StatusOK {
+		return checkRefusal(res, body)
+	}
+	if outcome != contract.OutcomeRan {
+		return "", "a whole answer with outcome " + outcome.String()
+	}
+	if a.Single {
+		return "", checkEcho(body, a.Token(m.Seed, 0))
+	}
+	return "", checkJob(m, a, body)
+}
+
+func checkRefusal(res *http.Response, body []byte) (kind, fault string) {
+	var r refusal
+	if err := json.Unmarshal(body, &r); err != nil || r.Kind == "" {
+		return "", fmt.Sprintf("status %d without a typed kind", res.StatusCode)
+	}
+	switch {
+	case r.Remedy == "":
+		fault = "a refusal without a remedy"
+	case r.Results != nil:
+		fault = "a refusal with a part of the results"
+	}
+	return r.Kind, fault
+}
+
+func checkEcho(body []byte, want string) string {
+	var e echoed
+	if err := json.Unmarshal(body, &e); err != nil {
+		return "the answer is cut: " + err.Error()
+	}
+	if e.Echo != want {
+		return fmt.Sprintf("the answer of %q came for %q", e.Echo, want)
+	}
+	return ""
+}
+
+func checkJob(m Mix, a Arrival, body []byte) string {
+	var j jobAnswer
+	if err := json.Unmarshal(body, &j); err != nil {
+		return "the answer is cut: " + err.Error()
+	}
+	if len(j.Results) != len(a.Work) {
+		return fmt.Sprintf("%d results for %d tasks", len(j.Results), len(a.Work))
+	}
+	for i, r := range j.Results {
+		if want := a.Token(m.Seed, i); r.Task != i || r.Body.Echo != want {
+			return fmt.Sprintf("result %d is task %d with the answer of %q, not %q", i, r.Task, r.Body.Echo, want)
+		}
+	}
+	return ""
+}
