--- a/cmd/carawayctl/main.go
+++ b/cmd/carawayctl/main.go
@@ -74,6 +74,8 @@
 			editsCommand(c),
 			backupCommand(c),
 			restoreCommand(c),
+			burnCommand(c),
+			loadCommand(c),
 			versionCommand(c),
 		},
 		Exec: groupExec,
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -5,8 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -42,8 +40,6 @@
 	switch {
 	case key == "":
 		a = e.answerOnce(r.Context(), spec)
-	case len(key) > maxKeyBytes:
-		a = answered{err: contract.ErrBadRequest.With("Idempotency-Key has %d bytes: send at most %d", len(key), maxKeyBytes)}
 	default:
 		a = e.answerKeyed(r.Context(), spec, key, hex.EncodeToString(digest.Sum(nil)))
 	}
@@ -59,9 +55,6 @@
 	writeJSON(w, http.StatusOK, newJobAnswer(a.id, a.results))
 }
 
-// maxKeyBytes bounds an Idempotency-Key.
-const maxKeyBytes = 255
-
 // answered is a job's answer: the results, or an error.
 type answered struct {
 	id      contract.JobID
@@ -98,25 +91,6 @@
 	return d
 }
 
-// readSpec reads the job, and writes the body to digest.
-func readSpec(w http.ResponseWriter, r *http.Request, digest io.Writer) (contract.JobSpec, error) {
-	var spec contract.JobSpec
-	body := http.MaxBytesReader(w, r.Body, contract.MaxJobBytes)
-	dec := json.NewDecoder(io.TeeReader(body, digest))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&spec); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return spec, contract.ErrTooLarge.With("the job has more than %d bytes", contract.MaxJobBytes)
-		}
-		return spec, contract.ErrBadRequest.With("the body is not a job: %v", err)
-	}
-	if _, err := dec.Token(); err != io.EOF {
-		return spec, contract.ErrBadRequest.With("the body goes on after the job: send one JSON object")
-	}
-	return spec, spec.Validate()
-}
-
 // newRun returns the run of a job that has not begun.
 func (e *Entry) newRun(spec contract.JobSpec, id contract.JobID) (*jobRun, error) {
 	view := e.cfg.Tables.View()
--- a/node/node.go
+++ b/node/node.go
@@ -38,6 +38,8 @@
 	records  *records
 	control  *control.Control
 	history  history
+	// observer is nil where the process is no entry.
+	observer *observer
 	// stop begins the drain, as SIGTERM does.
 	stop   context.CancelFunc
 	ledger ledgerPart
@@ -80,7 +82,17 @@
 		Log:          log,
 	})
 	log.Info("agent started", "upstream", set.Upstream, "http", ln.Addr())
-	return a.Run(ctx)
+	var g errgroup.Group
+	closeAdmin, err := serveAgentAdmin(&g, set.AdminAddr)
+	if err != nil {
+		ln.Close()
+		return err
+	}
+	g.Go(func() error {
+		defer closeAdmin()
+		return a.Run(ctx)
+	})
+	return g.Wait()
 }
 
 func (n *Node) linkConfig() link.Config {
@@ -111,6 +123,7 @@
 		return err
 	}
 	if n.set.Has(contract.RoleEntry) {
+		n.observer = newObserver(n.tables)
 		n.entry = entry.New(entry.Config{
 			Identity: n.identity,
 			Tables:   n.tables,
@@ -119,6 +132,7 @@
 				return dispatch.NewPool(dispatch.Config{MaxQueue: p.MaxQueue})
 			},
 			Outcomes: n.outcomes(),
+			Observer: n.observer,
 			Log:      n.log,
 		})
 	}
@@ -192,6 +206,9 @@
 // readHeaderTimeout bounds how slowly a request's header may arrive.
 const readHeaderTimeout = 10 * time.Second
 
+// idleConnTimeout bounds how long a caller's connection may be idle.
+const idleConnTimeout = 2 * time.Minute
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -207,7 +224,12 @@
 	if err != nil {
 		return nil, err
 	}
-	srv := &http.Server{Handler: n.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	srv := &http.Server{
+		Handler:           n.entry.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    entry.MaxHeaderBytes,
+		IdleTimeout:       idleConnTimeout,
+	}
 	g.Go(func() error { return ignoreClosed(srv.Serve(ln)) })
 	return srv, nil
 }
