--- a/agent/agent.go
+++ b/agent/agent.go
@@ -30,7 +30,9 @@
 	// HTTPListener takes single requests from the entries.
 	HTTPListener net.Listener
 	Link         link.Config
-	Log          logr.Logger
+	// Stop begins the drain when an operator asks for it.
+	Stop func()
+	Log  logr.Logger
 }
 
 // Agent runs the role.
--- a/agent/links.go
+++ b/agent/links.go
@@ -85,6 +85,8 @@
 		a.fence(l, seq, m)
 	case *contract.Cancel:
 		a.cancelJob(l, m.Job)
+	case *contract.StatusRequest, *contract.DrainRequest:
+		a.receiveAdmin(l, seq, m)
 	}
 }
 
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -38,6 +38,8 @@
 	id       contract.TaskID
 	deadline time.Time
 	attempt  uint32
+	// worker is where the last attempt was placed.
+	worker host.Ref
 	// retry says that the request may run more than once.
 	retry bool
 	// unsure says that an earlier attempt may have run.
--- a/entry/single.go
+++ b/entry/single.go
@@ -75,6 +75,8 @@
 		team = anyTeam
 	}
 	e.step(p, dispatch.Submit{Job: x.id.Job, Team: team, Route: route.Name, Deadline: x.deadline, Demands: []contract.Demand{{Slots: 1}}})
+	err = contract.ErrUpstreamLost.With("the answer was cut")
+	defer func() { x.record(team, route.Name, w.Header(), err) }()
 	err = e.attempts(w, p, run, x)
 	e.observe(route.Name, team, began, x.worked, err)
 	return err
@@ -88,6 +90,7 @@
 		select {
 		case wk := <-run.placed:
 			x.attempt++
+			x.worker = wk.Ref
 			sent := time.Now()
 			fate, err := x.relay(w, wk)
 			x.worked = time.Since(sent)
--- a/node/admin.go
+++ b/node/admin.go
@@ -31,6 +31,12 @@
 	mux.HandleFunc("GET /admin/tables", n.serveTables)
 	mux.HandleFunc("POST /admin/edits", n.serveEdit)
 	mux.HandleFunc("GET /admin/upstreams", n.serveUpstreams)
+	n.membersRoutes(mux)
+	mux.HandleFunc("GET /admin/processes", n.serveProcesses)
+	mux.HandleFunc("GET /admin/history", n.serveHistory)
+	mux.HandleFunc("POST /admin/drain", n.serveDrain)
+	mux.HandleFunc("GET /admin/burn", n.serveBurn)
+	mux.HandleFunc("GET /admin/outcomes/{job}", n.serveOutcomes)
 	mux.HandleFunc("GET /admin/records", n.records.serveRecords)
 	return mux
 }
