--- a/node/resubmit_test.go
+++ b/node/resubmit_test.go
@@ -84,8 +84,14 @@
 		}
 		return nil
 	}))
-	for _, h := range sys.Hubs {
+	for i, h := range sys.Hubs {
 		s.awaitHub(t, h)
+		must.NoError(t, testbed.Await(ctx, func() error { // until the hub reaches a quorum of holders
+			if r := s.submit(i, "warm-"+h.Name, 1, 1); r.status != http.StatusOK {
+				return fmt.Errorf("%d: %s", r.status, r.body)
+			}
+			return nil
+		}))
 	}
 	return s
 }
