--- a/record/holder.go
+++ b/record/holder.go
@@ -199,6 +199,7 @@
 }
 
 // Recovery gathers the records of the other holders for one that restarted.
+// It is the specification's Recover.
 type Recovery struct {
 	need   int
 	copies map[contract.HostID][]contract.JobRecord
