--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -35,6 +35,8 @@
 		wireSlopes,
 		queueSlopes,
 		tableSlopes,
+		recordSlopes,
+		func() ([]slope, error) { return ledgerSlopes(dir) },
 		func() ([]slope, error) { return workerSlopes(ctx, bin, dir) },
 		func() ([]slope, error) { return startSlopes(ctx, bin, dir+"/starts") },
 	}
--- a/internal/capacity/workout.go
+++ b/internal/capacity/workout.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+
+	"github.com/carawaylanding/carawaylanding/contract"
 )
 
 // The size to design for.
@@ -32,7 +34,20 @@
 	budgetBytes  = 9_000    // bytes a second
 )
 
-const secondsPerDay = 86_400
+const (
+	secondsPerDay = 86_400
+	// recordHolders is the number of entries that hold one job's record.
+	recordHolders = 3
+	// recordSeconds is how long a record is kept: the retention after a
+	// deadline of 30 s.
+	recordSeconds = 630
+	// designJobs is the number of jobs a second when all are of the largest
+	// size.
+	designJobs = designStarts / contract.MaxTasks
+	// recordsPerEntry is the number of records that one entry holds when each
+	// job has its own holders among the entries.
+	recordsPerEntry = designJobs * recordSeconds * recordHolders / designEntries
+)
 
 // line is one figure at the size to design for. A zero budget means that the
 // figure is of the work itself, which no budget bounds.
@@ -86,6 +101,8 @@
 	{"entry", "links, starts at the peak", "entry link traffic", "start/s", "bytes/s", startsPerEntry, 0},
 	{"entry", "one decision", "scheduler decision", "worker known", "ns", workersPerEntry, 0},
 	{"agent", "processor, starts at the peak", "agent processor time", "start/s", "core share", startsPerWorker, 0},
+	{"entry", "job records, jobs of 150 tasks", "holder memory, jobs of 150 tasks", "record", "bytes", recordsPerEntry, budgetMemory},
+	{"control", "ledger disk, starts at the peak, a second", "ledger file", "outcome", "bytes", designStarts, 0},
 	{"control", "agreed value of 1,000 routes", "tables value", "route", "bytes", 1000, 0},
 }
 
@@ -105,6 +122,11 @@
 		return nil, err
 	}
 	out = append(out, line{"entry", "deltas to its workers", "bytes/s", delta * designEdits * workersPerEntry / secondsPerDay, budgetBytes})
+	sync, err := m.at("ledger sync", "outcome in the batch", "ns", designStarts)
+	if err != nil {
+		return nil, err
+	}
+	out = append(out, line{"control", "ledger, starts at the peak, one sync a second", "core share", sync / nsPerSecond, budgetCPU})
 	return out, nil
 }
 
