--- a/contract/message_ledger.go
+++ b/contract/message_ledger.go
@@ -67,10 +67,12 @@
 	Held []LedgerHeld
 }
 
-// LedgerBatches answers LedgerPull. More says that further batches are left.
+// LedgerBatches answers LedgerPull. More says that further batches are left,
+// Filled that the sender's file is not a new one that is being filled.
 type LedgerBatches struct {
 	Batches []LedgerBatch
 	More    bool
+	Filled  bool
 }
 
 // MessageKind implements Message.
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -49,7 +49,7 @@
 		if err != nil {
 			return nil, contract.ErrInternal.With("ledger not read: %v", err)
 		}
-		return &contract.LedgerBatches{Batches: batches, More: more}, nil
+		return &contract.LedgerBatches{Batches: batches, More: more, Filled: r.Store.Filled()}, nil
 	}
 	return nil, contract.ErrInternal.With("message kind %d is not for the ledger", m.MessageKind())
 }
@@ -104,15 +104,19 @@
 // Exchange pulls from each peer what this host lacks. A new file is filled
 // once it has all that enough peers hold.
 func (r *Replica) Exchange(ctx context.Context) {
-	complete := 0
+	complete, filled := 0, 0
 	for id, p := range r.Peers {
-		if err := r.pullAll(ctx, p); err != nil {
+		peerFilled, err := r.pullAll(ctx, p)
+		if err != nil {
 			r.Log.V(1).Info("ledger pull failed", "peer", id, "err", err)
 			continue
 		}
 		complete++
+		if peerFilled {
+			filled++
+		}
 	}
-	if r.Store.Filled() || complete < r.fillQuorum() {
+	if r.Store.Filled() || !r.enough(complete, filled) {
 		return
 	}
 	if err := r.Store.SetFilled(); err != nil {
@@ -120,42 +124,49 @@
 	}
 }
 
-// fillQuorum is the number of peers of which one is, in each majority that
-// this host was part of, among the others of that majority.
-func (r *Replica) fillQuorum() int {
+// enough reports whether a new file is filled after complete exchanges with
+// so many peers, of which so many were filled. Of each majority that this host
+// was part of, one other member must be among them; a majority of new files is
+// a new system, in which nothing was acknowledged.
+func (r *Replica) enough(complete, filled int) bool {
 	members := len(r.Peers) + 1
-	return min(len(r.Peers), members-members/2)
+	if filled == 0 && complete+1 > members/2 {
+		return true
+	}
+	return complete >= min(len(r.Peers), members-members/2)
 }
 
-func (r *Replica) pullAll(ctx context.Context, p Holder) error {
+// pullAll pulls until nothing is left, and reports whether the peer's file is
+// filled.
+func (r *Replica) pullAll(ctx context.Context, p Holder) (bool, error) {
 	for {
-		n, more, err := r.pull(ctx, p)
+		m, err := r.pull(ctx, p)
 		if err != nil {
-			return err
+			return false, err
 		}
-		if !more || n == 0 {
-			return nil
+		n, err := r.Store.Apply(m.Batches)
+		if err != nil {
+			return false, err
+		}
+		metrics.LedgerBatchesPulled.Add(int64(n))
+		if !m.More || n == 0 {
+			return m.Filled, nil
 		}
 	}
 }
 
-func (r *Replica) pull(ctx context.Context, p Holder) (int, bool, error) {
+func (r *Replica) pull(ctx context.Context, p Holder) (*contract.LedgerBatches, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	reply, err := p.Call(ctx, &contract.LedgerPull{Held: r.Store.Held()})
 	if err != nil {
-		return 0, false, err
+		return nil, err
 	}
 	m, ok := reply.(*contract.LedgerBatches)
 	if !ok {
-		return 0, false, contract.ErrInternal.With("unexpected reply %T", reply)
-	}
-	if len(m.Batches) == 0 {
-		return 0, false, nil
+		return nil, contract.ErrInternal.With("unexpected reply %T", reply)
 	}
-	n, err := r.Store.Apply(m.Batches)
-	metrics.LedgerBatchesPulled.Add(int64(n))
-	return n, m.More, err
+	return m, nil
 }
 
 // expire removes what is older than the retention time, step by step, so that
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -82,6 +82,9 @@
 			}
 		}
 		s.filled = tx.Bucket(metaBucket).Get(filledKey) != nil
+		if s.filled {
+			metrics.LedgerFilled.Set(1)
+		}
 		return tx.Bucket(batchesBucket).ForEach(func(k, _ []byte) error {
 			origin, seq, err := parseBatchKey(k)
 			if err != nil {
@@ -110,12 +113,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.filled = true
+	metrics.LedgerFilled.Set(1)
 	return nil
 }
 
 // Apply merges and syncs the batches that are not held yet, and returns how
 // many those were. Concurrent calls share a sync.
 func (s *Store) Apply(batches []contract.LedgerBatch) (int, error) {
+	if len(batches) == 0 {
+		return 0, nil
+	}
 	var fresh []contract.LedgerBatch
 	err := s.db.Batch(func(tx *bbolt.Tx) error {
 		fresh = fresh[:0]
--- a/metrics/ledger.go
+++ b/metrics/ledger.go
@@ -2,7 +2,7 @@
 
 import "expvar"
 
-// The outcome ledger.
+// The outcome ledger. All but LedgerFilled only grow.
 var (
 	// OutcomesRecorded counts outcomes that an entry handed to the ledger.
 	OutcomesRecorded = expvar.NewInt("caraway_ledger_outcomes_recorded")
@@ -15,6 +15,9 @@
 	LedgerBatchesPulled = expvar.NewInt("caraway_ledger_batches_pulled")
 	// LedgerBatchesExpired counts batches removed after the retention time.
 	LedgerBatchesExpired = expvar.NewInt("caraway_ledger_batches_expired")
+	// LedgerFilled is 1 once this control host's file is filled, so that it
+	// answers reads.
+	LedgerFilled = expvar.NewInt("caraway_ledger_filled")
 	// LedgerConflicts counts rows whose records came to contradict each other.
 	LedgerConflicts = expvar.NewInt("caraway_ledger_conflicts")
 )
