--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -27,6 +27,22 @@
 	return nil
 }
 
+// record records the end of the exchange, where it was placed at all.
+func (x *exchange) record(team, route string, answer http.Header, err error) {
+	if x.attempt == 0 {
+		return
+	}
+	rec := contract.OutcomeRecord{
+		Task:        x.id,
+		Team:        team,
+		Route:       route,
+		Worker:      x.worker.Host,
+		Incarnation: x.worker.Incarnation,
+		Attempt:     x.attempt,
+	}
+	x.entry.recordSingle(rec, answer, err)
+}
+
 // recordSingle records the end of a single request that was placed at a
 // worker. The answer's header says what the agent knows; where there is none,
 // err says it, and otherwise the outcome is unknown.
--- a/node/links.go
+++ b/node/links.go
@@ -13,6 +13,7 @@
 // LinkUp implements link.Handler.
 func (n *Node) LinkUp(l *link.Link) {
 	if n.fromAgent(l) {
+		l.Send(&contract.Heartbeat{Tables: n.tables.Version()})
 		n.entry.LinkUp(l)
 	}
 }
@@ -37,10 +38,16 @@
 		l.Send(n.tables.Delta(m.Have))
 	case *contract.TablesDelta:
 		n.merge(m)
+	case *contract.StatusRequest, *contract.DrainRequest:
+		n.receiveAdmin(l, seq, m)
 	case *contract.Prepare, *contract.Accept, *contract.EditRequest, *contract.TablesRead:
 		n.forControl(l, seq, m)
 	case *contract.LedgerAppend, *contract.LedgerRead, *contract.LedgerPull:
 		n.forLedger(l, seq, m)
+	case *contract.RecordWrite, *contract.RecordPrepare, *contract.RecordCopy:
+		l.Reply(seq, n.records.receive(m))
+	case *contract.JobWait:
+		n.waitJob(l, seq, m)
 	default:
 		if n.fromAgent(l) {
 			n.entry.Receive(l, m)
@@ -63,6 +70,19 @@
 	}()
 }
 
+// waitJob answers with a job's answer once it has one, or the link is down.
+func (n *Node) waitJob(l *link.Link, seq uint64, m *contract.JobWait) {
+	if n.entry == nil {
+		l.Reply(seq, &contract.JobAnswer{})
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), contract.MaxDeadline)
+		defer cancel()
+		l.Reply(seq, n.entry.WaitJob(ctx, m))
+	}()
+}
+
 func (n *Node) sawVersion(l *link.Link, v contract.Version) {
 	have := n.tables.Version()
 	if v > have {
@@ -88,6 +108,20 @@
 			l.Send(d)
 		}
 	}
+	n.tellAgents(v.Version)
+}
+
+// tellAgents sends the version in force to each agent: a busy link carries no
+// heartbeat by itself.
+func (n *Node) tellAgents(v contract.Version) {
+	if n.entry == nil {
+		return
+	}
+	for _, l := range n.entry.AgentLinks() {
+		if l != nil {
+			l.Send(&contract.Heartbeat{Tables: v})
+		}
+	}
 }
 
 // catchUpWait is how long a starting process waits between two quorum reads.
--- a/node/node.go
+++ b/node/node.go
@@ -33,9 +33,13 @@
 	tables  *tables.Holder
 	peers   map[contract.HostID]*link.Dialer
 	entry   *entry.Entry
+	records *records
 	control *control.Control
 	store   *control.Store
-	ledger  ledgerPart
+	history history
+	// stop begins the drain, as SIGTERM does.
+	stop   context.CancelFunc
+	ledger ledgerPart
 }
 
 // Run runs the process until ctx is done, then drains it.
@@ -49,14 +53,16 @@
 		},
 		Roles: set.Roles,
 	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	if set.Has(contract.RoleAgent) {
-		return runAgent(ctx, set, id, log)
+		return runAgent(ctx, stop, set, id, log)
 	}
-	n := &Node{set: set, identity: id, log: log, tables: tables.NewHolder(), peers: make(map[contract.HostID]*link.Dialer)}
+	n := &Node{set: set, identity: id, log: log, tables: tables.NewHolder(), peers: make(map[contract.HostID]*link.Dialer), stop: stop}
 	return n.run(ctx)
 }
 
-func runAgent(ctx context.Context, set settings.Settings, id host.Identity, log logr.Logger) error {
+func runAgent(ctx context.Context, stop context.CancelFunc, set settings.Settings, id host.Identity, log logr.Logger) error {
 	ln, err := net.Listen("tcp", set.HTTPAddr)
 	if err != nil {
 		return err
@@ -69,6 +75,7 @@
 		Entries:      set.Entries,
 		HTTPListener: ln,
 		Link:         link.Config{Idle: set.Heartbeat, Silence: set.Silence},
+		Stop:         stop,
 		Log:          log,
 	})
 	log.Info("agent started", "upstream", set.Upstream, "http", ln.Addr())
@@ -97,10 +104,16 @@
 		return err
 	}
 	defer n.closeLedger()
+	var err error
+	n.records, err = newRecords(n.set.ID, n.set.RecordHolders, n.peers, n.set.DataDir, n.log)
+	if err != nil {
+		return err
+	}
 	if n.set.Has(contract.RoleEntry) {
 		n.entry = entry.New(entry.Config{
 			Identity: n.identity,
 			Tables:   n.tables,
+			Records:  n.records.client(n.identity.Ref),
 			NewScheduler: func(p contract.Pool) dispatch.Scheduler {
 				return dispatch.NewPool(dispatch.Config{MaxQueue: p.MaxQueue})
 			},
@@ -109,6 +122,7 @@
 		})
 	}
 	n.tables.Watch(n.tablesChanged)
+	n.tables.Watch(n.history.changed)
 	return n.serve(ctx)
 }
 
@@ -164,6 +178,7 @@
 	}
 	g.Go(func() error { n.catchUp(linkCtx); return nil })
 	n.runLedger(linkCtx, g.Go)
+	g.Go(func() error { n.records.run(linkCtx); return nil })
 	n.log.Info("started", "link", linkLn.Addr(), "admin", adminLn.Addr(), "roles", n.set.Roles)
 	g.Go(func() error {
 		<-ctx.Done()
