--- a/contract/record.go
+++ b/contract/record.go
@@ -14,6 +14,9 @@
 	Worker      HostID      `json:"worker,omitempty"`
 	Incarnation Incarnation `json:"incarnation,omitempty"`
 	Attempt     uint32      `json:"attempt,omitempty"`
+	// Unsure says that an earlier attempt of an idempotent request may have
+	// run too.
+	Unsure bool `json:"unsure,omitempty"`
 	// Entry is the host that recorded it.
 	Entry  HostID    `json:"entry"`
 	At     time.Time `json:"at"`
--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -39,6 +39,7 @@
 		Worker:      x.worker.Host,
 		Incarnation: x.worker.Incarnation,
 		Attempt:     x.attempt,
+		Unsure:      x.unsure,
 	}
 	x.entry.recordSingle(rec, answer, err)
 }
@@ -57,6 +58,9 @@
 			rec.Reason = err.Error()
 		}
 	}
+	if rec.Unsure && rec.Outcome == contract.OutcomeNotRun {
+		rec.Outcome = contract.OutcomeUnknown
+	}
 	e.recordOutcome(rec)
 }
 
--- a/entry/single.go
+++ b/entry/single.go
@@ -67,6 +67,7 @@
 		deadline: began.Add(singleDeadline(r, route)),
 		retry:    route.Retryable(r.Method) && r.Header.Get(forward.HeaderNonIdempotent) == "",
 	}
+	w.Header().Set(forward.HeaderJobID, string(x.id.Job))
 	run := &singleRun{placed: make(chan workerLink, 1), refused: make(chan error, 1)}
 	e.jobs.swap(x.id.Job, nil, run)
 	defer e.jobs.remove(x.id.Job, run)
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -67,6 +67,7 @@
 	out := a
 	out.Status = max(a.Status, b.Status)
 	out.Attempt = max(a.Attempt, b.Attempt)
+	out.Unsure = a.Unsure || b.Unsure
 	out.Entry = max(a.Entry, b.Entry)
 	out.Reason = max(a.Reason, b.Reason)
 	out.At = earlier(a.At, b.At)
@@ -99,8 +100,8 @@
 const (
 	// RanOnce means that the task ran in exactly one process.
 	RanOnce Verdict = "ran once"
-	// Ran means that the task ran, and that the records don't agree that it
-	// was once.
+	// Ran means that the task ran, and that it is not known that it was once:
+	// an idempotent request was retried, or records contradict each other.
 	Ran Verdict = "ran"
 	// NeverRan means that the task did not run and never will.
 	NeverRan Verdict = "never ran"
@@ -112,7 +113,7 @@
 func Judge(row contract.OutcomeRow) Verdict {
 	ran := slices.ContainsFunc(row.Records, func(r contract.OutcomeRecord) bool { return r.Outcome == contract.OutcomeRan })
 	switch {
-	case ran && len(row.Records) == 1:
+	case ran && len(row.Records) == 1 && !row.Records[0].Unsure:
 		return RanOnce
 	case ran:
 		return Ran
--- a/ledger/row_test.go
+++ b/ledger/row_test.go
@@ -32,6 +32,8 @@
 	notRun := record(contract.OutcomeNotRun, "")
 	ran1 := record(contract.OutcomeRan, "w1")
 	ran2 := record(contract.OutcomeRan, "w2")
+	retried := record(contract.OutcomeRan, "w1")
+	retried.Unsure = true
 	cases := []struct {
 		name     string
 		records  []contract.OutcomeRecord
@@ -44,6 +46,7 @@
 		{"known never goes back", []contract.OutcomeRecord{ran1, unknown}, RanOnce, false},
 		{"never ran", []contract.OutcomeRecord{notRun, unknown}, NeverRan, false},
 		{"two entries agree", []contract.OutcomeRecord{ran1, ran1}, RanOnce, false},
+		{"retried after an unknown attempt", []contract.OutcomeRecord{retried}, Ran, false},
 		{"two workers", []contract.OutcomeRecord{ran1, ran2}, Ran, true},
 		{"ran against not-run", []contract.OutcomeRecord{notRun, ran1}, Ran, true},
 	}
@@ -63,6 +66,7 @@
 		Outcome:     rapid.SampledFrom([]contract.Outcome{contract.OutcomeUnknown, contract.OutcomeNotRun, contract.OutcomeRan}).Draw(t, "outcome"),
 		Worker:      rapid.SampledFrom([]contract.HostID{"w1", "w2"}).Draw(t, "worker"),
 		Incarnation: contract.Incarnation(rapid.IntRange(1, 2).Draw(t, "incarnation")),
+		Unsure:      rapid.Bool().Draw(t, "unsure"),
 		Attempt:     uint32(rapid.IntRange(0, 2).Draw(t, "attempt")),
 		At:          day0.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "at"))),
 	}
