Measure the entry's lag and an idle agent by make targets

bench-entry and bench-idle run a small system of processes and print figures with the core count and load averages; nothing is asserted. Agents of the testbed have an admin address, from which their counters are read.

The first comparison run counted every direct answer as wrong for stating no outcome; the mix now says when its targets are bare upstreams.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 GO ?= go
 BIN := bin
 
+.PHONY: bench-entry bench-idle
 .PHONY: all build demo test lint format-check model bench soak capacity shares
 
 all: build
@@ -30,3 +31,9 @@
 
 capacity: build
 	@$(GO) run ./internal/capacity -bin $(BIN)
+
+bench-entry: build
+	@$(GO) run ./internal/bench -bin $(BIN) entry
+
+bench-idle: build
+	@$(GO) run ./internal/bench -bin $(BIN) idle
--- a/internal/capacity/starts.go
+++ b/internal/capacity/starts.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/internal/procuse"
 	"github.com/carawaylanding/carawaylanding/internal/testbed"
 )
 
@@ -42,9 +43,9 @@
 		if err != nil {
 			return nil, err
 		}
-		entryCPU = append(entryCPU, point{done, entry.cpu})
-		agentCPU = append(agentCPU, point{done / startWorkers, agents.cpu / startWorkers})
-		traffic = append(traffic, point{done, entry.bytes})
+		entryCPU = append(entryCPU, point{done, entry.CPU})
+		agentCPU = append(agentCPU, point{done / startWorkers, agents.CPU / startWorkers})
+		traffic = append(traffic, point{done, entry.Bytes})
 	}
 	return collect(
 		slopeOf("entry processor time", "start/s", "core share", entryCPU),
@@ -56,28 +57,28 @@
 // driveStarts sends jobs at a fixed rate, open loop, and returns what the
 // entry and all agents used a second, with the starts a second that were
 // answered whole.
-func driveStarts(ctx context.Context, sys *testbed.System, perSecond int) (entry, agents rate, done float64, err error) {
+func driveStarts(ctx context.Context, sys *testbed.System, perSecond int) (entry, agents procuse.Rate, done float64, err error) {
 	body, err := jobBody()
 	if err != nil {
-		return rate{}, rate{}, 0, err
+		return procuse.Rate{}, procuse.Rate{}, 0, err
 	}
 	before, err := readAll(sys)
 	if err != nil {
-		return rate{}, rate{}, 0, err
+		return procuse.Rate{}, procuse.Rate{}, 0, err
 	}
 	whole, err := sendJobs(ctx, sys.Hubs[0].HTTP, body, perSecond)
 	if err != nil {
-		return rate{}, rate{}, 0, err
+		return procuse.Rate{}, procuse.Rate{}, 0, err
 	}
 	after, err := readAll(sys)
 	if err != nil {
-		return rate{}, rate{}, 0, err
+		return procuse.Rate{}, procuse.Rate{}, 0, err
 	}
-	entry = rateBetween(before[0], after[0])
+	entry = procuse.Between(before[0], after[0])
 	for i := range before[1:] {
-		agents.cpu += rateBetween(before[i+1], after[i+1]).cpu
+		agents.CPU += procuse.Between(before[i+1], after[i+1]).CPU
 	}
-	return entry, agents, float64(whole*jobTasks) / after[0].at.Sub(before[0].at).Seconds(), nil
+	return entry, agents, float64(whole*jobTasks) / after[0].At.Sub(before[0].At).Seconds(), nil
 }
 
 func jobBody() ([]byte, error) {
@@ -93,14 +94,14 @@
 }
 
 // readAll reads the entry's use, then each agent's.
-func readAll(sys *testbed.System) ([]usage, error) {
-	u, err := readUsage(sys.Hubs[0].PID(), sys.Hubs[0].Admin)
+func readAll(sys *testbed.System) ([]procuse.Usage, error) {
+	u, err := procuse.Read(sys.Hubs[0].PID(), sys.Hubs[0].Admin)
 	if err != nil {
 		return nil, err
 	}
-	out := []usage{u}
+	out := []procuse.Usage{u}
 	for _, a := range sys.Agents {
-		u, err := readUsage(a.PID(), "")
+		u, err := procuse.Read(a.PID(), "")
 		if err != nil {
 			return nil, err
 		}
--- a/internal/capacity/workers.go
+++ b/internal/capacity/workers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/internal/procuse"
 	"github.com/carawaylanding/carawaylanding/internal/testbed"
 	"github.com/carawaylanding/carawaylanding/link"
 )
@@ -48,9 +49,9 @@
 		if err != nil {
 			return nil, err
 		}
-		mem = append(mem, point{float64(n), u.resident})
-		cpu = append(cpu, point{float64(n), r.cpu})
-		traffic = append(traffic, point{float64(n), r.bytes})
+		mem = append(mem, point{float64(n), u.Resident})
+		cpu = append(cpu, point{float64(n), r.CPU})
+		traffic = append(traffic, point{float64(n), r.Bytes})
 	}
 	return collect(
 		slopeOf("entry memory", "idle worker", "bytes", mem),
@@ -60,10 +61,10 @@
 }
 
 // idleEntry runs one entry with n announced idle workers.
-func idleEntry(ctx context.Context, bin, dir string, n int) (usage, rate, error) {
+func idleEntry(ctx context.Context, bin, dir string, n int) (procuse.Usage, procuse.Rate, error) {
 	sys, err := startSystem(ctx, bin, dir, testbed.Plan{Domains: []string{"north"}, Hubs: 1})
 	if err != nil {
-		return usage{}, rate{}, err
+		return procuse.Usage{}, procuse.Rate{}, err
 	}
 	defer sys.Close()
 	hub := sys.Hubs[0]
@@ -84,13 +85,13 @@
 	}
 	c.up.Wait()
 	time.Sleep(settleTime)
-	before, err := readUsage(hub.PID(), hub.Admin)
+	before, err := procuse.Read(hub.PID(), hub.Admin)
 	if err != nil {
-		return usage{}, rate{}, err
+		return procuse.Usage{}, procuse.Rate{}, err
 	}
 	time.Sleep(idleWindow)
-	after, err := readUsage(hub.PID(), hub.Admin)
-	return after, rateBetween(before, after), err
+	after, err := procuse.Read(hub.PID(), hub.Admin)
+	return after, procuse.Between(before, after), err
 }
 
 // startSystem starts a planned system and puts one route and one pool in force.
--- a/internal/capacity/process.go
+++ b/internal/procuse/procuse.go
@@ -1,4 +1,5 @@
-package main
+// Package procuse reads what a process uses from /proc and from its counters.
+package procuse
 
 import (
 	"encoding/json"
@@ -10,13 +11,13 @@
 	"time"
 )
 
-// usage is what a process has used.
-type usage struct {
-	at       time.Time
-	cpu      time.Duration
-	resident float64 // bytes
-	sent     float64 // bytes on links
-	received float64 // bytes on links
+// Usage is what a process has used.
+type Usage struct {
+	At       time.Time
+	CPU      time.Duration
+	Resident float64 // bytes
+	Sent     float64 // bytes on links
+	Received float64 // bytes on links
 }
 
 // clockTick is the unit of processor time in /proc (USER_HZ).
@@ -28,10 +29,10 @@
 	statSystem = 12
 )
 
-// readUsage reads a process's use from /proc and, where it has an operators'
+// Read reads a process's use from /proc and, where it has an operators'
 // interface, its counters.
-func readUsage(pid int, admin string) (usage, error) {
-	u := usage{at: time.Now()}
+func Read(pid int, admin string) (Usage, error) {
+	u := Usage{At: time.Now()}
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return u, err
@@ -42,7 +43,7 @@
 		if err != nil {
 			return u, err
 		}
-		u.cpu += time.Duration(ticks) * clockTick
+		u.CPU += time.Duration(ticks) * clockTick
 	}
 	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
@@ -52,14 +53,14 @@
 	if err != nil {
 		return u, err
 	}
-	u.resident = float64(pages) * float64(os.Getpagesize())
+	u.Resident = float64(pages) * float64(os.Getpagesize())
 	if admin == "" {
 		return u, nil
 	}
 	return u, u.readCounters(admin)
 }
 
-func (u *usage) readCounters(admin string) error {
+func (u *Usage) readCounters(admin string) error {
 	res, err := http.Get("http://" + admin + "/debug/vars")
 	if err != nil {
 		return err
@@ -72,21 +73,22 @@
 	if err := json.NewDecoder(res.Body).Decode(&vars); err != nil {
 		return err
 	}
-	u.sent = vars.Sent
-	u.received = vars.Received
+	u.Sent = vars.Sent
+	u.Received = vars.Received
 	return nil
 }
 
-// rate is what a process used a second between two readings.
-type rate struct {
-	cpu   float64 // share of one core
-	bytes float64 // bytes a second on links, both ways
+// Rate is what a process used a second between two readings.
+type Rate struct {
+	CPU   float64 // share of one core
+	Bytes float64 // bytes a second on links, both ways
 }
 
-func rateBetween(a, b usage) rate {
-	secs := b.at.Sub(a.at).Seconds()
-	return rate{
-		cpu:   (b.cpu - a.cpu).Seconds() / secs,
-		bytes: (b.sent - a.sent + b.received - a.received) / secs,
+// Between returns the rate between two readings.
+func Between(a, b Usage) Rate {
+	secs := b.At.Sub(a.At).Seconds()
+	return Rate{
+		CPU:   (b.CPU - a.CPU).Seconds() / secs,
+		Bytes: (b.Sent - a.Sent + b.Received - a.Received) / secs,
 	}
 }
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -237,10 +237,14 @@
 	if err != nil {
 		return err
 	}
+	adminAddr, err := FreeAddr()
+	if err != nil {
+		return err
+	}
 	up := &Process{Name: fmt.Sprintf("upstream%d", i+1), HTTP: upAddr}
 	s.Add(up, "standin", "-addr", upAddr)
 	s.Upstreams = append(s.Upstreams, up)
-	agent := &Process{Name: fmt.Sprintf("worker%d", i+1), HTTP: httpAddr}
+	agent := &Process{Name: fmt.Sprintf("worker%d", i+1), HTTP: httpAddr, Admin: adminAddr}
 	var links []string
 	for _, h := range s.Hubs {
 		addr, err := s.linkAddr(plan, agent, h)
@@ -252,7 +256,7 @@
 	args := append([]string{
 		"-id", agent.Name, "-roles", string(contract.RoleAgent),
 		"-failure-domain", plan.Domains[i%len(plan.Domains)], "-rack", fmt.Sprintf("rack%d", i/rackSize+1),
-		"-http-addr", httpAddr, "-entries", strings.Join(links, ","),
+		"-http-addr", httpAddr, "-admin-addr", adminAddr, "-entries", strings.Join(links, ","),
 		"-upstream", "http://" + upAddr, "-pools", strings.Join(plan.Pools, ","), "-slots", fmt.Sprint(plan.Slots),
 	}, plan.AgentArgs...)
 	s.Add(agent, "carawayd", args...)
--- a/load/mix.go
+++ b/load/mix.go
@@ -52,6 +52,9 @@
 	// Keyed gives each job an Idempotency-Key.
 	Keyed bool
 
+	// Bare says that the targets are upstreams themselves, for comparison:
+	// their answers state no outcome.
+	Bare bool
 	// Route is the route of the jobs, Path the path of single requests.
 	Route, Path string
 	Teams       []string
@@ -114,6 +117,7 @@
 	check(len(m.Teams) > 0, "no team: name one or more")
 	check(m.SingleShare == 0 || strings.HasPrefix(m.Path, "/"), "path %q: give the path of the single requests, such as /cards", m.Path)
 	check(m.SingleShare == 1 || m.Route != "", "no route: name the route of the jobs")
+	check(!m.Bare || m.SingleShare == 1, "bare upstreams take no jobs: set the share of single requests to 1")
 	if m.Arrivals == Bursty {
 		check(m.BurstLength > 0 && m.BurstEvery > m.BurstLength && m.BurstFactor > 1, "bursts of %v in each %v by %v: give a length under the interval and a factor over 1", m.BurstLength, m.BurstEvery, m.BurstFactor)
 	}
--- a/load/request.go
+++ b/load/request.go
@@ -137,6 +137,9 @@
 
 // check returns the kind of a refusal, and what is wrong with the answer.
 func check(m Mix, a Arrival, res *http.Response, body []byte) (kind, fault string) {
+	if m.Bare && res.StatusCode == http.StatusOK {
+		return "", checkEcho(body, a.Token(m.Seed, 0))
+	}
 	var outcome contract.Outcome
 	if err := outcome.UnmarshalText([]byte(res.Header.Get(forward.HeaderOutcome))); err != nil {
 		return "", fmt.Sprintf("status %d without an outcome", res.StatusCode)
