--- a/entry/request.go
+++ b/entry/request.go
@@ -205,8 +205,8 @@
 	return contract.ErrTooLarge.With("the job has more than %d bytes: split it into smaller jobs", contract.MaxJobBytes)
 }
 
-// readSpec reads and checks a job submission.
-func readSpec(w http.ResponseWriter, r *http.Request) (contract.JobSpec, error) {
+// readSpec reads and checks a job submission, and writes its body to digest.
+func readSpec(w http.ResponseWriter, r *http.Request, digest io.Writer) (contract.JobSpec, error) {
 	var spec contract.JobSpec
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, contract.MaxJobBytes))
 	if err != nil {
@@ -215,6 +215,7 @@
 		}
 		return spec, bodyFault(err)
 	}
+	digest.Write(raw)
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&spec); err != nil {
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,6 +20,7 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/dispatch"
 	"github.com/carawaylanding/carawaylanding/forward"
+	"github.com/carawaylanding/carawaylanding/record"
 	"github.com/carawaylanding/carawaylanding/tables"
 )
 
@@ -33,6 +35,18 @@
 	return nil
 }
 
+// recordHolder holds job records in the test's process.
+type recordHolder struct{ holder *record.Holder }
+
+// Call implements Caller.
+func (h recordHolder) Call(_ context.Context, m contract.Message) (contract.Message, error) {
+	w, ok := m.(*contract.RecordWrite)
+	if !ok {
+		return nil, fmt.Errorf("unexpected %T", m)
+	}
+	return h.holder.Write(time.Now(), w), nil
+}
+
 // testStall is how long the test's server waits for a stalled body.
 const testStall = 200 * time.Millisecond
 
@@ -49,7 +63,11 @@
 	e := New(Config{
 		Tables:       h,
 		NewScheduler: func(contract.Pool) dispatch.Scheduler { return countingScheduler{submits} },
-		Log:          logr.Discard(),
+		Records: &Records{
+			Holders:   []Holder{{Host: "self", Caller: recordHolder{record.NewHolder(record.Config{}, true, time.Now())}, Local: true}},
+			Retention: record.DefaultRetention,
+		},
+		Log: logr.Discard(),
 	})
 	handler := checkRequests(testStall, e.Handler())
 	srv := httptest.NewUnstartedServer(handler)
--- a/settings/check.go
+++ b/settings/check.go
@@ -90,6 +90,9 @@
 		known[p.Host] = true
 	}
 	c.check(len(s.Control) <= maxControlHosts, "-control names %d hosts: name at most %d", len(s.Control), maxControlHosts)
+	for _, id := range s.RecordHolders {
+		c.check(known[id], "-record-holders names %q, which is not among -peers: add its ID=IP:port", id)
+	}
 	seen := make(map[contract.HostID]bool)
 	for _, id := range s.Control {
 		c.check(known[id], "-control names %q, which is not among -peers: add its ID=IP:port", id)
