--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -71,11 +72,14 @@
 	if err := submitJob(ctx, sys); err != nil {
 		return err
 	}
-	return sendSingle(ctx, sys)
+	if err := sendSingle(ctx, sys); err != nil {
+		return err
+	}
+	return ctl(ctx, sys, "burn")
 }
 
 const demoTables = `{
-  "routes": [{"name": "cards", "path_prefix": "/cards", "pool": "formula"}],
+  "routes": [{"name": "cards", "path_prefix": "/cards", "pool": "formula", "objective_ms": 50}],
   "pools": [{"name": "formula"}]
 }`
 
@@ -84,16 +88,27 @@
 	if err := os.WriteFile(file, []byte(demoTables), 0o600); err != nil {
 		return err
 	}
-	fmt.Println("== carawayctl apply")
-	return testbed.Await(ctx, func() error {
-		cmd := exec.CommandContext(ctx, filepath.Join(sys.Bin, "carawayctl"), "-admin", sys.Hubs[0].Admin, "apply", "-f", file)
-		out, err := cmd.CombinedOutput()
-		if err != nil {
-			return fmt.Errorf("%w: %s", err, out)
-		}
-		fmt.Printf("%s", out)
-		return nil
-	})
+	return testbed.Await(ctx, func() error { return ctl(ctx, sys, "apply", "-f", file, "-wait") })
+}
+
+// ctl runs carawayctl against all hosts and shows what it prints.
+func ctl(ctx context.Context, sys *testbed.System, args ...string) error {
+	return ctlUntil(ctx, sys, "", args...)
+}
+
+// ctlUntil is ctl, but fails where the output lacks want.
+func ctlUntil(ctx context.Context, sys *testbed.System, want string, args ...string) error {
+	var admins []string
+	for _, h := range sys.Hubs {
+		admins = append(admins, h.Admin)
+	}
+	all := append([]string{"-admin", strings.Join(admins, ",")}, args...)
+	out, err := exec.CommandContext(ctx, filepath.Join(sys.Bin, "carawayctl"), all...).CombinedOutput()
+	if err != nil || !strings.Contains(string(out), want) {
+		return fmt.Errorf("carawayctl %s: %v: %s", args[0], err, out)
+	}
+	fmt.Printf("== carawayctl %s\n%s", strings.Join(args, " "), out)
+	return nil
 }
 
 func awaitReady(ctx context.Context, sys *testbed.System) error {
@@ -150,7 +165,8 @@
 		return err
 	}
 	fmt.Printf("== outcomes by task\n%s", status)
-	return nil
+	// The ledger is synced in batches, soon after the answer.
+	return testbed.Await(ctx, func() error { return ctlUntil(ctx, sys, "ran once", "outcome", id) })
 }
 
 func sendSingle(ctx context.Context, sys *testbed.System) error {
