--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -35,6 +35,8 @@
 	entry    *Entry
 	req      *http.Request
 	body     *requestBody
+	team     string
+	route    string
 	id       contract.TaskID
 	deadline time.Time
 	attempt  uint32
--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -28,14 +28,14 @@
 }
 
 // record records the end of the exchange, where it was placed at all.
-func (x *exchange) record(team, route string, answer http.Header, err error) {
+func (x *exchange) record(answer http.Header, err error) {
 	if x.attempt == 0 {
 		return
 	}
 	rec := contract.OutcomeRecord{
 		Task:        x.id,
-		Team:        team,
-		Route:       route,
+		Team:        x.team,
+		Route:       x.route,
 		Worker:      x.worker.Host,
 		Incarnation: x.worker.Incarnation,
 		Attempt:     x.attempt,
--- a/entry/single.go
+++ b/entry/single.go
@@ -77,7 +77,8 @@
 	}
 	e.step(p, dispatch.Submit{Job: x.id.Job, Team: team, Route: route.Name, Deadline: x.deadline, Demands: []contract.Demand{{Slots: 1}}})
 	err = contract.ErrUpstreamLost.With("the answer was cut")
-	defer func() { x.record(team, route.Name, w.Header(), err) }()
+	x.team, x.route = team, route.Name
+	defer func() { x.record(w.Header(), err) }()
 	err = e.attempts(w, p, run, x)
 	e.observe(route.Name, team, began, x.worked, err)
 	return err
@@ -85,6 +86,7 @@
 
 // attempts places the request until it is answered, or must not go again.
 func (e *Entry) attempts(w http.ResponseWriter, p *pool, run *singleRun, x *exchange) error {
+	placed := x.id
 	timer := time.NewTimer(time.Until(x.deadline))
 	defer timer.Stop()
 	for {
@@ -95,19 +97,19 @@
 			sent := time.Now()
 			fate, err := x.relay(w, wk)
 			x.worked = time.Since(sent)
-			if x.again(fate) {
-				e.step(p, dispatch.Requeue{Task: x.id, Worker: wk.Ref})
+			if x.again(fate, err) {
+				e.step(p, dispatch.Requeue{Task: placed, Worker: wk.Ref})
 				continue
 			}
-			e.step(p, dispatch.Finished{Task: x.id, Worker: wk.Ref, Elapsed: x.worked, Failed: err != nil})
+			e.step(p, dispatch.Finished{Task: placed, Worker: wk.Ref, Elapsed: x.worked, Failed: err != nil})
 			return err
 		case err := <-run.refused:
 			return x.qualify(err)
 		case <-timer.C:
-			e.withdraw(p, run, x.id)
+			e.withdraw(p, run, placed)
 			return x.qualify(contract.ErrOverload.Refuse(time.Second, "no worker was free before the deadline"))
 		case <-x.req.Context().Done():
-			e.withdraw(p, run, x.id)
+			e.withdraw(p, run, placed)
 			return x.qualify(contract.ErrCancelled.With("the caller went away"))
 		}
 	}
@@ -125,7 +127,7 @@
 }
 
 // again reports whether the request may be placed once more.
-func (x *exchange) again(f fate) bool {
+func (x *exchange) again(f fate, err error) bool {
 	if x.attempt >= maxSingleAttempts || x.req.Context().Err() != nil || !x.body.rewind() {
 		return false
 	}
@@ -141,6 +143,9 @@
 			metrics.RetriesDenied.Add(1)
 			return false
 		}
+		// The gate never starts one task twice: the retry is another task.
+		x.record(nil, err)
+		x.id.Index++
 		x.unsure = true
 		metrics.SingleRetries.Add(1)
 		return true
