--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,7 @@
 
 bench-idle: build
 	@$(GO) run ./internal/bench -bin $(BIN) idle
+
+.PHONY: bench-record
+bench-record: build
+	@$(GO) run ./internal/benchrecord -bin $(BIN)
