--- a/contract/message_record.go
+++ b/contract/message_record.go
@@ -92,9 +92,9 @@
 	Plan []Placement
 }
 
-// RecordCopy asks a holder for its records after a job, in order of job.
+// RecordCopy asks a holder for the records of one bucket.
 type RecordCopy struct {
-	After JobID
+	Bucket int
 }
 
 // JobRecord is one record as it is copied.
@@ -111,7 +111,6 @@
 type RecordPage struct {
 	Serving bool
 	Records []JobRecord
-	More    bool
 }
 
 // JobWait asks the owner of a job for its answer, once it has one.
--- a/node/records.go
+++ b/node/records.go
@@ -126,7 +126,7 @@
 // Waits of the holder's upkeep.
 const (
 	copyWait  = 200 * time.Millisecond
-	copyLimit = 5 * time.Second
+	copyLimit = 30 * time.Second
 	sweepWait = 10 * time.Second
 )
 
@@ -212,13 +212,11 @@
 }
 
 func (r *records) copyFrom(ctx context.Context, rec *record.Recovery, id contract.HostID) {
-	next := &contract.RecordCopy{}
-	for next != nil {
+	for next := rec.Next(id); next != nil; next = rec.Next(id) {
 		reply, err := r.peers[id].Call(ctx, next)
 		page, ok := reply.(*contract.RecordPage)
-		if err != nil || !ok {
+		if err != nil || !ok || !rec.Page(id, page) {
 			return
 		}
-		next = rec.Page(id, page)
 	}
 }
--- a/record/record.go
+++ b/record/record.go
@@ -15,26 +15,25 @@
 //     holders hold, or all that it forgot has expired.
 package record
 
-import "github.com/carawaylanding/carawaylanding/contract"
+import (
+	"slices"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+)
 
 // Majority returns the size of a quorum among n holders.
 func Majority(n int) int { return n/2 + 1 }
 
 // plan is a growing set of placements.
-type plan struct {
-	list []contract.Placement
-	set  map[contract.Placement]struct{}
-}
+type plan []contract.Placement
 
-func (p *plan) add(more []contract.Placement) {
-	if p.set == nil {
-		p.set = make(map[contract.Placement]struct{}, len(more))
-	}
+// add adds what the set lacks, and returns by how much it grew.
+func (p *plan) add(more []contract.Placement) int {
+	had := len(*p)
 	for _, pl := range more {
-		if _, ok := p.set[pl]; ok {
-			continue
+		if !slices.Contains(*p, pl) {
+			*p = append(*p, pl)
 		}
-		p.set[pl] = struct{}{}
-		p.list = append(p.list, pl)
 	}
+	return len(*p) - had
 }
--- a/record/tally.go
+++ b/record/tally.go
@@ -91,7 +91,7 @@
 func (t *Tally) Owner() contract.RecordEpoch { return t.owner }
 
 // Plan returns the placements that the granting holders know.
-func (t *Tally) Plan() []contract.Placement { return t.plan.list }
+func (t *Tally) Plan() []contract.Placement { return t.plan }
 
 // NeverOwned reports that no quorum can ever have held a record for the
 // asker's body.
