Let a record holder that lost its disk abstain

Cause: a holder took an empty data folder for one that had never served, and voted at once. After a lost disk it had forgotten records instead: with a holder that never had the record it made a quorum that knew nothing, and a resubmission started the job's tasks again.

Seen first: the new scenario record-holder-loses-its-disk failed with 'task first-0 started 2 times'. Ruled out as the test: a frozen third holder, and one that is only cut off, since both get the write from the connection's buffer once they are back.

Now a folder without a marker counts only on the disk that formed the first group of control hosts, as a quorum read confirms; any other holder copies the records of a majority first. Weighed: trusting a table version of zero, which would leave a first start stuck when the first edit comes before all holders have read.

--- a/control/members.go
+++ b/control/members.go
@@ -164,6 +164,15 @@
 	})
 }
 
+// OriginalDisk reports whether this host still has the disk with which it
+// formed the first group, and no member has changed since. What the data
+// folder lacks was then never there. It counts once a quorum was read.
+func (c *Control) OriginalDisk() bool {
+	g := c.knownGroup()
+	me, ok := g.Find(c.cfg.Self)
+	return ok && g.Epoch == firstEpoch && me.Disk == c.voterState().Disk
+}
+
 // MemberStatus is what one member's vote is worth.
 type MemberStatus struct {
 	contract.Member
--- a/internal/scenario/faults.go
+++ b/internal/scenario/faults.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -29,6 +31,17 @@
 // thaw lets frozen processes go on: thaw NAME...
 func (w *world) thaw(args []string) error { return w.signal(args, syscall.SIGCONT) }
 
+// loseDisk empties the data folder of a killed host: lose-disk HOST.
+func (w *world) loseDisk(args []string) error {
+	return w.each(args, func(p *testbed.Process) error {
+		data := filepath.Join(w.dir, p.Name)
+		if err := os.RemoveAll(data); err != nil {
+			return err
+		}
+		return os.Mkdir(data, 0o755)
+	})
+}
+
 func (w *world) signal(names []string, s syscall.Signal) error {
 	return w.each(names, func(p *testbed.Process) error { return p.Signal(s) })
 }
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -71,6 +71,7 @@
 		"wait-stopped":  (*world).waitStopped,
 		"freeze":        (*world).freeze,
 		"thaw":          (*world).thaw,
+		"lose-disk":     (*world).loseDisk,
 		"cut":           (*world).cut,
 		"silence":       (*world).silence,
 		"lose":          (*world).lose,
@@ -198,10 +199,23 @@
 		if err := w.await(func() error { return w.ready(h, workers) }); err != nil {
 			return err
 		}
+		if err := w.await(func() error { return recordsServed(h) }); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+// recordsServed checks that a hub votes on job records.
+func recordsServed(h *testbed.Process) error {
+	var a node.RecordsAnswer
+	err := getJSON(h.Admin, "/admin/records", &a)
+	if err == nil && !a.Serving {
+		err = fmt.Errorf("%s abstains from job records", h.Name)
+	}
+	return err
+}
+
 func (w *world) ready(h *testbed.Process, workers int) error {
 	if err := testbed.Ready(h.HTTP); err != nil {
 		return err
--- a/node/links.go
+++ b/node/links.go
@@ -164,6 +164,7 @@
 		if err == nil {
 			n.tables.Merge(d)
 			n.log.Info("caught up", "version", n.tables.Version())
+			n.records.caughtUp(n.control != nil && n.control.OriginalDisk())
 			return
 		}
 		select {
--- a/node/node.go
+++ b/node/node.go
@@ -117,11 +117,7 @@
 		return err
 	}
 	defer n.closeLedger()
-	var err error
-	n.records, err = newRecords(n.set.ID, n.set.RecordHolders, n.peers.all(), n.set.DataDir, n.log)
-	if err != nil {
-		return err
-	}
+	n.records = newRecords(n.set.ID, n.set.RecordHolders, n.peers.all(), n.set.DataDir, n.log)
 	if n.set.Has(contract.RoleEntry) {
 		n.observer = newObserver(n.tables)
 		n.entry = entry.New(entry.Config{
--- a/node/records.go
+++ b/node/records.go
@@ -25,6 +25,7 @@
 type records struct {
 	self    contract.HostID
 	holders []contract.HostID
+	dataDir string
 	peers   map[contract.HostID]*link.Dialer
 	log     logr.Logger
 
@@ -36,22 +37,33 @@
 // may have forgotten records since.
 const markerFile = "record-holder"
 
-// newRecords returns the records of the process. A holder that finds no marker
-// in its data folder has never served, and serves at once.
-func newRecords(self contract.HostID, holders []contract.HostID, peers map[contract.HostID]*link.Dialer, dataDir string, log logr.Logger) (*records, error) {
-	r := &records{self: self, holders: holders, peers: peers, log: log}
-	if !slices.Contains(holders, self) {
-		return r, nil
-	}
-	fresh := false
-	if dataDir != "" {
-		var err error
-		if fresh, err = mark(dataDir); err != nil {
-			return nil, err
-		}
+// newRecords returns the records of the process. Its holder abstains.
+func newRecords(self contract.HostID, holders []contract.HostID, peers map[contract.HostID]*link.Dialer, dataDir string, log logr.Logger) *records {
+	r := &records{self: self, holders: holders, dataDir: dataDir, peers: peers, log: log}
+	if slices.Contains(holders, self) {
+		r.holder = record.NewHolder(record.Config{}, false, time.Now())
+	}
+	return r
+}
+
+// caughtUp takes the end of the first quorum read. A holder that finds no
+// marker in its data folder has never served, and serves at once; but a folder
+// without a marker says so only where the disk is the original one: one that
+// replaced a lost disk is empty too.
+func (r *records) caughtUp(originalDisk bool) {
+	if r.holder == nil || !originalDisk {
+		return
+	}
+	fresh, err := mark(r.dataDir)
+	if err != nil {
+		r.log.Error(err, "this host copies job records before it votes on them", "remedy", "free space on the disk of the data folder or replace it")
+		return
+	}
+	if fresh {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.holder.Serve()
 	}
-	r.holder = record.NewHolder(record.Config{}, fresh, time.Now())
-	return r, nil
 }
 
 // mark reports whether dir had no marker, and leaves a synced one.
--- a/record/holder.go
+++ b/record/holder.go
@@ -69,6 +69,9 @@
 	return h.serving
 }
 
+// Serve ends the abstention of a holder that has never served before.
+func (h *Holder) Serve() { h.serving = true }
+
 // Len returns the number of records.
 func (h *Holder) Len() int { return len(h.records) }
 
