Start tasks on slot credits that entries lend each other

An agent now splits its slots between the linked entries, anew whenever one comes or goes. An entry starts tasks only on credits, keeps whole jobs in the order of their remaining work less their age, and lends credits to peers whose jobs come first. Quotas are split and lent in the same way. Admission refuses what would end after its deadline; a worker that fails more than its pool is ejected and probed with one task; run times are learned by route.

loadlab runs the policies under fake time against the floor.

The random histories were seen to fail where a loan isn't taken off the lender, where a started job is refused and where quota is lent twice; the starvation test where jobs don't age.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build demo test lint format-check model bench soak capacity shares
+.PHONY: all build demo test lint format-check model bench soak capacity shares bench-load bench-dispatch
 
 all: build
 
@@ -24,3 +24,9 @@
 
 model:
 	@spec/check
+
+bench-load:
+	$(GO) run ./internal/loadlab/bench -span 120s -seeds 5 -plot docs/design/load.png
+
+bench-dispatch:
+	$(GO) test -run '^$$' -bench . -benchmem ./dispatch
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/carawaylanding/carawaylanding/forward"
 	"github.com/carawaylanding/carawaylanding/host"
 	"github.com/carawaylanding/carawaylanding/link"
+	"github.com/carawaylanding/carawaylanding/metrics"
 )
 
 // Config holds an agent's settings.
@@ -50,6 +51,7 @@
 	waits   map[contract.TaskID]chan bool
 	links   map[contract.HostID]*link.Link
 	tables  contract.Version
+	credits creditBook
 	active  sync.WaitGroup
 }
 
@@ -64,6 +66,7 @@
 		cancels: make(map[contract.TaskID]context.CancelFunc),
 		waits:   make(map[contract.TaskID]chan bool),
 		links:   make(map[contract.HostID]*link.Link),
+		credits: newCreditBook(cfg.Identity.Host, cfg.Pools, cfg.Capacity.Slots),
 	}
 }
 
@@ -164,6 +167,7 @@
 	a.mu.Lock()
 	a.links[l.Remote().Host] = l
 	draining := a.gate.draining
+	grants := a.credits.entryUp(l.Remote().Host)
 	var unacked []*contract.Result
 	for id, r := range a.results {
 		if a.owners[id] == l.Remote().Host {
@@ -180,16 +184,20 @@
 	for _, r := range unacked {
 		l.Send(r)
 	}
+	a.sendCredits(grants)
 	a.cfg.Log.Info("link up", "entry", l.Remote().Host)
 }
 
 // LinkDown implements link.Handler.
 func (a *Agent) LinkDown(l *link.Link, err error) {
 	a.mu.Lock()
+	var grants []creditMail
 	if a.links[l.Remote().Host] == l {
 		delete(a.links, l.Remote().Host)
+		grants = a.credits.entryDown(l.Remote().Host)
 	}
 	a.mu.Unlock()
+	a.sendCredits(grants)
 	a.cfg.Log.Info("link down", "entry", l.Remote().Host, "err", err)
 }
 
@@ -204,6 +212,8 @@
 		a.acked(m.Tasks)
 	case *contract.Fence:
 		a.fence(l, seq, m)
+	case *contract.CreditReset:
+		a.resetCredits(m.Pool)
 	case *contract.Cancel:
 		a.cancelJob(l, m.Job)
 	}
@@ -220,6 +230,10 @@
 	verdict, reason := a.gate.Offer(s)
 	if verdict == VerdictRun || verdict == VerdictWait {
 		a.owners[s.Task] = l.Remote().Host
+		a.credits.begin(s, l.Remote().Host)
+	}
+	if verdict == VerdictWait {
+		metrics.StartsQueued.Add(1)
 	}
 	if verdict == VerdictRun {
 		a.launch(s)
@@ -255,10 +269,12 @@
 	delete(a.cancels, r.Task)
 	l := a.links[a.owners[r.Task]]
 	a.release(r.Task)
+	grants := a.credits.end(r.Task)
 	a.mu.Unlock()
 	if l != nil {
 		l.Send(r)
 	}
+	a.sendCredits(grants)
 }
 
 // release frees the task's slots and launches what now fits; the caller holds
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -1,166 +1,415 @@
 package dispatch
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/failuredomain"
 	"github.com/carawaylanding/carawaylanding/host"
 )
 
 // Config holds a pool's settings.
 type Config struct {
+	// Name is the pool's name in messages.
+	Name string
+	// Place is where this entry stands.
+	Place failuredomain.Place
+	// Profile weighs response time against messages.
+	Profile contract.Profile
 	// MaxQueue bounds the tasks that wait.
 	MaxQueue int
+	// Quotas bounds the slots of teams over all entries.
+	Quotas []contract.Quota
+	// Order is the order of whole jobs.
+	Order Order
 }
 
+// FromRow returns the settings that a row of the pools table states.
+func FromRow(row contract.Pool, place failuredomain.Place) Config {
+	return Config{Name: row.Name, Place: place, Profile: row.Profile, MaxQueue: row.MaxQueue, Quotas: row.Quotas}
+}
+
+// Order is an order of whole jobs in the queue.
+type Order uint8
+
+// The orders.
+const (
+	// OrderRemaining serves the job with the least remaining work first; each
+	// second that a job waits counts as agePerSecond slot-seconds less.
+	OrderRemaining Order = iota
+	// OrderFIFO serves jobs as they came.
+	OrderFIFO
+	// OrderAttained serves the job that has had the least service first.
+	OrderAttained
+)
+
 // DefaultMaxQueue is the default of Config.MaxQueue, in tasks.
 const DefaultMaxQueue = 10_000
 
-// retryNoUpstream is how long a caller waits where the pool has no worker.
-const retryNoUpstream = 2 * time.Second
+// agePerSecond is how many slot-seconds of remaining work one second of
+// waiting makes up for.
+const agePerSecond = 2
 
-// Pool is a Scheduler that places each task, first in first out, on the worker
-// with the most free slots.
+// Pool is the Scheduler of one pool at one entry. It starts tasks only on slot
+// credits, so that a start finds a free slot; see Shares for where credits
+// come from, and docs/design/load.md for why.
 type Pool struct {
-	cfg     Config
-	workers map[host.Ref]*worker
-	order   []*worker
-	queue   []waiting
-	placed  map[contract.TaskID]placement
-}
+	cfg Config
+	now time.Time
+	out []Action
+
+	workers workerSet
+	linked  int // workers linked now
+	ejected []*worker
+	held    []*worker
+
+	jobs    map[contract.JobID]*jobState
+	seq     uint64
+	queue   jobQueue // jobs of teams without a quota
+	quotas  []*teamQuota
+	byTeam  map[string]*teamQuota
+	rows    []contract.Quota
+	digest  uint64
+	waiting int // queued tasks
+	fair    fairShare
+
+	self  contract.HostID
+	peers []*peer
+	ask   askState
 
-type worker struct {
-	host.Worker
-	used int
+	times       estimator
+	speed       average
+	failureRate float64
+	drain       drainRate
+
+	wakeAt  time.Time // the earliest time that something is due; zero if none
+	wakeOut time.Time // the wake that the driver was asked for last
 }
 
-type waiting struct {
-	task   contract.TaskID
-	demand contract.Demand
+// jobState is one job with unfinished tasks.
+type jobState struct {
+	id       contract.JobID
+	team     string
+	route    string
+	deadline time.Time
+	seq      uint64
+	base     int64 // the key's part that doesn't change, in nanoseconds
+	key      int64
+	tasks    []taskState
+	queued   []uint32 // unplaced tasks, the longest last
+	open     int      // tasks not finished
+	inQueue  bool
+	started  bool
+	closed   bool // withdrawn
+	node     treapNode
+
+	// remaining is the expected work of unfinished tasks, queuedWork of
+	// unplaced ones, attained of placed ones, in slots times time.
+	remaining  time.Duration
+	queuedWork time.Duration
+	attained   time.Duration
+
+	failedOn *worker
+	cleared  bool
 }
 
-type placement struct {
-	worker host.Ref
+type taskState struct {
 	demand contract.Demand
+	est    time.Duration
+	worker *worker // where it is placed; nil otherwise
 }
 
-// NewPool returns an empty pool.
+func (t *taskState) work() time.Duration { return t.est * time.Duration(t.demand.Slots) }
+
+func (j *jobState) nextTask() uint32 { return j.queued[len(j.queued)-1] }
+
+func (j *jobState) demand(i uint32) contract.Demand { return j.tasks[i].demand }
+
+// NewPool returns a pool without workers.
 func NewPool(cfg Config) *Pool {
 	if cfg.MaxQueue == 0 {
 		cfg.MaxQueue = DefaultMaxQueue
 	}
-	return &Pool{
+	p := &Pool{
 		cfg:     cfg,
-		workers: make(map[host.Ref]*worker),
-		placed:  make(map[contract.TaskID]placement),
+		workers: workerSet{byRef: make(map[host.Ref]*worker)},
+		jobs:    make(map[contract.JobID]*jobState),
+		times:   newEstimator(),
+		fair:    newFairShare(),
 	}
+	p.setQuotas(cfg.Quotas)
+	return p
 }
 
 // Step implements Scheduler.
 func (p *Pool) Step(now time.Time, ev Event) []Action {
+	p.now = now
+	p.out = nil
+	p.timers()
+	p.take(ev)
+	p.place()
+	p.maybeAsk()
+	p.flushWake()
+	return p.out
+}
+
+func (p *Pool) take(ev Event) {
 	switch ev := ev.(type) {
 	case WorkerUp:
 		p.workerUp(ev.Worker)
 	case WorkerDown:
 		p.workerDown(ev.Worker)
 	case Submit:
-		if err := p.submit(ev); err != nil {
-			return []Action{Refuse{Job: ev.Job, Err: err}}
-		}
+		p.submit(ev)
 	case Requeue:
 		p.requeue(ev)
 	case Finished:
-		p.release(ev.Task)
+		p.finished(ev)
 	case Withdraw:
-		p.queue = slices.DeleteFunc(p.queue, func(w waiting) bool { return w.task.Job == ev.Job })
+		p.withdraw(ev.Job)
+	case Peers:
+		p.setPeers(ev)
+	case PoolChanged:
+		p.changeRow(ev.Row)
+	case CreditGranted:
+		p.granted(ev)
+	case CreditAsked:
+		p.asked(ev)
+	case CreditLent:
+		p.lent(ev)
+	case WorkerSuspected:
+		p.suspected(ev.Suspect)
 	}
-	return p.place()
 }
 
-func (p *Pool) workerUp(w host.Worker) {
-	if old, ok := p.workers[w.Ref]; ok {
-		old.Worker = w
+// timers does what is due.
+func (p *Pool) timers() {
+	if p.wakeAt.IsZero() || p.now.Before(p.wakeAt) {
 		return
 	}
-	nw := &worker{Worker: w}
-	p.workers[w.Ref] = nw
-	p.order = append(p.order, nw)
+	p.wakeAt = time.Time{}
+	p.endHolds()
+	p.endEjections()
 }
 
-func (p *Pool) workerDown(ref host.Ref) {
-	delete(p.workers, ref)
-	p.order = slices.DeleteFunc(p.order, func(w *worker) bool { return w.Ref == ref })
+// wake asks for a step at the given time.
+func (p *Pool) wake(at time.Time) {
+	if p.wakeAt.IsZero() || at.Before(p.wakeAt) {
+		p.wakeAt = at
+	}
 }
 
-func (p *Pool) submit(s Submit) error {
-	if len(p.workers) == 0 {
-		return contract.ErrNoUpstream.Refuse(retryNoUpstream, "the pool has no worker")
+func (p *Pool) flushWake() {
+	if p.wakeAt.IsZero() || p.wakeAt.Equal(p.wakeOut) {
+		return
 	}
-	if len(p.queue)+len(s.Demands) > p.cfg.MaxQueue {
-		return contract.ErrOverload.Refuse(time.Second, "%d tasks wait", len(p.queue))
+	p.wakeOut = p.wakeAt
+	p.out = append(p.out, Wake{At: p.wakeAt})
+}
+
+func (p *Pool) changeRow(row contract.Pool) {
+	p.cfg.Profile = row.Profile
+	p.cfg.MaxQueue = cmp.Or(row.MaxQueue, DefaultMaxQueue)
+	if !slices.Equal(p.rows, row.Quotas) {
+		p.setQuotas(row.Quotas)
 	}
-	for i, d := range s.Demands {
-		if !p.fitsAny(d) {
-			return contract.ErrNeverFits.With("task %d fits no worker of the pool", i)
-		}
+}
+
+func (p *Pool) workerUp(nw host.Worker) {
+	w := p.workers.byRef[nw.Ref]
+	if w == nil {
+		w = &worker{pos: -1}
+		p.workers.byRef[nw.Ref] = w
 	}
-	for i, d := range s.Demands {
-		id := contract.TaskID{Job: s.Job, Index: uint32(i)}
-		p.queue = append(p.queue, waiting{task: id, demand: d.Normalized()})
+	p.workers.detach(w)
+	if w.linked {
+		w.group.linked--
+	} else {
+		p.linked++
 	}
-	return nil
+	w.linked = true
+	w.Worker = nw
+	w.distance = p.cfg.Place.Distance(nw.Place)
+	w.group = p.workers.group(nw.Capacity)
+	w.group.linked++
+	p.workers.attach(w)
 }
 
-func (p *Pool) fitsAny(d contract.Demand) bool {
-	return slices.ContainsFunc(p.order, func(w *worker) bool { return w.Capacity.Fits(d) })
+func (p *Pool) workerDown(ref host.Ref) {
+	w := p.workers.byRef[ref]
+	if w == nil || !w.linked {
+		return
+	}
+	p.workers.detach(w)
+	w.linked = false
+	w.group.linked--
+	p.linked--
+	w.allot, w.granted, w.epoch = 0, 0, 0
+	p.forget(w)
 }
 
-func (p *Pool) requeue(r Requeue) {
-	pl, ok := p.placed[r.Task]
-	if !ok {
+// forget drops a worker that is gone and holds no task.
+func (p *Pool) forget(w *worker) {
+	if w.linked || w.used != (contract.Capacity{}) {
 		return
 	}
-	p.release(r.Task)
-	p.queue = slices.Insert(p.queue, 0, waiting{task: r.Task, demand: pl.demand})
+	p.unlistEjected(w)
+	p.held = slices.DeleteFunc(p.held, func(h *worker) bool { return h == w })
+	delete(p.workers.byRef, w.Ref)
+}
+
+// enqueue puts a job with unplaced tasks into its queue.
+func (p *Pool) enqueue(j *jobState) {
+	j.key = p.key(j)
+	j.inQueue = true
+	p.queueOf(j).insert(j)
 }
 
-func (p *Pool) release(id contract.TaskID) {
-	pl, ok := p.placed[id]
-	if !ok {
+func (p *Pool) dequeue(j *jobState) {
+	if j.inQueue {
+		p.queueOf(j).remove(j)
+		j.inQueue = false
+	}
+}
+
+// requeued puts a job back after it changed.
+func (p *Pool) requeued(j *jobState) {
+	if len(j.queued) > 0 {
+		p.enqueue(j)
 		return
 	}
-	delete(p.placed, id)
-	if w, ok := p.workers[pl.worker]; ok {
-		w.used -= pl.demand.Slots
+	if j.open == 0 {
+		delete(p.jobs, j.id)
 	}
 }
 
-func (p *Pool) place() []Action {
-	var out []Action
-	for len(p.queue) > 0 {
-		head := p.queue[0]
-		w := p.mostFree(head.demand)
-		if w == nil {
-			break
-		}
-		p.queue = p.queue[1:]
-		w.used += head.demand.Slots
-		p.placed[head.task] = placement{worker: w.Ref, demand: head.demand}
-		out = append(out, Place{Task: head.task, Worker: w.Ref})
+// key returns the job's place in the order; lower is served first. It changes
+// only when the job does, since all jobs age alike.
+func (p *Pool) key(j *jobState) int64 {
+	switch p.cfg.Order {
+	case OrderFIFO:
+		return j.base
+	case OrderAttained:
+		return j.base + int64(j.attained/agePerSecond)
 	}
-	return out
+	return j.base + int64(j.remaining/agePerSecond)
 }
 
-func (p *Pool) mostFree(d contract.Demand) *worker {
-	var best *worker
-	for _, w := range p.order {
-		if w.Draining || !w.Capacity.Fits(d) || w.Capacity.Slots-w.used < d.Slots {
-			continue
-		}
-		if best == nil || w.Capacity.Slots-w.used > best.Capacity.Slots-best.used {
-			best = w
+func (p *Pool) finished(ev Finished) {
+	j, t := p.placed(ev.Task, ev.Worker)
+	if t == nil {
+		return
+	}
+	w := t.worker
+	p.dequeue(j)
+	p.workers.detach(w)
+	p.release(j, t)
+	j.open--
+	j.remaining -= t.work()
+	if ev.Elapsed > 0 {
+		p.drain.add(p.now, ev.Elapsed*time.Duration(t.demand.Slots))
+		p.judge(w, j, ev.Failed)
+		if !ev.Failed {
+			p.measure(w, t.est, ev.Elapsed)
+			p.times.learn(j.team, j.route, t.demand, ev.Elapsed)
 		}
 	}
-	return best
+	p.workers.attach(w)
+	p.forget(w)
+	p.requeued(j)
+}
+
+// placed returns the task where it is placed at the worker.
+func (p *Pool) placed(id contract.TaskID, ref host.Ref) (*jobState, *taskState) {
+	j := p.jobs[id.Job]
+	if j == nil || int(id.Index) >= len(j.tasks) {
+		return nil, nil
+	}
+	t := &j.tasks[id.Index]
+	if t.worker == nil || t.worker.Ref != ref {
+		return nil, nil
+	}
+	return j, t
+}
+
+// release gives back what a placed task takes; its worker is detached.
+func (p *Pool) release(j *jobState, t *taskState) {
+	t.worker.take(t.demand, -1)
+	if q := p.byTeam[j.team]; q != nil {
+		q.used -= t.demand.Slots
+	}
+	t.worker = nil
+}
+
+func (p *Pool) requeue(ev Requeue) {
+	j, t := p.placed(ev.Task, ev.Worker)
+	if t == nil {
+		return
+	}
+	w := t.worker
+	p.dequeue(j)
+	p.workers.detach(w)
+	p.release(j, t)
+	p.hold(w)
+	p.workers.attach(w)
+	p.forget(w)
+	if j.closed {
+		j.open--
+		j.remaining -= t.work()
+	} else {
+		j.queued = append(j.queued, ev.Task.Index)
+		j.queuedWork += t.work()
+		j.attained -= t.work()
+		p.waiting++
+	}
+	p.requeued(j)
+}
+
+func (p *Pool) withdraw(id contract.JobID) {
+	j := p.jobs[id]
+	if j == nil {
+		return
+	}
+	p.drop(j)
+}
+
+// drop ends a job's unplaced tasks.
+func (p *Pool) drop(j *jobState) {
+	p.dequeue(j)
+	p.waiting -= len(j.queued)
+	j.open -= len(j.queued)
+	j.remaining -= j.queuedWork
+	j.queuedWork = 0
+	j.queued = nil
+	j.closed = true
+	p.requeued(j)
+}
+
+// drainRate measures how much work ends each second.
+type drainRate struct {
+	since time.Time
+	work  time.Duration
+	rate  float64 // slots that were busy in the last windows
+}
+
+// drainWindow is how long work is added up before the rate is brought up to
+// date.
+const drainWindow = time.Second
+
+func (d *drainRate) add(now time.Time, work time.Duration) {
+	if d.since.IsZero() {
+		d.since = now
+	}
+	d.work += work
+	span := now.Sub(d.since)
+	if span < drainWindow {
+		return
+	}
+	keep := math.Exp2(-span.Seconds() / drainWindow.Seconds())
+	d.rate = keep*d.rate + (1-keep)*d.work.Seconds()/span.Seconds()
+	d.since = now
+	d.work = 0
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,8 @@
 	Tables   *tables.Holder
 	// NewScheduler makes the scheduler of a pool.
 	NewScheduler func(contract.Pool) dispatch.Scheduler
+	// Tell sends a message to another entry; it may be lost.
+	Tell func(to contract.HostID, m contract.Message)
 	// Retention is how long an ended job's state is kept.
 	Retention time.Duration
 	// Outcomes takes the final outcome of each task; nil drops them.
@@ -55,7 +57,8 @@
 	workersMu sync.RWMutex // guards workers
 	workers   map[host.Ref]*workerLink
 
-	jobs jobShards
+	jobs    jobShards
+	credits creditState
 
 	drainMu  sync.Mutex // guards leaving and draining
 	leaving  bool
@@ -81,6 +84,7 @@
 		workers: make(map[host.Ref]*workerLink),
 	}
 	e.jobs.init()
+	e.credits.grants = make(map[grantKey]contract.CreditGrant)
 	cfg.Tables.Watch(e.poolsChanged)
 	return e
 }
--- a/entry/links.go
+++ b/entry/links.go
@@ -33,6 +33,7 @@
 		return
 	}
 	e.cfg.Log.Info("worker silent", "worker", ref.Host, "err", err)
+	e.dropGrants(w.Worker)
 	for _, p := range e.poolsOf(w.Worker) {
 		e.step(p, dispatch.WorkerDown{Worker: ref})
 	}
@@ -73,6 +74,8 @@
 		e.unsent(ref, m.Task)
 	case *contract.TaskStates:
 		e.states(ref, m)
+	case *contract.CreditGrant:
+		e.granted(ref, m)
 	case *contract.Drain:
 		e.drained(ref)
 	}
--- a/entry/pools.go
+++ b/entry/pools.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/dispatch"
 	"github.com/carawaylanding/carawaylanding/host"
 	"github.com/carawaylanding/carawaylanding/tables"
@@ -27,22 +28,39 @@
 // a removed pool stays for the work that it still holds.
 func (e *Entry) poolsChanged(v *tables.View) {
 	var fresh []*pool
+	changed := make(map[*pool]contract.Pool)
 	e.poolsMu.Lock()
 	for _, row := range v.Pools {
-		if _, ok := e.pools[row.Name]; !ok {
-			p := &pool{name: row.Name, sched: e.cfg.NewScheduler(row)}
-			e.pools[row.Name] = p
-			fresh = append(fresh, p)
+		if p, ok := e.pools[row.Name]; ok {
+			changed[p] = row
+			continue
 		}
+		p := &pool{name: row.Name, sched: e.cfg.NewScheduler(row)}
+		e.pools[row.Name] = p
+		fresh = append(fresh, p)
 	}
 	e.poolsMu.Unlock()
-	for _, w := range e.Workers() {
-		for _, p := range fresh {
+	for p, row := range changed {
+		e.step(p, dispatch.PoolChanged{Row: row})
+	}
+	for _, p := range fresh {
+		e.step(p, dispatch.Peers{Self: e.cfg.Identity.Host, Peers: e.currentPeers()})
+		for _, w := range e.Workers() {
 			e.offerWorker(p, w)
 		}
 	}
 }
 
+func (e *Entry) allPools() []*pool {
+	e.poolsMu.RLock()
+	defer e.poolsMu.RUnlock()
+	out := make([]*pool, 0, len(e.pools))
+	for _, p := range e.pools {
+		out = append(out, p)
+	}
+	return out
+}
+
 func (e *Entry) pool(name string) *pool {
 	e.poolsMu.RLock()
 	defer e.poolsMu.RUnlock()
@@ -65,6 +83,7 @@
 	for _, name := range w.Pools {
 		if name == p.name {
 			e.step(p, dispatch.WorkerUp{Worker: w})
+			e.replayGrant(p, w.Ref)
 		}
 	}
 }
@@ -77,12 +96,12 @@
 		next := events[0]
 		events = events[1:]
 		for _, a := range p.step(next) {
-			events = append(events, e.perform(a)...)
+			events = append(events, e.perform(p, a)...)
 		}
 	}
 }
 
-func (e *Entry) perform(a dispatch.Action) []dispatch.Event {
+func (e *Entry) perform(p *pool, a dispatch.Action) []dispatch.Event {
 	switch a := a.(type) {
 	case dispatch.Place:
 		return e.place(a)
@@ -90,6 +109,10 @@
 		if act := e.jobs.get(a.Job); act != nil {
 			act.refuse(a.Err)
 		}
+	case dispatch.Tell:
+		e.tell(a)
+	case dispatch.Wake:
+		e.wakeLater(p, a.At)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/loadlab/bench/main.go
@@ -0,0 +1,102 @@
+// Command bench prints the table of all scheduling policies against the floor
+// and writes a plot of it.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/internal/loadlab"
+)
+
+// loads are the parts of the capacity that are offered.
+var loads = []float64{0.5, 0.7, 0.9, 1.2}
+
+// faultLoad is the load of the runs with faults.
+const faultLoad = 0.7
+
+type options struct {
+	span  time.Duration
+	seeds int
+	plot  string
+}
+
+func main() {
+	var o options
+	flag.DurationVar(&o.span, "span", 60*time.Second, "how long jobs arrive in each run")
+	flag.IntVar(&o.seeds, "seeds", 3, "number of seeds, from 1")
+	flag.StringVar(&o.plot, "plot", "", "file for the plot, PNG or SVG; none where empty")
+	flag.Parse()
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func (o options) config(s loadlab.Site, p loadlab.Policy, load float64, f loadlab.Fault) loadlab.Config {
+	return loadlab.Config{
+		Site: s, Policy: p, Load: load, Fault: f,
+		Span: o.span, Warmup: o.span / 10, Deadline: 10 * time.Second,
+	}
+}
+
+func (o options) seedList() []uint64 {
+	out := make([]uint64, o.seeds)
+	for i := range out {
+		out[i] = uint64(i + 1)
+	}
+	return out
+}
+
+func run(o options) error {
+	fmt.Printf("span %s, seeds 1 to %d\n", o.span, o.seeds)
+	var results []loadlab.Result
+	for _, site := range []loadlab.Site{loadlab.Bagmati, loadlab.Bayern} {
+		fmt.Printf("\n%s, no faults\n", site.Name)
+		tw := newTable()
+		for _, load := range loads {
+			for _, p := range loadlab.Policies {
+				r := loadlab.Run(o.config(site, p, load, loadlab.FaultNone), o.seedList())
+				results = append(results, r)
+				row(tw, r)
+			}
+		}
+		tw.Flush()
+		o.faults(site)
+	}
+	if o.plot == "" {
+		return nil
+	}
+	return plotResults(o.plot, results)
+}
+
+func (o options) faults(site loadlab.Site) {
+	fmt.Printf("\n%s, with faults at load %.2f\n", site.Name, faultLoad)
+	tw := newTable()
+	for _, f := range loadlab.Faults {
+		for _, p := range []loadlab.Policy{loadlab.Credits, loadlab.CreditsMessages} {
+			row(tw, loadlab.Run(o.config(site, p, faultLoad, f), o.seedList()))
+		}
+	}
+	tw.Flush()
+}
+
+func newTable() *tabwriter.Writer {
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "load\tpolicy\tfault\tjobs\tmean ms\tover floor\tp99 ms\tover floor\tgoodput\trefused\texpired\tfailed\tearly\tlater\trefusal p99\twaited at worker\twasted\tloans\t")
+	return tw
+}
+
+func row(tw *tabwriter.Writer, r loadlab.Result) {
+	c := r.Counts
+	fmt.Fprintf(tw, "%.2f\t%s\t%s\t%d\t%.0f\t%+.1f%%\t%.0f\t%+.1f%%\t%.3f\t%d\t%d\t%d\t%.1f%%\t%.1f%%\t%.1f\t%.3f\t%.3f\t%.3f\t\n",
+		r.Config.Load, r.Config.Policy.Name, r.Config.Fault, r.Jobs,
+		millis(r.Mean), 100*r.MeanOver(), millis(r.P99), 100*r.P99Over(),
+		r.Goodput, r.Refused, r.Expired, r.Failed, 100*r.EarlyFailed, 100*r.LateFailed,
+		millis(r.RefusalP99), float64(c.Queued)/float64(max(1, c.Starts)), r.WastedPerAnswer(), r.LoansPerAnswer())
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/loadlab/loadlab_test.go
@@ -0,0 +1,57 @@
+package loadlab
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+)
+
+func short(p Policy, load float64, f Fault) Config {
+	return Config{Site: Bagmati, Policy: p, Load: load, Fault: f, Span: 20 * time.Second, Warmup: 2 * time.Second, Deadline: 10 * time.Second}
+}
+
+var seeds = []uint64{1}
+
+// TestCreditsAgainstTheFloor holds the targets for the response time at 70%
+// and 90% of the capacity.
+func TestCreditsAgainstTheFloor(t *testing.T) {
+	cases := []struct{ load, mean, p99 float64 }{
+		{0.7, 0.10, 0.25},
+		{0.9, 0.25, 0.50},
+	}
+	for _, p := range []Policy{Credits, CreditsMessages} {
+		for _, c := range cases {
+			r := Run(short(p, c.load, FaultNone), seeds)
+			must.LessEq(t, c.mean, r.MeanOver())
+			must.LessEq(t, c.p99, r.P99Over())
+			must.Eq(t, 0, r.Counts.Queued, must.Sprint("starts that found no free slot"))
+		}
+	}
+}
+
+func TestRunsAreReproducible(t *testing.T) {
+	cfg := short(Credits, 0.9, FaultFailing)
+	must.Eq(t, Run(cfg, seeds).Counts, Run(cfg, seeds).Counts)
+}
+
+// TestFloorServesTheShortestJobFirst checks the floor by a case worked out by
+// hand: one slot, a long job in progress, then a longer and a shorter one.
+func TestFloorServesTheShortestJobFirst(t *testing.T) {
+	job := func(id string, at time.Duration, work ...time.Duration) *simJob {
+		j := &simJob{id: contract.JobID(id), at: at, work: work}
+		for _, w := range work {
+			j.total += w
+		}
+		return j
+	}
+	first := job("1", 0, 4*time.Second)
+	long := job("2", time.Second, 2*time.Second, time.Second)
+	brief := job("3", 2*time.Second, time.Second)
+	done := floor(Site{Workers: 1, Slots: 1}, []*simJob{first, long, brief})
+	must.Eq(t, 4*time.Second, done[first])
+	must.Eq(t, 3*time.Second, done[brief])
+	must.Eq(t, 7*time.Second, done[long])
+}
--- /dev/null
+++ b/internal/loadlab/policy.go
@@ -0,0 +1,50 @@
+package loadlab
+
+import (
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/dispatch"
+	"github.com/carawaylanding/carawaylanding/failuredomain"
+)
+
+// Policy is a way to schedule, under one interface.
+type Policy struct {
+	Name string
+	make func(at failuredomain.Place, seed uint64) dispatch.Scheduler
+}
+
+func (p Policy) scheduler(at failuredomain.Place, seed uint64) dispatch.Scheduler {
+	return p.make(at, seed)
+}
+
+func immediate(name string, c dispatch.Choice) Policy {
+	return Policy{Name: name, make: func(_ failuredomain.Place, seed uint64) dispatch.Scheduler {
+		return dispatch.NewImmediate(c, seed)
+	}}
+}
+
+func credits(name string, change func(*dispatch.Config)) Policy {
+	return Policy{Name: name, make: func(at failuredomain.Place, _ uint64) dispatch.Scheduler {
+		cfg := dispatch.Config{Name: "pool", Place: at}
+		change(&cfg)
+		return dispatch.NewPool(cfg)
+	}}
+}
+
+// Credits is the policy of the product in the profile ProfileResponse.
+var Credits = credits("credits", func(*dispatch.Config) {})
+
+// CreditsMessages is the policy of the product in the profile ProfileMessages.
+var CreditsMessages = credits("credits-messages", func(c *dispatch.Config) { c.Profile = contract.ProfileMessages })
+
+// Policies lists all policies.
+var Policies = []Policy{
+	immediate("random", dispatch.ChooseRandom),
+	immediate("round-robin", dispatch.ChooseRoundRobin),
+	immediate("least-outstanding", dispatch.ChooseLeastOutstanding),
+	immediate("two-choices", dispatch.ChooseTwo),
+	immediate("agent-queue", dispatch.ChooseShortestQueue),
+	credits("credits-fifo", func(c *dispatch.Config) { c.Order = dispatch.OrderFIFO }),
+	credits("credits-attained", func(c *dispatch.Config) { c.Order = dispatch.OrderAttained }),
+	Credits,
+	CreditsMessages,
+}
--- a/node/links.go
+++ b/node/links.go
@@ -12,6 +12,7 @@
 
 // LinkUp implements link.Handler.
 func (n *Node) LinkUp(l *link.Link) {
+	n.peerChanged(l)
 	if n.fromAgent(l) {
 		n.entry.LinkUp(l)
 	}
@@ -19,6 +20,7 @@
 
 // LinkDown implements link.Handler.
 func (n *Node) LinkDown(l *link.Link, err error) {
+	n.peerChanged(l)
 	if n.fromAgent(l) {
 		n.entry.LinkDown(l, err)
 	}
@@ -39,6 +41,10 @@
 		n.merge(m)
 	case *contract.Prepare, *contract.Accept, *contract.EditRequest, *contract.TablesRead:
 		n.forControl(l, seq, m)
+	case *contract.CreditAsk, *contract.CreditLend, *contract.WorkerSuspect:
+		if n.entry != nil {
+			n.entry.ReceivePeer(l.Remote().Host, m)
+		}
 	default:
 		if n.fromAgent(l) {
 			n.entry.Receive(l, m)
--- a/node/node.go
+++ b/node/node.go
@@ -97,9 +97,10 @@
 			Identity: n.identity,
 			Tables:   n.tables,
 			NewScheduler: func(p contract.Pool) dispatch.Scheduler {
-				return dispatch.NewPool(dispatch.Config{MaxQueue: p.MaxQueue})
+				return dispatch.NewPool(dispatch.FromRow(p, n.identity.Place))
 			},
-			Log: n.log,
+			Tell: n.tell,
+			Log:  n.log,
 		})
 	}
 	n.tables.Watch(n.tablesChanged)
