--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,9 @@
 
 bench-dispatch:
 	$(GO) test -run '^$$' -bench . -benchmem ./dispatch
+
+shares:
+	@$(GO) run ./internal/shares
+
+capacity: build
+	@$(GO) run ./internal/capacity -bin $(BIN)
--- a/node/links.go
+++ b/node/links.go
@@ -14,6 +14,7 @@
 func (n *Node) LinkUp(l *link.Link) {
 	n.peerChanged(l)
 	if n.fromAgent(l) {
+		l.Send(&contract.Heartbeat{Tables: n.tables.Version()})
 		n.entry.LinkUp(l)
 	}
 }
@@ -39,12 +40,17 @@
 		l.Send(n.tables.Delta(m.Have))
 	case *contract.TablesDelta:
 		n.merge(m)
+	case *contract.StatusRequest, *contract.DrainRequest:
+		n.receiveAdmin(l, seq, m)
 	case *contract.Prepare, *contract.Accept, *contract.EditRequest, *contract.TablesRead:
 		n.forControl(l, seq, m)
 	case *contract.CreditAsk, *contract.CreditLend, *contract.WorkerSuspect:
 		if n.entry != nil {
 			n.entry.ReceivePeer(l.Remote().Host, m)
 		}
+
+	case *contract.LedgerAppend, *contract.LedgerRead, *contract.LedgerPull:
+		n.forLedger(l, seq, m)
 	default:
 		if n.fromAgent(l) {
 			n.entry.Receive(l, m)
@@ -92,6 +98,20 @@
 			l.Send(d)
 		}
 	}
+	n.tellAgents(v.Version)
+}
+
+// tellAgents sends the version in force to each agent: a busy link carries no
+// heartbeat by itself.
+func (n *Node) tellAgents(v contract.Version) {
+	if n.entry == nil {
+		return
+	}
+	for _, l := range n.entry.AgentLinks() {
+		if l != nil {
+			l.Send(&contract.Heartbeat{Tables: v})
+		}
+	}
 }
 
 // catchUpWait is how long a starting process waits between two quorum reads.
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,10 @@
 	entry   *entry.Entry
 	control *control.Control
 	store   *control.Store
+	history history
+	// stop begins the drain, as SIGTERM does.
+	stop   context.CancelFunc
+	ledger ledgerPart
 }
 
 // Run runs the process until ctx is done, then drains it.
@@ -48,14 +52,16 @@
 		},
 		Roles: set.Roles,
 	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	if set.Has(contract.RoleAgent) {
-		return runAgent(ctx, set, id, log)
+		return runAgent(ctx, stop, set, id, log)
 	}
-	n := &Node{set: set, identity: id, log: log, tables: tables.NewHolder(), peers: make(map[contract.HostID]*link.Dialer)}
+	n := &Node{set: set, identity: id, log: log, tables: tables.NewHolder(), peers: make(map[contract.HostID]*link.Dialer), stop: stop}
 	return n.run(ctx)
 }
 
-func runAgent(ctx context.Context, set settings.Settings, id host.Identity, log logr.Logger) error {
+func runAgent(ctx context.Context, stop context.CancelFunc, set settings.Settings, id host.Identity, log logr.Logger) error {
 	ln, err := net.Listen("tcp", set.HTTPAddr)
 	if err != nil {
 		return err
@@ -68,6 +74,7 @@
 		Entries:      set.Entries,
 		HTTPListener: ln,
 		Link:         link.Config{Idle: set.Heartbeat, Silence: set.Silence},
+		Stop:         stop,
 		Log:          log,
 	})
 	log.Info("agent started", "upstream", set.Upstream, "http", ln.Addr())
@@ -92,6 +99,10 @@
 	if n.store != nil {
 		defer n.store.Close()
 	}
+	if err := n.openLedger(); err != nil {
+		return err
+	}
+	defer n.closeLedger()
 	if n.set.Has(contract.RoleEntry) {
 		n.entry = entry.New(entry.Config{
 			Identity: n.identity,
@@ -99,11 +110,13 @@
 			NewScheduler: func(p contract.Pool) dispatch.Scheduler {
 				return dispatch.NewPool(dispatch.FromRow(p, n.identity.Place))
 			},
-			Tell: n.tell,
-			Log:  n.log,
+			Tell:     n.tell,
+			Outcomes: n.outcomes(),
+			Log:      n.log,
 		})
 	}
 	n.tables.Watch(n.tablesChanged)
+	n.tables.Watch(n.history.changed)
 	return n.serve(ctx)
 }
 
@@ -158,6 +171,7 @@
 		return err
 	}
 	g.Go(func() error { n.catchUp(linkCtx); return nil })
+	n.runLedger(linkCtx, g.Go)
 	n.log.Info("started", "link", linkLn.Addr(), "admin", adminLn.Addr(), "roles", n.set.Roles)
 	g.Go(func() error {
 		<-ctx.Done()
@@ -201,6 +215,7 @@
 		n.entry.Drain(ctx)
 		callers.Shutdown(ctx)
 	}
+	n.flushLedger()
 	admin.Shutdown(ctx)
 	n.log.Info("stopped")
 }
