Spend fewer messages on credits, and refuse what overload can't finish

Wants now shrink over the time in which the asker would serve them alone; an entry asks only where that is long, and not of peers whose own jobs come first; idle credits are lent in batches.

A failing worker cost 5.6% of jobs of the first 10 s: successes of tasks that were started before the fault cleared it. Slow workers take a task only where the queue would lose more.

--- a/contract/message_credit.go
+++ b/contract/message_credit.go
@@ -1,5 +1,7 @@
 package contract
 
+import "time"
+
 // The message kinds of slot credits.
 const (
 	KindCreditGrant   MessageKind = 60
@@ -39,6 +41,9 @@
 type CreditAsk struct {
 	Pool  string
 	Wants []CreditWant
+	// Life is how long the sender would take to serve the wants with what it
+	// has: they count for less as it passes.
+	Life time.Duration
 	// Worker and Incarnation, where set, name the one worker that credits are
 	// wanted for: its slots are gathered for a task that takes several.
 	Worker      HostID
@@ -63,8 +68,9 @@
 	// loan of quota under another digest is void.
 	Members uint64
 	Teams   []TeamSlots
-	// Wants are the lender's own, so that they need no message.
+	// Wants and Life are the lender's own, so that they need no message.
 	Wants []CreditWant
+	Life  time.Duration
 }
 
 // WorkerSuspect tells an entry's peers that a worker failed tasks.
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -10,11 +10,11 @@
 )
 
 const (
+	// admitFactor is by how much the time until its deadline must exceed what a
+	// job that has to wait is expected to take.
+	admitFactor = 1.5
 	// retryNoUpstream is how long a caller waits where the pool has no worker.
 	retryNoUpstream = 2 * time.Second
-	// overtake is how much longer than the work ahead of it a job waits on
-	// account of later jobs that come before it.
-	overtake = 1.25
 )
 
 // submit admits a job or refuses it at once.
@@ -52,6 +52,7 @@
 		return nil, err
 	}
 	p.fair.charge(p, j)
+	p.arrived.add(p.now, j.remaining)
 	return j, nil
 }
 
@@ -61,6 +62,7 @@
 		id:       s.Job,
 		team:     s.Team,
 		route:    s.Route,
+		admitted: p.now,
 		deadline: s.Deadline,
 		seq:      p.seq,
 		tasks:    make([]taskState, len(s.Demands)),
@@ -117,13 +119,13 @@
 	}
 	var ahead int64
 	p.eachQueue(func(q *jobQueue) { ahead += q.workBefore(j.key) })
-	if ahead == 0 {
+	if ahead == 0 && p.workers.free > 0 {
 		return nil
 	}
 	rate := p.rate()
-	wait := time.Duration(overtake * float64(ahead) / rate)
+	wait := p.arrived.wait(time.Duration(ahead), j.remaining, rate)
 	own := max(j.tasks[j.nextTask()].est, time.Duration(float64(j.remaining)/rate))
-	excess := p.now.Add(wait + own).Sub(j.deadline)
+	excess := p.now.Add(time.Duration(admitFactor * float64(wait+own))).Sub(j.deadline)
 	if excess <= 0 {
 		return nil
 	}
--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/host"
+)
+
+const (
+	benchSlots  = 8
+	benchTasks  = 100 // tasks of a queued job
+	benchMillis = 300
+)
+
+// BenchmarkDecision measures one task's life in a saturated pool: its job's
+// submission, its start and its end, with the number of tasks waiting.
+func BenchmarkDecision(b *testing.B) {
+	for _, workers := range []int{11, 110, 1_100, 7_000} {
+		for _, queued := range []int{1, 1_000, 100_000} {
+			b.Run(fmt.Sprintf("workers=%d/queued=%d", workers, queued), func(b *testing.B) {
+				benchDecision(b, workers, queued)
+			})
+		}
+	}
+}
+
+func benchDecision(b *testing.B, workers, queued int) {
+	caps := make([]contract.Capacity, workers)
+	for i := range caps {
+		caps[i] = contract.Capacity{Slots: benchSlots}
+	}
+	p := poolWith(Config{MaxQueue: 10 * (queued + workers*benchSlots)}, caps...)
+	now := testStart
+	running := make([]Place, 0, workers*benchSlots)
+	submit := func(n, tasks int) {
+		id := contract.JobID(fmt.Sprint("j", n))
+		ds := declared(tasks, benchMillis)
+		running = append(running, placesOf(p.Step(now, Submit{Job: id, Team: "t", Route: "r", Demands: ds}))...)
+	}
+	jobs := 0
+	for need := workers*benchSlots + queued; need > 0; need -= benchTasks {
+		submit(jobs, min(need, benchTasks))
+		jobs++
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := 0; n < b.N; n++ {
+		now = now.Add(time.Microsecond)
+		submit(jobs+n, 1)
+		i := n % len(running)
+		done := running[i]
+		out := p.Step(now, Finished{Task: done.Task, Worker: done.Worker, Elapsed: benchMillis * time.Millisecond})
+		for _, a := range out {
+			if pl, ok := a.(Place); ok {
+				running[i] = pl
+			}
+		}
+	}
+}
+
+// BenchmarkAdmission measures a refusal for want of time behind a long queue.
+func BenchmarkAdmission(b *testing.B) {
+	p := poolWith(Config{MaxQueue: 1_000_000}, contract.Capacity{Slots: benchSlots})
+	for n := range 1_000 {
+		p.Step(testStart, Submit{Job: contract.JobID(fmt.Sprint("j", n)), Demands: declared(benchTasks, benchMillis)})
+	}
+	late := Submit{Job: "late", Demands: declared(contract.MaxTasks, benchMillis), Deadline: testStart.Add(time.Minute)}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Step(testStart, late)
+	}
+}
+
+// BenchmarkWorkerChange measures a worker that leaves and comes back.
+func BenchmarkWorkerChange(b *testing.B) {
+	for _, workers := range []int{11, 110, 1_100, 7_000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			caps := make([]contract.Capacity, workers)
+			for i := range caps {
+				caps[i] = contract.Capacity{Slots: benchSlots}
+			}
+			p := poolWith(Config{}, caps...)
+			w := testWorker(workers/2, caps[0])
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Step(testStart, WorkerDown{Worker: host.Ref(w.Ref)})
+				p.Step(testStart, WorkerUp{Worker: w})
+				p.Step(testStart, CreditGranted{Worker: w.Ref, Epoch: 1, Slots: benchSlots})
+			}
+		})
+	}
+}
--- a/dispatch/credit.go
+++ b/dispatch/credit.go
@@ -11,17 +11,26 @@
 const (
 	// maxWants bounds the jobs that an ask names one by one.
 	maxWants = 8
-	// wantLife is how long a peer's wants count.
-	wantLife = time.Second
-	// askRenew is how long an ask stands before it is sent again.
-	askRenew = 900 * time.Millisecond
+	// maxLife bounds how long a peer's wants count.
+	maxLife = 3 * time.Second
+	// renewShare is the part of its life after which an ask is sent again.
+	renewShare = 0.5
+	// askWorth is the least time that the entry would take to serve its queue
+	// alone for it to ask, for each profile.
+	askWorth         = 600 * time.Millisecond
+	askWorthMessages = 1200 * time.Millisecond
 	// askGap is the least time between two asks for each profile.
 	askGap         = 2 * time.Millisecond
 	askGapMessages = 20 * time.Millisecond
 	// tradeMargin is by how much a peer's job must come before one's own for a
 	// credit to be lent, for each profile.
-	tradeMargin         = 20 * time.Millisecond
-	tradeMarginMessages = 500 * time.Millisecond
+	tradeMargin         = 2 * time.Second
+	tradeMarginMessages = 4 * time.Second
+	// lendBatch is how many idle credits are lent at once, and lendDelay how
+	// long the first waits for the others, for each profile.
+	lendBatch         = 8
+	lendDelay         = 30 * time.Millisecond
+	lendDelayMessages = 100 * time.Millisecond
 	// wantGrowth and wantStep say by how much want must grow, as a factor and
 	// in slots, for a new ask.
 	wantGrowth = 1.5
@@ -33,7 +42,36 @@
 	id     contract.HostID
 	wants  []contract.CreditWant
 	worker *worker // gathers slots for one task there; nil otherwise
-	expiry time.Time
+	at     time.Time
+	life   time.Duration
+	slots  int // wanted in all, less what was lent
+	asked  int // wanted in all at first
+}
+
+// want takes the peer's wants in place of those before.
+func (p *peer) want(now time.Time, wants []contract.CreditWant, life time.Duration) {
+	p.wants = slices.Clone(wants)
+	p.at = now
+	p.life = min(life, maxLife)
+	p.asked = 0
+	for _, w := range wants {
+		p.asked += w.Slots
+	}
+	p.slots = p.asked
+}
+
+// due reports whether the peer still lacks credits. It serves its wants itself
+// meanwhile, so that they shrink evenly over their life.
+func (p *peer) due(now time.Time) bool {
+	if len(p.wants) == 0 {
+		return false
+	}
+	served := float64(p.asked) * float64(now.Sub(p.at)) / (renewShare * float64(max(p.life, 1)))
+	if float64(p.slots) > served {
+		return true
+	}
+	p.wants = nil
+	return false
 }
 
 func (p *peer) key() int64 { return p.wants[0].Key }
@@ -43,6 +81,7 @@
 	at       time.Time
 	key      int64
 	slots    int
+	life     time.Duration
 	open     bool
 	reserved *worker
 	gather   contract.Demand
@@ -132,8 +171,7 @@
 	}
 	p.takeQuota(ev.Lend)
 	if q := p.peer(ev.From); q != nil && len(ev.Lend.Wants) > 0 {
-		q.wants = ev.Lend.Wants
-		q.expiry = p.now.Add(wantLife)
+		q.want(p.now, ev.Lend.Wants, ev.Lend.Life)
 	}
 }
 
@@ -143,12 +181,11 @@
 	if q == nil {
 		return
 	}
-	q.wants = slices.Clone(ev.Ask.Wants)
+	q.want(p.now, ev.Ask.Wants, ev.Ask.Life)
 	q.worker = nil
 	if ev.Ask.Worker != "" {
 		q.worker = p.workers.byRef[refOf(ev.Ask.Worker, ev.Ask.Incarnation)]
 	}
-	q.expiry = p.now.Add(wantLife)
 	if teams := p.lendQuota(ev.Ask.Teams); len(teams) > 0 {
 		p.tell(q.id, &contract.CreditLend{Pool: p.cfg.Name, Members: p.digest, Teams: teams})
 	}
@@ -158,11 +195,7 @@
 func (p *Pool) bestWant() *peer {
 	var best *peer
 	for _, q := range p.peers {
-		if len(q.wants) == 0 {
-			continue
-		}
-		if p.now.After(q.expiry) {
-			q.wants = nil
+		if !q.due(p.now) {
 			continue
 		}
 		if best == nil || q.key() < best.key() {
@@ -172,6 +205,28 @@
 	return best
 }
 
+// gathers reports whether idle credits wait for others to be lent together.
+func (p *Pool) gathers() bool {
+	if p.workers.free >= lendBatch {
+		p.idleSince = time.Time{}
+		return false
+	}
+	delay := lendDelay
+	if p.cfg.Profile == contract.ProfileMessages {
+		delay = lendDelayMessages
+	}
+	if p.idleSince.IsZero() {
+		p.idleSince = p.now
+	}
+	due := p.idleSince.Add(delay)
+	if p.now.Before(due) {
+		p.wake(due)
+		return true
+	}
+	p.idleSince = time.Time{}
+	return false
+}
+
 // lendOne moves one free slot to the peer, and reports false where there is
 // none that it can use.
 func (p *Pool) lendOne(r *round, to *peer) bool {
@@ -188,6 +243,7 @@
 	w.allot--
 	p.workers.attach(w)
 	p.addLoan(r, to, w)
+	to.slots--
 	to.wants[0].Slots--
 	if to.wants[0].Slots <= 0 {
 		to.wants = to.wants[1:]
@@ -218,22 +274,36 @@
 	if len(r.loans) == 0 {
 		return
 	}
-	wants, _ := p.wants()
+	var wants []contract.CreditWant
+	life := p.ownTime()
+	if life >= p.askWorth() {
+		wants = p.wants()
+	}
 	for _, q := range p.peers {
 		if l := r.loans[q]; l != nil {
 			l.Wants = wants
+			l.Life = life
 			p.tell(q.id, l)
 		}
 	}
 }
 
-// wants returns what this entry lacks, and the sum of it.
-func (p *Pool) wants() ([]contract.CreditWant, int) {
+// ownTime returns how long this entry would take to serve its queue with the
+// credits that it has.
+func (p *Pool) ownTime() time.Duration {
+	var queued int64
+	p.eachQueue(func(q *jobQueue) { queued += q.work() })
+	return time.Duration(queued / int64(max(1, p.workers.allot)))
+}
+
+// wants returns what this entry lacks, in equal parts for each peer.
+func (p *Pool) wants() []contract.CreditWant {
 	var out []contract.CreditWant
 	total := 0
 	add := func(j *jobState) bool {
 		n := len(j.queued) * j.demand(j.nextTask()).Slots
 		total += n
+		n = (n + len(p.peers) - 1) / len(p.peers)
 		if len(out) < maxWants {
 			out = append(out, contract.CreditWant{Key: j.key, Slots: n})
 			return true
@@ -256,7 +326,7 @@
 		}
 		return 0
 	})
-	return out, total
+	return out
 }
 
 // maybeAsk asks the peers for credits where work waits for slots, unless what
@@ -266,6 +336,10 @@
 		p.ask.open = false
 		return
 	}
+	life := p.ownTime()
+	if life < p.askWorth() {
+		return
+	}
 	key, slots := p.unmet()
 	if p.ask.open && !p.asksMore(key, slots) {
 		return
@@ -274,11 +348,23 @@
 		p.wake(next)
 		return
 	}
-	p.sendAsk(key, slots)
+	p.sendAsk(key, slots, life)
+}
+
+func (p *Pool) askWorth() time.Duration {
+	if p.cfg.Profile == contract.ProfileMessages {
+		return askWorthMessages
+	}
+	return askWorth
+}
+
+// renewAt returns when the ask has lost its force.
+func (a *askState) renewAt() time.Time {
+	return a.at.Add(time.Duration(renewShare * float64(min(a.life, maxLife))))
 }
 
 func (p *Pool) asksMore(key int64, slots int) bool {
-	if p.now.Sub(p.ask.at) >= askRenew {
+	if !p.now.Before(p.ask.renewAt()) {
 		return true
 	}
 	return key < p.ask.key-p.margin() || float64(slots) > wantGrowth*float64(max(0, p.ask.slots))+wantStep
@@ -298,9 +384,8 @@
 	return first.key, p.waiting
 }
 
-func (p *Pool) sendAsk(key int64, slots int) {
-	wants, _ := p.wants()
-	ask := &contract.CreditAsk{Pool: p.cfg.Name, Wants: wants, Teams: p.teamWants()}
+func (p *Pool) sendAsk(key int64, slots int, life time.Duration) {
+	ask := &contract.CreditAsk{Pool: p.cfg.Name, Wants: p.wants(), Life: life, Teams: p.teamWants()}
 	if w := p.ask.reserved; w != nil {
 		ask.Worker = w.Host
 		ask.Incarnation = w.Incarnation
@@ -312,10 +397,19 @@
 	p.ask.key = key
 	p.ask.slots = slots
 	p.ask.open = true
-	p.wake(p.now.Add(askRenew))
-	p.tellPeers(ask)
+	p.ask.life = life
+	p.wake(p.ask.renewAt())
+	for _, q := range p.peers {
+		if !p.inVain(q, key) {
+			p.tell(q.id, ask)
+		}
+	}
 }
 
+// inVain reports whether the peer is known to want credits for jobs that come
+// before key, so that it has none to lend.
+func (p *Pool) inVain(q *peer, key int64) bool { return q.due(p.now) && q.key() <= key }
+
 func (p *Pool) tellPeers(m contract.Message) {
 	for _, q := range p.peers {
 		p.tell(q.id, m)
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -23,7 +23,10 @@
 type health struct {
 	state  healthState
 	streak int // failures in a row
-	until  time.Time
+	// failedAt is when the streak began: a success of a task that was started
+	// before says nothing.
+	failedAt time.Time
+	until    time.Time
 	// backoff is how long the last ejection lasts.
 	backoff time.Duration
 	ratio   average // logarithm of actual over expected run time
@@ -69,20 +72,25 @@
 	return int(math.Ceil(math.Log(chanceOfEjection) / math.Log(rate)))
 }
 
-// judge takes one result of w.
-func (p *Pool) judge(w *worker, j *jobState, failed bool) {
+// judge takes one result of w, of a task that was placed at the given time.
+func (p *Pool) judge(w *worker, j *jobState, placed time.Time, failed bool) {
 	x := 0.0
 	if failed {
 		x = 1
 	}
 	p.failureRate += failureWeight * (x - p.failureRate)
 	if !failed {
-		p.recover(w)
+		if placed.After(w.health.failedAt) {
+			p.recover(w)
+		}
 		return
 	}
 	if !p.blames(w, j) {
 		return
 	}
+	if w.health.streak == 0 {
+		w.health.failedAt = p.now
+	}
 	w.health.streak++
 	limit := streakLimit(p.failureRate)
 	switch {
@@ -173,6 +181,9 @@
 	p.workers.detach(w)
 	defer p.workers.attach(w)
 	h := &w.health
+	if h.streak == 0 {
+		h.failedAt = p.now
+	}
 	switch {
 	case s.Failures <= 0:
 		if h.state == ejected {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -19,6 +19,8 @@
 	reserved *worker
 	gather   contract.Demand
 	loans    map[*peer]*contract.CreditLend
+	// spent says that no free slot is left that a peer can use.
+	spent bool
 }
 
 func (r *round) skips(j *jobState) bool {
@@ -35,11 +37,11 @@
 	var r round
 	for p.workers.free > 0 && len(r.blocked) < maxBlocked {
 		j := p.next(&r)
-		if want := p.bestWant(); want != nil && (j == nil || want.key()+p.margin() < j.key) {
-			if p.lendOne(&r, want) {
-				continue
+		if want := p.rival(&r, j); want != nil {
+			if j == nil && len(r.loans) == 0 && p.gathers() {
+				break
 			}
-			want.wants = nil
+			r.spent = !p.lendOne(&r, want)
 			continue
 		}
 		if j == nil {
@@ -89,10 +91,10 @@
 		return
 	}
 	p.dequeue(j)
-	for len(j.queued) > 0 && p.workers.free > 0 && p.hasQuota(j) && !p.outbid(j) {
+	for len(j.queued) > 0 && p.workers.free > 0 && p.hasQuota(j) && p.rival(r, j) == nil {
 		d := j.demand(j.nextTask())
 		w := p.workers.pick(d, r.reserved)
-		if w == nil {
+		if w == nil || w.tier == tierSlow && !p.worthSlow(w, j) {
 			r.blocked = append(r.blocked, j)
 			p.reserve(r, d)
 			break
@@ -107,9 +109,28 @@
 	return q == nil || q.idle() >= j.demand(j.nextTask()).Slots
 }
 
-func (p *Pool) outbid(j *jobState) bool {
+// rival returns the peer that wants credits for jobs that come before j, or
+// nil. A nil j stands for no job.
+func (p *Pool) rival(r *round, j *jobState) *peer {
+	if r.spent {
+		return nil
+	}
 	want := p.bestWant()
-	return want != nil && want.key()+p.margin() < j.key
+	if want == nil || j != nil && want.key()+p.margin() >= j.key {
+		return nil
+	}
+	return want
+}
+
+// worthSlow reports whether the job's next task should start on a slow worker:
+// it meets its deadline there, and what it loses is less than the queue takes.
+func (p *Pool) worthSlow(w *worker, j *jobState) bool {
+	est := j.tasks[j.nextTask()].est
+	slowed := time.Duration(float64(est) * math.Exp(w.health.ratio.mean-p.speed.mean))
+	if !j.deadline.IsZero() && p.now.Add(slowed).After(j.deadline) {
+		return false
+	}
+	return slowed-est < p.ownTime()
 }
 
 func (p *Pool) start(j *jobState, w *worker) {
@@ -121,6 +142,7 @@
 	j.started = true
 	p.waiting--
 	t.worker = w
+	t.placed = p.now
 	w.take(t.demand, 1)
 	if q := p.byTeam[j.team]; q != nil {
 		q.used += t.demand.Slots
@@ -150,17 +172,17 @@
 	r.gather = d
 }
 
-// lateShare is the part of a job's expected time that must be left before its
-// deadline for it to be started.
-const lateShare = 0.5
+// lateFactor is by how much the time left until the deadline must exceed what a
+// job that has waited would take with all slots of the pool.
+const lateFactor = 1.5
 
 // late reports whether a job that has not started can't be done any more.
 func (p *Pool) late(j *jobState) bool {
-	if j.started || j.deadline.IsZero() {
+	if j.started || j.deadline.IsZero() || p.now.Equal(j.admitted) {
 		return false
 	}
-	least := time.Duration(lateShare * float64(j.tasks[j.nextTask()].est))
-	return p.now.Add(least).After(j.deadline)
+	alone := max(j.tasks[j.nextTask()].est, time.Duration(float64(j.remaining)/float64(p.totalSlots())))
+	return p.now.Add(time.Duration(lateFactor * float64(alone))).After(j.deadline)
 }
 
 func (p *Pool) refuseLate(j *jobState) {
@@ -169,17 +191,26 @@
 	p.drop(j)
 }
 
-// rate returns how many slots this entry can expect to work on its queue.
+// rate returns how many slots this entry can expect to work on its queue: it
+// shares the pool with the peers that want credits now.
 func (p *Pool) rate() float64 {
-	rate := max(p.drain.rate, float64(p.workers.allot))
-	if rate > 0 {
-		return rate
+	sharers := 1
+	for _, q := range p.peers {
+		if q.due(p.now) {
+			sharers++
+		}
 	}
+	share := float64(p.totalSlots()) / float64(sharers)
+	return max(p.drain.rate, float64(p.workers.allot), share)
+}
+
+// totalSlots returns the slots of all linked workers.
+func (p *Pool) totalSlots() int {
 	total := 0
 	for _, g := range p.workers.groups {
 		total += g.linked * g.capacity.Slots
 	}
-	return math.Max(1, float64(total)/float64(len(p.peers)+1))
+	return max(1, total)
 }
 
 // minRetryAfter is the least time that a refused caller is told to wait.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -75,10 +75,14 @@
 	digest  uint64
 	waiting int // queued tasks
 	fair    fairShare
+	arrived arrivals
 
 	self  contract.HostID
 	peers []*peer
 	ask   askState
+	// idleSince is when the first of the idle credits that wait to be lent
+	// became idle; zero if none.
+	idleSince time.Time
 
 	times       estimator
 	speed       average
@@ -94,6 +98,7 @@
 	id       contract.JobID
 	team     string
 	route    string
+	admitted time.Time
 	deadline time.Time
 	seq      uint64
 	base     int64 // the key's part that doesn't change, in nanoseconds
@@ -120,6 +125,7 @@
 	demand contract.Demand
 	est    time.Duration
 	worker *worker // where it is placed; nil otherwise
+	placed time.Time
 }
 
 func (t *taskState) work() time.Duration { return t.est * time.Duration(t.demand.Slots) }
@@ -311,7 +317,7 @@
 	j.remaining -= t.work()
 	if ev.Elapsed > 0 {
 		p.drain.add(p.now, ev.Elapsed*time.Duration(t.demand.Slots))
-		p.judge(w, j, ev.Failed)
+		p.judge(w, j, t.placed, ev.Failed)
 		if !ev.Failed {
 			p.measure(w, t.est, ev.Elapsed)
 			p.times.learn(j.team, j.route, t.demand, ev.Elapsed)
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -219,9 +219,10 @@
 	return nil
 }
 
-// pickLoan returns a worker with a free slot to lend, farthest first.
+// pickLoan returns a worker with a free slot to lend, farthest first, and none
+// that is slow or on trial.
 func (s *workerSet) pickLoan() *worker {
-	for t := int(tierSlow); t >= 0; t-- {
+	for t := int(tierSlow) - 1; t >= 0; t-- {
 		for _, g := range s.groups {
 			if h := g.tiers[t]; len(h) > 0 && h[0].free > 0 {
 				return h[0]
--- a/internal/loadlab/bench/main.go
+++ b/internal/loadlab/bench/main.go
@@ -22,6 +22,10 @@
 	span  time.Duration
 	seeds int
 	plot  string
+	// load, policy and fault pick some of the runs; zero or empty means all.
+	load   float64
+	policy string
+	fault  string
 }
 
 func main() {
@@ -29,6 +33,9 @@
 	flag.DurationVar(&o.span, "span", 60*time.Second, "how long jobs arrive in each run")
 	flag.IntVar(&o.seeds, "seeds", 3, "number of seeds, from 1")
 	flag.StringVar(&o.plot, "plot", "", "file for the plot, PNG or SVG; none where empty")
+	flag.Float64Var(&o.load, "load", 0, "only this load without faults")
+	flag.StringVar(&o.policy, "policy", "", "only this policy")
+	flag.StringVar(&o.fault, "fault", "", "only this fault")
 	flag.Parse()
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -59,6 +66,9 @@
 		tw := newTable()
 		for _, load := range loads {
 			for _, p := range loadlab.Policies {
+				if o.load != 0 && o.load != load || o.policy != "" && o.policy != p.Name || o.fault != "" {
+					continue
+				}
 				r := loadlab.Run(o.config(site, p, load, loadlab.FaultNone), o.seedList())
 				results = append(results, r)
 				row(tw, r)
@@ -78,6 +88,9 @@
 	tw := newTable()
 	for _, f := range loadlab.Faults {
 		for _, p := range []loadlab.Policy{loadlab.Credits, loadlab.CreditsMessages} {
+			if o.fault != "" && o.fault != string(f) || o.policy != "" && o.policy != p.Name || o.load != 0 {
+				continue
+			}
 			row(tw, loadlab.Run(o.config(site, p, faultLoad, f), o.seedList()))
 		}
 	}
@@ -86,17 +99,17 @@
 
 func newTable() *tabwriter.Writer {
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "load\tpolicy\tfault\tjobs\tmean ms\tover floor\tp99 ms\tover floor\tgoodput\trefused\texpired\tfailed\tearly\tlater\trefusal p99\twaited at worker\twasted\tloans\t")
+	fmt.Fprintln(tw, "load\tpolicy\tfault\tjobs\tmean ms\tover floor\tp99 ms\tover floor\tgoodput\trefused\tgiven up\texpired\tfailed\tearly\tlater\twaited at worker\twasted\tvain asks\tidle loans\tasks\tloans\t")
 	return tw
 }
 
 func row(tw *tabwriter.Writer, r loadlab.Result) {
 	c := r.Counts
-	fmt.Fprintf(tw, "%.2f\t%s\t%s\t%d\t%.0f\t%+.1f%%\t%.0f\t%+.1f%%\t%.3f\t%d\t%d\t%d\t%.1f%%\t%.1f%%\t%.1f\t%.3f\t%.3f\t%.3f\t\n",
+	fmt.Fprintf(tw, "%.2f\t%s\t%s\t%d\t%.0f\t%+.1f%%\t%.0f\t%+.1f%%\t%.3f\t%d\t%d\t%d\t%d\t%.1f%%\t%.1f%%\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n",
 		r.Config.Load, r.Config.Policy.Name, r.Config.Fault, r.Jobs,
 		millis(r.Mean), 100*r.MeanOver(), millis(r.P99), 100*r.P99Over(),
-		r.Goodput, r.Refused, r.Expired, r.Failed, 100*r.EarlyFailed, 100*r.LateFailed,
-		millis(r.RefusalP99), float64(c.Queued)/float64(max(1, c.Starts)), r.WastedPerAnswer(), r.LoansPerAnswer())
+		r.Goodput, r.Refused, r.GivenUp, r.Expired, r.Failed, 100*r.EarlyFailed, 100*r.LateFailed,
+		float64(c.Queued)/float64(max(1, c.Starts)), r.WastedPerAnswer(), float64(c.VainAsks)/float64(max(1, c.Useful)), float64(c.IdleLoans)/float64(max(1, c.Useful)), r.AsksPerAnswer(), r.LoansPerAnswer())
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/loadlab/hosts.go
+++ b/internal/loadlab/hosts.go
@@ -18,6 +18,15 @@
 	}
 }
 
+// borrow takes a loan. It is idle where no start follows from it at once.
+func (e *simEntry) borrow(ev dispatch.CreditLent) {
+	starts := e.lab.count.Starts
+	e.step(ev)
+	if len(ev.Lend.Credits) > 0 && e.lab.count.Starts == starts {
+		e.lab.count.IdleLoans++
+	}
+}
+
 func (e *simEntry) perform(a dispatch.Action) {
 	switch a := a.(type) {
 	case dispatch.Place:
@@ -48,19 +57,25 @@
 func (e *simEntry) tell(t dispatch.Tell) {
 	l := e.lab
 	to := l.byHost[t.To]
-	var ev dispatch.Event
+	var deliver func()
 	switch m := t.Message.(type) {
 	case *contract.CreditAsk:
 		l.count.Asks++
-		ev = dispatch.CreditAsked{From: e.id, Ask: m}
+		asked := pair{e.id, to.id}
+		if done, before := l.answered[asked]; before && !done {
+			l.count.VainAsks++
+		}
+		l.answered[asked] = false
+		deliver = func() { to.step(dispatch.CreditAsked{From: e.id, Ask: m}) }
 	case *contract.CreditLend:
 		l.count.Loans++
-		ev = dispatch.CreditLent{From: e.id, Lend: m}
+		l.answered[pair{to.id, e.id}] = true
+		deliver = func() { to.borrow(dispatch.CreditLent{From: e.id, Lend: m}) }
 	case *contract.WorkerSuspect:
 		l.count.Suspects++
-		ev = dispatch.WorkerSuspected{Suspect: m}
+		deliver = func() { to.step(dispatch.WorkerSuspected{Suspect: m}) }
 	}
-	l.after(l.latency(e.domain, to.domain), func() { to.step(ev) })
+	l.after(l.latency(e.domain, to.domain), deliver)
 }
 
 // take queues a start at the agent, and runs it once a slot is free.
--- a/internal/loadlab/lab.go
+++ b/internal/loadlab/lab.go
@@ -69,8 +69,14 @@
 	runs    map[contract.JobID]*jobRun
 	faultAt time.Duration
 	count   Counts
+	// answered says of each pair of entries whether the last ask of the first
+	// has had a loan of the second.
+	answered map[pair]bool
 }
 
+// pair is a sender and a receiver.
+type pair struct{ from, to contract.HostID }
+
 // jobRun is one job in progress or ended.
 type jobRun struct {
 	*simJob
@@ -137,6 +143,8 @@
 		byHost:  make(map[contract.HostID]*simEntry),
 		runs:    make(map[contract.JobID]*jobRun),
 		faultAt: cfg.Span / 2,
+
+		answered: make(map[pair]bool),
 	}
 	for i := range cfg.Site.Entries {
 		e := &simEntry{lab: l, id: contract.HostID(fmt.Sprintf("entry%d", i)), domain: i % cfg.Site.Domains}
--- a/internal/loadlab/result.go
+++ b/internal/loadlab/result.go
@@ -17,16 +17,22 @@
 	Late  int
 	Stray int
 	// Asks, Loans, Grants and Suspects are the messages of credits.
-	Asks     int
-	Loans    int
-	Grants   int
-	Suspects int
-	Cancels  int
+	// VainAsks are asks that no loan followed, IdleLoans are loans that no
+	// start followed at once.
+	Asks      int
+	VainAsks  int
+	Loans     int
+	IdleLoans int
+	Grants    int
+	Suspects  int
+	Cancels   int
 }
 
 // Wasted returns the messages that produced no useful answer: all but starts,
-// useful results, and the loans that starts were made on.
-func (c Counts) Wasted() int { return c.Late + c.Asks + c.Grants + c.Suspects + c.Cancels }
+// useful results, loans that starts were made on, and asks for such loans.
+func (c Counts) Wasted() int {
+	return c.Late + c.VainAsks + c.IdleLoans + c.Grants + c.Suspects + c.Cancels
+}
 
 // Result is what a run measured.
 type Result struct {
@@ -34,9 +40,11 @@
 	// Jobs are the jobs counted; those of Warmup are not.
 	Jobs     int
 	Complete int
-	Refused  int
-	Failed   int
-	Expired  int
+	// Refused were refused on their arrival, GivenUp later.
+	Refused int
+	GivenUp int
+	Failed  int
+	Expired int
 	// Mean and P99 are of complete jobs' response times; the floor's are of
 	// the same jobs.
 	Mean, P99           time.Duration
@@ -48,9 +56,7 @@
 	// EarlyFailed and LateFailed are the shares of jobs that the failing
 	// worker cost, of those that arrived in the 10 s after the fault and later.
 	EarlyFailed, LateFailed float64
-	// RefusalP99 is how long after its arrival a refused job was refused.
-	RefusalP99 time.Duration
-	Counts     Counts
+	Counts                  Counts
 }
 
 // earlySpan is how long after a fault its cost is counted as early.
@@ -62,6 +68,9 @@
 // LoansPerAnswer returns loans per useful result.
 func (r Result) LoansPerAnswer() float64 { return ratio(r.Counts.Loans, r.Counts.Useful) }
 
+// AsksPerAnswer returns asks per useful result.
+func (r Result) AsksPerAnswer() float64 { return ratio(r.Counts.Asks, r.Counts.Useful) }
+
 func ratio(a, b int) float64 {
 	if b == 0 {
 		return 0
@@ -97,13 +106,14 @@
 
 // samples adds up runs.
 type samples struct {
-	response, floor, refusal []time.Duration
-	failed, expired          int
-	jobs                     int
-	work                     time.Duration
-	early, earlyBad          int
-	later, laterBad          int
-	counts                   Counts
+	response, floor  []time.Duration
+	refused, givenUp int
+	failed, expired  int
+	jobs             int
+	work             time.Duration
+	early, earlyBad  int
+	later, laterBad  int
+	counts           Counts
 }
 
 func (s *samples) add(l *lab, jobs []*simJob, floor map[*simJob]time.Duration) {
@@ -124,7 +134,10 @@
 			s.response = append(s.response, r.finish-j.at)
 			s.floor = append(s.floor, floor[j])
 		case r.refused:
-			s.refusal = append(s.refusal, r.finish-j.at)
+			s.refused++
+			if r.finish > j.at {
+				s.givenUp++
+			}
 		case r.failed:
 			s.failed++
 		case !r.lost:
@@ -152,7 +165,7 @@
 	return Counts{
 		Starts: c.Starts + o.Starts, Useful: c.Useful + o.Useful, Queued: c.Queued + o.Queued,
 		Late: c.Late + o.Late, Stray: c.Stray + o.Stray, Asks: c.Asks + o.Asks, Loans: c.Loans + o.Loans,
-		Grants: c.Grants + o.Grants, Suspects: c.Suspects + o.Suspects, Cancels: c.Cancels + o.Cancels,
+		VainAsks: c.VainAsks + o.VainAsks, IdleLoans: c.IdleLoans + o.IdleLoans, Grants: c.Grants + o.Grants, Suspects: c.Suspects + o.Suspects, Cancels: c.Cancels + o.Cancels,
 	}
 }
 
@@ -163,7 +176,8 @@
 		Config:      cfg,
 		Jobs:        s.jobs,
 		Complete:    len(s.response),
-		Refused:     len(s.refusal),
+		Refused:     s.refused - s.givenUp,
+		GivenUp:     s.givenUp,
 		Failed:      s.failed,
 		Expired:     s.expired,
 		Mean:        mean(s.response),
@@ -174,7 +188,6 @@
 		Goodput:     s.work.Seconds() / (slots * span),
 		EarlyFailed: ratio(s.earlyBad, s.early),
 		LateFailed:  ratio(s.laterBad, s.later),
-		RefusalP99:  quantile(s.refusal, 0.99),
 		Counts:      s.counts,
 	}
 }
