Ask for credits also where the queue is short but nothing starts

It now asks at once where it has no credit, and where nothing has started for as long as asking is worth otherwise.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -19,9 +19,14 @@
 
 // submit admits a job or refuses it at once.
 func (p *Pool) submit(s Submit) {
-	if _, known := p.jobs[s.Job]; known || len(s.Demands) == 0 {
+	old := p.jobs[s.Job]
+	if old != nil && !old.closed || len(s.Demands) == 0 {
 		return
 	}
+	if old != nil {
+		p.former[s.Job] = append(p.former[s.Job], old)
+		delete(p.jobs, s.Job)
+	}
 	j, err := p.admit(s)
 	if err != nil {
 		p.out = append(p.out, Refuse{Job: s.Job, Err: err})
--- a/dispatch/credit.go
+++ b/dispatch/credit.go
@@ -79,6 +79,7 @@
 // askState is what this entry asked of its peers last.
 type askState struct {
 	at       time.Time
+	since    time.Time // since when work has been waiting without a start
 	key      int64
 	slots    int
 	life     time.Duration
@@ -334,10 +335,14 @@
 func (p *Pool) maybeAsk() {
 	if p.waiting == 0 || len(p.peers) == 0 {
 		p.ask.open = false
+		p.ask.since = time.Time{}
 		return
 	}
-	life := p.ownTime()
-	if life < p.askWorth() {
+	if p.ask.since.IsZero() {
+		p.ask.since = p.now
+	}
+	life, due := p.askDue()
+	if !due {
 		return
 	}
 	key, slots := p.unmet()
@@ -351,6 +356,22 @@
 	p.sendAsk(key, slots, life)
 }
 
+// askDue reports whether to ask, with the life of the wants: where the queue
+// would take long, where nothing has started for long, and where there is no credit.
+func (p *Pool) askDue() (time.Duration, bool) {
+	worth := p.askWorth()
+	life := p.ownTime()
+	if life >= worth {
+		return life, true
+	}
+	stuck := p.ask.since.Add(worth)
+	if p.workers.allot > 0 && p.now.Before(stuck) {
+		p.wake(stuck)
+		return 0, false
+	}
+	return worth, true
+}
+
 func (p *Pool) askWorth() time.Duration {
 	if p.cfg.Profile == contract.ProfileMessages {
 		return askWorthMessages
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -143,6 +143,7 @@
 	p.waiting--
 	t.worker = w
 	t.placed = p.now
+	p.ask.since = p.now
 	w.take(t.demand, 1)
 	if q := p.byTeam[j.team]; q != nil {
 		q.used += t.demand.Slots
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -66,7 +66,10 @@
 	ejected []*worker
 	held    []*worker
 
-	jobs    map[contract.JobID]*jobState
+	jobs map[contract.JobID]*jobState
+	// former are withdrawn jobs that were submitted again while some of their
+	// tasks were placed.
+	former  map[contract.JobID][]*jobState
 	seq     uint64
 	queue   jobQueue // jobs of teams without a quota
 	quotas  []*teamQuota
@@ -143,6 +146,7 @@
 		cfg:     cfg,
 		workers: workerSet{byRef: make(map[host.Ref]*worker)},
 		jobs:    make(map[contract.JobID]*jobState),
+		former:  make(map[contract.JobID][]*jobState),
 		times:   newEstimator(),
 		fair:    newFairShare(),
 	}
@@ -288,8 +292,21 @@
 		return
 	}
 	if j.open == 0 {
+		p.forgetJob(j)
+	}
+}
+
+func (p *Pool) forgetJob(j *jobState) {
+	if p.jobs[j.id] == j {
 		delete(p.jobs, j.id)
+		return
+	}
+	rest := slices.DeleteFunc(p.former[j.id], func(f *jobState) bool { return f == j })
+	if len(rest) == 0 {
+		delete(p.former, j.id)
+		return
 	}
+	p.former[j.id] = rest
 }
 
 // key returns the job's place in the order; lower is served first. It changes
@@ -330,15 +347,27 @@
 
 // placed returns the task where it is placed at the worker.
 func (p *Pool) placed(id contract.TaskID, ref host.Ref) (*jobState, *taskState) {
-	j := p.jobs[id.Job]
-	if j == nil || int(id.Index) >= len(j.tasks) {
-		return nil, nil
+	if t := p.jobs[id.Job].placedAt(id.Index, ref); t != nil {
+		return p.jobs[id.Job], t
+	}
+	for _, j := range p.former[id.Job] {
+		if t := j.placedAt(id.Index, ref); t != nil {
+			return j, t
+		}
+	}
+	return nil, nil
+}
+
+// placedAt returns the job's task where it is placed at the worker.
+func (j *jobState) placedAt(index uint32, ref host.Ref) *taskState {
+	if j == nil || int(index) >= len(j.tasks) {
+		return nil
 	}
-	t := &j.tasks[id.Index]
+	t := &j.tasks[index]
 	if t.worker == nil || t.worker.Ref != ref {
-		return nil, nil
+		return nil
 	}
-	return j, t
+	return t
 }
 
 // release gives back what a placed task takes; its worker is detached.
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -429,3 +429,83 @@
 		})
 	})
 }
+
+// TestWithdrawnJobIsTakenAgain submits a job anew while a task of its first
+// submission runs: the second is placed, and the first still gives its slot
+// back.
+func TestWithdrawnJobIsTakenAgain(t *testing.T) {
+	p := poolWith(Config{}, contract.Capacity{Slots: 1}, contract.Capacity{Slots: 1})
+	s := Submit{Job: "j", Demands: declared(1, 100)}
+	first := placesOf(p.Step(testStart, s))
+	p.Step(testStart, Withdraw{Job: "j"})
+	second := placesOf(p.Step(testStart, s))
+	must.Len(t, 1, second)
+	must.NotEq(t, first[0].Worker, second[0].Worker)
+	p.Step(testStart, Finished{Task: first[0].Task, Worker: first[0].Worker})
+	must.Eq(t, 1, p.workers.free)
+	p.Step(testStart, Finished{Task: second[0].Task, Worker: second[0].Worker})
+	must.Eq(t, 2, p.workers.free)
+	must.MapEmpty(t, p.jobs)
+	must.MapEmpty(t, p.former)
+}
+
+// asksOf returns the asks among the actions.
+func asksOf(actions []Action) []*contract.CreditAsk {
+	var out []*contract.CreditAsk
+	for _, a := range actions {
+		if t, ok := a.(Tell); ok {
+			if ask, ok := t.Message.(*contract.CreditAsk); ok {
+				out = append(out, ask)
+			}
+		}
+	}
+	return out
+}
+
+// TestAsksForShortWorkWithoutCredits holds that little work is no reason not
+// to ask where the entry cannot start it itself.
+func TestAsksForShortWorkWithoutCredits(t *testing.T) {
+	w := testWorker(0, contract.Capacity{Slots: 8})
+	newPool := func(granted int) *Pool {
+		p := NewPool(Config{})
+		p.Step(testStart, Peers{Self: "a", Peers: []contract.HostID{"b"}})
+		p.Step(testStart, WorkerUp{Worker: w})
+		p.Step(testStart, CreditGranted{Worker: w.Ref, Epoch: 1, Slots: granted})
+		return p
+	}
+	t.Run("no credit at all", func(t *testing.T) {
+		out := newPool(0).Step(testStart, Submit{Job: "j", Demands: declared(1, 1)})
+		must.Len(t, 1, asksOf(out))
+	})
+	t.Run("its credit is busy for long", func(t *testing.T) {
+		p := newPool(1)
+		p.Step(testStart, Submit{Job: "long", Demands: declared(1, 5000)})
+		out := p.Step(testStart, Submit{Job: "j", Demands: declared(1, 1)})
+		must.SliceEmpty(t, asksOf(out))
+		out = p.Step(testStart.Add(askWorth), Tick{})
+		must.Len(t, 1, asksOf(out))
+	})
+}
+
+// TestOneTeamsFloodLeavesOthersTheirShare submits one team's jobs in a row, and
+// then one job of another team.
+func TestOneTeamsFloodLeavesOthersTheirShare(t *testing.T) {
+	const flood = 50
+	p := poolWith(Config{}, contract.Capacity{Slots: 1})
+	for n := range flood {
+		p.Step(testStart, Submit{Job: contract.JobID(fmt.Sprint("flood", n)), Team: "a", Demands: declared(1, 500)})
+	}
+	p.Step(testStart, Submit{Job: "other", Team: "b", Demands: declared(1, 500)})
+	ref := testWorker(0, contract.Capacity{}).Ref
+	running := contract.TaskID{Job: "flood0"}
+	now := testStart
+	before := 0
+	for running.Job != "other" {
+		now = now.Add(500 * time.Millisecond)
+		out := placesOf(p.Step(now, Finished{Task: running, Worker: ref, Elapsed: 500 * time.Millisecond}))
+		must.Len(t, 1, out)
+		running = out[0].Task
+		before++
+	}
+	must.LessEq(t, 3, before)
+}
--- a/dispatch/quota.go
+++ b/dispatch/quota.go
@@ -95,14 +95,23 @@
 		q.used = 0
 	}
 	for _, j := range p.jobs {
-		q := p.byTeam[j.team]
-		if q == nil {
-			continue
+		p.countUse(j)
+	}
+	for _, former := range p.former {
+		for _, j := range former {
+			p.countUse(j)
 		}
-		for i := range j.tasks {
-			if j.tasks[i].worker != nil {
-				q.used += j.tasks[i].demand.Slots
-			}
+	}
+}
+
+func (p *Pool) countUse(j *jobState) {
+	q := p.byTeam[j.team]
+	if q == nil {
+		return
+	}
+	for i := range j.tasks {
+		if j.tasks[i].worker != nil {
+			q.used += j.tasks[i].demand.Slots
 		}
 	}
 }
--- a/entry/credit.go
+++ b/entry/credit.go
@@ -24,10 +24,12 @@
 }
 
 // granted passes a worker's grant on to its pool, and keeps it for a pool that
-// the tables don't name yet.
+// the tables don't name yet, or a worker whose announcement is yet to come.
 func (e *Entry) granted(ref host.Ref, m *contract.CreditGrant) {
 	e.credits.mu.Lock()
-	e.credits.grants[grantKey{ref, m.Pool}] = *m
+	if key := (grantKey{ref, m.Pool}); e.credits.grants[key].Epoch <= m.Epoch {
+		e.credits.grants[key] = *m
+	}
 	e.credits.mu.Unlock()
 	if p := e.pool(m.Pool); p != nil {
 		e.step(p, dispatch.CreditGranted{Worker: ref, Epoch: m.Epoch, Slots: m.Slots})
@@ -43,7 +45,7 @@
 	}
 }
 
-// replayGrant gives a new pool the worker's grant.
+// replayGrant gives the pool the grant that the worker sent before.
 func (e *Entry) replayGrant(p *pool, ref host.Ref) {
 	e.credits.mu.Lock()
 	g, ok := e.credits.grants[grantKey{ref, p.name}]
@@ -101,8 +103,8 @@
 	}
 }
 
-// tell sends a scheduler's message to a peer.
-func (e *Entry) tell(t dispatch.Tell) {
+// tellPeer sends a scheduler's message to a peer.
+func (e *Entry) tellPeer(t dispatch.Tell) {
 	if e.cfg.Tell == nil {
 		return
 	}
--- a/entry/pools.go
+++ b/entry/pools.go
@@ -99,6 +99,7 @@
 			events = append(events, e.perform(p, a)...)
 		}
 	}
+	e.flushPlans()
 }
 
 func (e *Entry) perform(p *pool, a dispatch.Action) []dispatch.Event {
@@ -110,7 +111,7 @@
 			act.refuse(a.Err)
 		}
 	case dispatch.Tell:
-		e.tell(a)
+		e.tellPeer(a)
 	case dispatch.Wake:
 		e.wakeLater(p, a.At)
 	}
--- a/node/credit.go
+++ b/node/credit.go
@@ -10,7 +10,7 @@
 
 // tell sends a message to a peer; where no link is up it is lost.
 func (n *Node) tell(to contract.HostID, m contract.Message) {
-	d := n.peers[to]
+	d := n.peers.get(to)
 	if d == nil {
 		return
 	}
@@ -25,7 +25,7 @@
 		return
 	}
 	var peers []contract.HostID
-	for id, d := range n.peers {
+	for id, d := range n.peers.all() {
 		p := d.Link()
 		if id != n.set.ID && p != nil && p.Err() == nil && host.FromHello(p.Remote()).Has(contract.RoleEntry) {
 			peers = append(peers, id)
--- a/node/ledger.go
+++ b/node/ledger.go
@@ -26,7 +26,7 @@
 // are known and before the entry is made.
 func (n *Node) openLedger() error {
 	holders := make(map[contract.HostID]ledger.Holder, len(n.set.Control))
-	for id, d := range n.peers {
+	for id, d := range n.peers.all() {
 		if slices.Contains(n.set.Control, id) {
 			holders[id] = d
 		}
--- a/node/processes.go
+++ b/node/processes.go
@@ -73,7 +73,7 @@
 	if n.entry != nil {
 		out = n.entry.AgentLinks()
 	}
-	for id, p := range n.peers {
+	for id, p := range n.peers.all() {
 		out[id] = p.Link()
 	}
 	return out
