--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 BIN := bin
 
 .PHONY: all build demo test lint format-check model bench soak capacity shares bench-load bench-dispatch
+.PHONY: bench-entry bench-idle
 
 all: build
 
@@ -36,3 +37,9 @@
 
 capacity: build
 	@$(GO) run ./internal/capacity -bin $(BIN)
+
+bench-entry: build
+	@$(GO) run ./internal/bench -bin $(BIN) entry
+
+bench-idle: build
+	@$(GO) run ./internal/bench -bin $(BIN) idle
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -142,16 +142,23 @@
 	return cfg
 }
 
-// drain refuses new starts, tells the entries, and waits for what is in
-// progress and for its results to be acknowledged.
+// drainHandover is how long an agent that drains takes starts: an entry that
+// has no other worker sends what is left of the jobs that it has admitted.
+const drainHandover = 500 * time.Millisecond
+
+// drain tells the entries, refuses new starts after the handover, and waits
+// for what is in progress and for its results to be acknowledged.
 func (a *Agent) drain() {
 	a.mu.Lock()
-	a.gate.Drain()
 	links := a.openLinks()
 	a.mu.Unlock()
 	for _, l := range links {
 		l.Send(&contract.Drain{})
 	}
+	time.Sleep(drainHandover)
+	a.mu.Lock()
+	a.gate.Drain()
+	a.mu.Unlock()
 	a.active.Wait()
 	a.awaitAcks(drainAckWait)
 }
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -38,8 +38,8 @@
 }
 
 func (p *Pool) admit(s Submit) (*jobState, error) {
-	if p.linked == 0 {
-		return nil, contract.ErrNoUpstream.Refuse(retryNoUpstream, "the pool has no worker")
+	if p.serving == 0 {
+		return nil, contract.ErrNoUpstream.Refuse(retryNoUpstream, "the pool has no worker, or all of them drain")
 	}
 	if p.waiting+len(s.Demands) > p.cfg.MaxQueue {
 		return nil, contract.ErrOverload.Refuse(p.retryAfter(0), "%d tasks wait, and the queue takes %d", p.waiting, p.cfg.MaxQueue)
@@ -106,11 +106,11 @@
 			largest = maxCapacity(largest, g.capacity)
 			continue
 		}
-		if g.linked > 0 {
+		if g.serving > 0 {
 			return nil
 		}
 		return contract.ErrNoUpstream.Refuse(retryNoUpstream,
-			"task %d fits no worker that is linked now, but one of %d slots that left: it runs when such a worker is back", i, g.capacity.Slots)
+			"task %d fits no worker that serves now, but one that drains or is silent: it runs when such a worker is back", i)
 	}
 	return contract.ErrNeverFits.With("task %d declares %s; the largest that any worker has offered is %s: only the declared size is at fault",
 		i, describe(d.Slots, d.MilliCPU, d.MemoryMB, d.Accelerators),
--- a/dispatch/credit.go
+++ b/dispatch/credit.go
@@ -17,14 +17,18 @@
 	renewShare = 0.5
 	// askWorth is the least time that the entry would take to serve its queue
 	// alone for it to ask, for each profile.
-	askWorth         = 600 * time.Millisecond
+	askWorth         = 800 * time.Millisecond
 	askWorthMessages = 1200 * time.Millisecond
+	// askStuck is how long nothing may start while work waits before the entry
+	// asks, for each profile.
+	askStuck         = 150 * time.Millisecond
+	askStuckMessages = 200 * time.Millisecond
 	// askGap is the least time between two asks for each profile.
 	askGap         = 2 * time.Millisecond
 	askGapMessages = 20 * time.Millisecond
 	// tradeMargin is by how much a peer's job must come before one's own for a
 	// credit to be lent, for each profile.
-	tradeMargin         = 2 * time.Second
+	tradeMargin         = 3 * time.Second
 	tradeMarginMessages = 4 * time.Second
 	// lendBatch is how many idle credits are lent at once, and lendDelay how
 	// long the first waits for the others, for each profile.
@@ -277,7 +281,7 @@
 	}
 	var wants []contract.CreditWant
 	life := p.ownTime()
-	if life >= p.askWorth() {
+	if life >= askWorth {
 		wants = p.wants()
 	}
 	for _, q := range p.peers {
@@ -359,24 +363,20 @@
 // askDue reports whether to ask, with the life of the wants: where the queue
 // would take long, where nothing has started for long, and where there is no credit.
 func (p *Pool) askDue() (time.Duration, bool) {
-	worth := p.askWorth()
+	worth, patience := askWorth, askStuck
+	if p.cfg.Profile == contract.ProfileMessages {
+		worth, patience = askWorthMessages, askStuckMessages
+	}
 	life := p.ownTime()
 	if life >= worth {
 		return life, true
 	}
-	stuck := p.ask.since.Add(worth)
+	stuck := p.ask.since.Add(patience)
 	if p.workers.allot > 0 && p.now.Before(stuck) {
 		p.wake(stuck)
 		return 0, false
 	}
-	return worth, true
-}
-
-func (p *Pool) askWorth() time.Duration {
-	if p.cfg.Profile == contract.ProfileMessages {
-		return askWorthMessages
-	}
-	return askWorth
+	return max(life, patience), true
 }
 
 // renewAt returns when the ask has lost its force.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -63,6 +63,7 @@
 
 	workers workerSet
 	linked  int // workers linked now
+	serving int // those of them that do not drain
 	ejected []*worker
 	held    []*worker
 
@@ -235,17 +236,37 @@
 		p.workers.byRef[nw.Ref] = w
 	}
 	p.workers.detach(w)
-	if w.linked {
-		w.group.linked--
-	} else {
-		p.linked++
+	p.unlink(w)
+	p.linked++
+	if !nw.Draining {
+		p.serving++
 	}
 	w.linked = true
 	w.Worker = nw
 	w.distance = p.cfg.Place.Distance(nw.Place)
 	w.group = p.workers.group(nw.Capacity)
 	w.group.linked++
+	if !nw.Draining {
+		w.group.serving++
+	}
 	p.workers.attach(w)
+	if nw.Draining && p.serving == 0 {
+		p.handOver()
+	}
+}
+
+// unlink takes a worker that is linked out of the counts.
+func (p *Pool) unlink(w *worker) {
+	if !w.linked {
+		return
+	}
+	w.linked = false
+	w.group.linked--
+	p.linked--
+	if !w.Draining {
+		p.serving--
+		w.group.serving--
+	}
 }
 
 func (p *Pool) workerDown(ref host.Ref) {
@@ -254,9 +275,7 @@
 		return
 	}
 	p.workers.detach(w)
-	w.linked = false
-	w.group.linked--
-	p.linked--
+	p.unlink(w)
 	w.allot, w.granted, w.epoch = 0, 0, 0
 	p.forget(w)
 }
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -118,6 +118,12 @@
 	must.True(t, contract.ErrNoUpstream.Is(err))
 	typed, _ := contract.AsError(err)
 	must.Positive(t, typed.RetryAfter)
+
+	draining := testWorker(1, contract.Capacity{Slots: 4, Accelerators: 2})
+	draining.Draining = true
+	p.Step(testStart, WorkerUp{Worker: draining})
+	err = refusalOf(t, p.Step(testStart, Submit{Job: "c", Demands: []contract.Demand{{Accelerators: 2}}}))
+	must.True(t, contract.ErrNoUpstream.Is(err))
 }
 
 func TestRefusesWhatCannotMeetItsDeadline(t *testing.T) {
@@ -482,7 +488,7 @@
 		p.Step(testStart, Submit{Job: "long", Demands: declared(1, 5000)})
 		out := p.Step(testStart, Submit{Job: "j", Demands: declared(1, 1)})
 		must.SliceEmpty(t, asksOf(out))
-		out = p.Step(testStart.Add(askWorth), Tick{})
+		out = p.Step(testStart.Add(askStuck), Tick{})
 		must.Len(t, 1, asksOf(out))
 	})
 }
@@ -509,3 +515,19 @@
 	}
 	must.LessEq(t, 3, before)
 }
+
+// TestLastWorkerThatDrainsTakesAdmittedJobs holds that a job in progress is not
+// cut off by the drain of the pool's last worker, and that new ones are refused.
+func TestLastWorkerThatDrainsTakesAdmittedJobs(t *testing.T) {
+	p := poolWith(Config{}, contract.Capacity{Slots: 1}, contract.Capacity{Slots: 1})
+	p.Step(testStart, Submit{Job: "j", Demands: declared(5, 100)})
+	drain := func(i int) []Place {
+		w := testWorker(i, contract.Capacity{Slots: 1})
+		w.Draining = true
+		return placesOf(p.Step(testStart, WorkerUp{Worker: w}))
+	}
+	must.SliceEmpty(t, drain(0))
+	must.Len(t, 3, drain(1))
+	must.SliceEmpty(t, drain(1))
+	must.True(t, contract.ErrNoUpstream.Is(refusalOf(t, p.Step(testStart, Submit{Job: "new", Demands: declared(1, 100)}))))
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -112,6 +112,7 @@
 type workerGroup struct {
 	capacity contract.Capacity
 	linked   int
+	serving  int // linked and not draining
 	tiers    [tierCount]workerHeap
 }
 
--- a/internal/loadlab/bench/main.go
+++ b/internal/loadlab/bench/main.go
@@ -99,15 +99,15 @@
 
 func newTable() *tabwriter.Writer {
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "load\tpolicy\tfault\tjobs\tmean ms\tover floor\tp99 ms\tover floor\tgoodput\trefused\tgiven up\texpired\tfailed\tearly\tlater\twaited at worker\twasted\tvain asks\tidle loans\tasks\tloans\t")
+	fmt.Fprintln(tw, "load\tpolicy\tfault\tjobs\tmean ms\tover floor\tp99 ms\tover floor\tsingles p99 lag\tgoodput\trefused\tgiven up\texpired\tfailed\tearly\tlater\twaited at worker\twasted\tvain asks\tidle loans\tasks\tloans\t")
 	return tw
 }
 
 func row(tw *tabwriter.Writer, r loadlab.Result) {
 	c := r.Counts
-	fmt.Fprintf(tw, "%.2f\t%s\t%s\t%d\t%.0f\t%+.1f%%\t%.0f\t%+.1f%%\t%.3f\t%d\t%d\t%d\t%d\t%.1f%%\t%.1f%%\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n",
+	fmt.Fprintf(tw, "%.2f\t%s\t%s\t%d\t%.0f\t%+.1f%%\t%.0f\t%+.1f%%\t%.0f\t%.3f\t%d\t%d\t%d\t%d\t%.1f%%\t%.1f%%\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n",
 		r.Config.Load, r.Config.Policy.Name, r.Config.Fault, r.Jobs,
-		millis(r.Mean), 100*r.MeanOver(), millis(r.P99), 100*r.P99Over(),
+		millis(r.Mean), 100*r.MeanOver(), millis(r.P99), 100*r.P99Over(), millis(r.SingleLag),
 		r.Goodput, r.Refused, r.GivenUp, r.Expired, r.Failed, 100*r.EarlyFailed, 100*r.LateFailed,
 		float64(c.Queued)/float64(max(1, c.Starts)), r.WastedPerAnswer(), float64(c.VainAsks)/float64(max(1, c.Useful)), float64(c.IdleLoans)/float64(max(1, c.Useful)), r.AsksPerAnswer(), r.LoansPerAnswer())
 }
--- a/internal/loadlab/result.go
+++ b/internal/loadlab/result.go
@@ -49,6 +49,9 @@
 	// the same jobs.
 	Mean, P99           time.Duration
 	FloorMean, FloorP99 time.Duration
+	// SingleLag is the 99th percentile of how far the answers of jobs of one
+	// task come behind their work.
+	SingleLag time.Duration
 	// RoundTrip is the network's own.
 	RoundTrip time.Duration
 	// Goodput is the work of complete jobs over the capacity.
@@ -107,6 +110,7 @@
 // samples adds up runs.
 type samples struct {
 	response, floor  []time.Duration
+	singles          []time.Duration
 	refused, givenUp int
 	failed, expired  int
 	jobs             int
@@ -133,6 +137,9 @@
 		case r.complete:
 			s.response = append(s.response, r.finish-j.at)
 			s.floor = append(s.floor, floor[j])
+			if len(j.work) == 1 {
+				s.singles = append(s.singles, r.finish-j.at-j.work[0])
+			}
 		case r.refused:
 			s.refused++
 			if r.finish > j.at {
@@ -184,6 +191,7 @@
 		P99:         quantile(s.response, 0.99),
 		FloorMean:   mean(s.floor),
 		FloorP99:    quantile(s.floor, 0.99),
+		SingleLag:   quantile(s.singles, 0.99),
 		RoundTrip:   2 * cfg.Site.Latency,
 		Goodput:     s.work.Seconds() / (slots * span),
 		EarlyFailed: ratio(s.earlyBad, s.early),
