--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,13 +42,14 @@
 
 	active sync.WaitGroup
 
-	mu     sync.Mutex // guards all below
-	gate   *Gate
-	tasks  map[contract.TaskID]*task
-	kept   []contract.TaskID // acknowledged results that are kept, oldest first
-	bytes  int               // size of the results that are kept
-	links  map[contract.HostID]*link.Link
-	tables contract.Version
+	mu      sync.Mutex // guards all below
+	gate    *Gate
+	tasks   map[contract.TaskID]*task
+	kept    []contract.TaskID // acknowledged results that are kept, oldest first
+	bytes   int               // size of the results that are kept
+	links   map[contract.HostID]*link.Link
+	tables  contract.Version
+	credits creditBook
 	// linkNumber counts the links that came up.
 	linkNumber uint64
 }
@@ -73,11 +74,12 @@
 // New returns an agent that is not yet running.
 func New(cfg Config) *Agent {
 	return &Agent{
-		cfg:    cfg,
-		client: newUpstreamClient(),
-		gate:   NewGate(cfg.Identity.Incarnation, cfg.Capacity),
-		tasks:  make(map[contract.TaskID]*task),
-		links:  make(map[contract.HostID]*link.Link),
+		cfg:     cfg,
+		client:  newUpstreamClient(),
+		gate:    NewGate(cfg.Identity.Incarnation, cfg.Capacity),
+		tasks:   make(map[contract.TaskID]*task),
+		links:   make(map[contract.HostID]*link.Link),
+		credits: newCreditBook(cfg.Identity.Host, cfg.Pools, cfg.Capacity.Slots),
 	}
 }
 
@@ -140,16 +142,23 @@
 	return cfg
 }
 
-// drain refuses new starts, tells the entries, and waits for what is in
-// progress and for its results to be acknowledged.
+// drainHandover is how long an agent that drains takes starts: an entry that
+// has no other worker sends what is left of the jobs that it has admitted.
+const drainHandover = 500 * time.Millisecond
+
+// drain tells the entries, refuses new starts after the handover, and waits
+// for what is in progress and for its results to be acknowledged.
 func (a *Agent) drain() {
 	a.mu.Lock()
-	a.gate.Drain()
 	links := a.openLinks()
 	a.mu.Unlock()
 	for _, l := range links {
 		l.Send(&contract.Drain{})
 	}
+	time.Sleep(drainHandover)
+	a.mu.Lock()
+	a.gate.Drain()
+	a.mu.Unlock()
 	a.active.Wait()
 	a.awaitAcks(drainAckWait)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,8 @@
 	Tables   *tables.Holder
 	// NewScheduler makes the scheduler of a pool.
 	NewScheduler func(contract.Pool) dispatch.Scheduler
+	// Tell sends a message to another entry; it may be lost.
+	Tell func(to contract.HostID, m contract.Message)
 	// Retention is how long an ended job's state is kept.
 	Retention time.Duration
 	// Records asks the holders of job records; nil refuses idempotency keys.
@@ -58,9 +60,10 @@
 	workersMu sync.RWMutex // guards workers
 	workers   map[host.Ref]*workerLink
 
-	jobs  jobShards
-	plans plans
-	acks  acks
+	jobs    jobShards
+	plans   plans
+	acks    acks
+	credits creditState
 
 	retries retryBudget
 
@@ -90,6 +93,7 @@
 		workers: make(map[host.Ref]*workerLink),
 	}
 	e.jobs.init()
+	e.credits.grants = make(map[grantKey]contract.CreditGrant)
 	cfg.Tables.Watch(e.poolsChanged)
 	return e
 }
--- a/entry/links.go
+++ b/entry/links.go
@@ -38,6 +38,7 @@
 		return
 	}
 	e.cfg.Log.Info("worker silent", "worker", ref.Host, "err", err)
+	e.dropGrants(worker)
 	for _, p := range e.poolsOf(worker) {
 		e.step(p, dispatch.WorkerDown{Worker: ref})
 	}
@@ -80,6 +81,8 @@
 		e.unsent(ref, m.Task, m.Attempt)
 	case *contract.TaskStates:
 		e.states(ref, m)
+	case *contract.CreditGrant:
+		e.granted(ref, m)
 	case *contract.Drain:
 		e.drained(ref)
 	}
@@ -108,6 +111,7 @@
 	}
 	for _, p := range e.poolsOf(w) {
 		e.step(p, dispatch.WorkerUp{Worker: w})
+		e.replayGrant(p, w.Ref)
 	}
 	e.reconcile(l, w.Ref)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -125,8 +125,9 @@
 			Tables:   n.tables,
 			Records:  n.records.client(n.identity.Ref),
 			NewScheduler: func(p contract.Pool) dispatch.Scheduler {
-				return dispatch.NewPool(dispatch.Config{MaxQueue: p.MaxQueue})
+				return dispatch.NewPool(dispatch.FromRow(p, n.identity.Place))
 			},
+			Tell:     n.tell,
 			Outcomes: n.outcomes(),
 			Observer: n.observer,
 			Log:      n.log,
