--- a/contract/record.go
+++ b/contract/record.go
@@ -14,6 +14,9 @@
 	Worker      HostID      `json:"worker,omitempty"`
 	Incarnation Incarnation `json:"incarnation,omitempty"`
 	Attempt     uint32      `json:"attempt,omitempty"`
+	// Round is the round of the owner, for a job with an idempotency key: a
+	// resubmission starts what was not run, under a later round.
+	Round uint64 `json:"round,omitempty"`
 	// Unsure says that an earlier attempt of an idempotent request may have
 	// run too.
 	Unsure bool `json:"unsure,omitempty"`
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -27,6 +27,7 @@
 	if slices.ContainsFunc(claims, known) {
 		claims = slices.DeleteFunc(claims, func(r contract.OutcomeRecord) bool { return !known(r) })
 	}
+	claims = dropSuperseded(claims)
 	for i := range claims {
 		claims[i].Team = team
 		claims[i].Route = route
@@ -35,6 +36,20 @@
 	return contract.OutcomeRow{Records: claims}
 }
 
+// dropSuperseded drops the not-run of an earlier submission of a key once a
+// later one has run the task.
+func dropSuperseded(claims []contract.OutcomeRecord) []contract.OutcomeRecord {
+	var last uint64
+	for _, r := range claims {
+		if r.Outcome == contract.OutcomeRan {
+			last = max(last, r.Round)
+		}
+	}
+	return slices.DeleteFunc(claims, func(r contract.OutcomeRecord) bool {
+		return r.Outcome == contract.OutcomeNotRun && r.Round > 0 && r.Round <= last
+	})
+}
+
 // MergeRows joins two rows of one task.
 func MergeRows(a, b contract.OutcomeRow) contract.OutcomeRow {
 	return Merge(slices.Concat(a.Records, b.Records)...)
@@ -68,6 +83,7 @@
 	out.Status = max(a.Status, b.Status)
 	out.Attempt = max(a.Attempt, b.Attempt)
 	out.Unsure = a.Unsure || b.Unsure
+	out.Round = max(a.Round, b.Round)
 	out.Entry = max(a.Entry, b.Entry)
 	out.Reason = max(a.Reason, b.Reason)
 	out.At = earlier(a.At, b.At)
--- a/ledger/row_test.go
+++ b/ledger/row_test.go
@@ -34,6 +34,10 @@
 	ran2 := record(contract.OutcomeRan, "w2")
 	retried := record(contract.OutcomeRan, "w1")
 	retried.Unsure = true
+	round := func(n uint64, r contract.OutcomeRecord) contract.OutcomeRecord {
+		r.Round = n
+		return r
+	}
 	cases := []struct {
 		name     string
 		records  []contract.OutcomeRecord
@@ -49,6 +53,8 @@
 		{"retried after an unknown attempt", []contract.OutcomeRecord{retried}, Ran, false},
 		{"two workers", []contract.OutcomeRecord{ran1, ran2}, Ran, true},
 		{"ran against not-run", []contract.OutcomeRecord{notRun, ran1}, Ran, true},
+		{"ran after a resubmission", []contract.OutcomeRecord{round(1, notRun), round(2, ran1)}, RanOnce, false},
+		{"not-run by a later round", []contract.OutcomeRecord{round(2, notRun), round(1, ran1)}, Ran, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
