--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -27,6 +27,23 @@
 	return nil
 }
 
+// record records the end of the exchange, where it was placed at all.
+func (x *exchange) record(team, route string, answer http.Header, err error) {
+	if x.attempt == 0 {
+		return
+	}
+	rec := contract.OutcomeRecord{
+		Task:        x.id,
+		Team:        team,
+		Route:       route,
+		Worker:      x.worker.Host,
+		Incarnation: x.worker.Incarnation,
+		Attempt:     x.attempt,
+		Unsure:      x.unsure,
+	}
+	x.entry.recordSingle(rec, answer, err)
+}
+
 // recordSingle records the end of a single request that was placed at a
 // worker. The answer's header says what the agent knows; where there is none,
 // err says it, and otherwise the outcome is unknown.
@@ -41,6 +58,9 @@
 			rec.Reason = err.Error()
 		}
 	}
+	if rec.Unsure && rec.Outcome == contract.OutcomeNotRun {
+		rec.Outcome = contract.OutcomeUnknown
+	}
 	e.recordOutcome(rec)
 }
 
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -36,11 +37,20 @@
 	portDraws = 100
 )
 
-// FreeAddr returns a loopback address that was free a moment ago.
+// drawnPorts are the ports that FreeAddr has returned: a port that its process
+// does not hold yet must not be drawn for another.
+var drawnPorts sync.Map // of int to struct{}
+
+// FreeAddr returns a loopback address that was free a moment ago, and that no
+// earlier call in this process returned.
 func FreeAddr() (string, error) {
-	var last error
+	last := errors.New("every drawn port was drawn before")
 	for range portDraws {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort))
+		port := firstPort + rand.N(lastPort-firstPort)
+		if _, drawn := drawnPorts.LoadOrStore(port, struct{}{}); drawn {
+			continue
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
 		ln, err := net.Listen("tcp", addr)
 		if err != nil {
 			last = err
--- a/node/admin.go
+++ b/node/admin.go
@@ -35,7 +35,9 @@
 	mux.HandleFunc("GET /admin/processes", n.serveProcesses)
 	mux.HandleFunc("GET /admin/history", n.serveHistory)
 	mux.HandleFunc("POST /admin/drain", n.serveDrain)
+	mux.HandleFunc("GET /admin/burn", n.serveBurn)
 	mux.HandleFunc("GET /admin/outcomes/{job}", n.serveOutcomes)
+	mux.HandleFunc("GET /admin/records", n.records.serveRecords)
 	return mux
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -35,8 +35,11 @@
 	versions versions
 	linkCtx  context.Context // ends with the node's links
 	entry    *entry.Entry
+	records  *records
 	control  *control.Control
 	history  history
+	// observer is nil where the process is no entry.
+	observer *observer
 	// stop begins the drain, as SIGTERM does.
 	stop   context.CancelFunc
 	ledger ledgerPart
@@ -79,7 +82,17 @@
 		Log:          log,
 	})
 	log.Info("agent started", "upstream", set.Upstream, "http", ln.Addr())
-	return a.Run(ctx)
+	var g errgroup.Group
+	closeAdmin, err := serveAgentAdmin(&g, set.AdminAddr)
+	if err != nil {
+		ln.Close()
+		return err
+	}
+	g.Go(func() error {
+		defer closeAdmin()
+		return a.Run(ctx)
+	})
+	return g.Wait()
 }
 
 func (n *Node) linkConfig() link.Config {
@@ -104,14 +117,22 @@
 		return err
 	}
 	defer n.closeLedger()
+	var err error
+	n.records, err = newRecords(n.set.ID, n.set.RecordHolders, n.peers.all(), n.set.DataDir, n.log)
+	if err != nil {
+		return err
+	}
 	if n.set.Has(contract.RoleEntry) {
+		n.observer = newObserver(n.tables)
 		n.entry = entry.New(entry.Config{
 			Identity: n.identity,
 			Tables:   n.tables,
+			Records:  n.records.client(n.identity.Ref),
 			NewScheduler: func(p contract.Pool) dispatch.Scheduler {
 				return dispatch.NewPool(dispatch.Config{MaxQueue: p.MaxQueue})
 			},
 			Outcomes: n.outcomes(),
+			Observer: n.observer,
 			Log:      n.log,
 		})
 	}
@@ -171,6 +192,7 @@
 	}
 	g.Go(func() error { n.catchUp(linkCtx); return nil })
 	n.runLedger(linkCtx, g.Go)
+	g.Go(func() error { n.records.run(linkCtx); return nil })
 	n.log.Info("started", "link", linkLn.Addr(), "admin", adminLn.Addr(), "roles", n.set.Roles)
 	g.Go(func() error {
 		<-ctx.Done()
@@ -184,6 +206,9 @@
 // readHeaderTimeout bounds how slowly a request's header may arrive.
 const readHeaderTimeout = 10 * time.Second
 
+// idleConnTimeout bounds how long a caller's connection may be idle.
+const idleConnTimeout = 2 * time.Minute
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -199,7 +224,12 @@
 	if err != nil {
 		return nil, err
 	}
-	srv := &http.Server{Handler: n.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	srv := &http.Server{
+		Handler:           n.entry.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    entry.MaxHeaderBytes,
+		IdleTimeout:       idleConnTimeout,
+	}
 	g.Go(func() error { return ignoreClosed(srv.Serve(ln)) })
 	return srv, nil
 }
