Soak the system under random kills, freezes and cuts

make soak runs 3 hubs and 11 workers of 8 slots as real processes behind relays, breaks them by a seed, and lets 24 callers send 20,000 tasks, with and without keys, and single requests. Afterwards it compares what the callers were told and what the ledger says with what the upstreams counted, by task ID and, independently of it, by the echo of each submitted task.

-broken builds agents that call a started task fenced (tag broken_gate).

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 
 capacity: build
 	@$(GO) run ./internal/capacity -bin $(BIN)
+
+soak:
+	@$(GO) run ./internal/soak $(SOAK)
--- a/agent/links.go
+++ b/agent/links.go
@@ -178,7 +178,7 @@
 	state := a.gate.Fence(id, attempt)
 	t := a.tasks[id]
 	if state != contract.TaskFenced || t == nil {
-		return state
+		return reported(state)
 	}
 	if t.wait != nil {
 		t.wait <- false
--- a/internal/scenario/checks.go
+++ b/internal/scenario/checks.go
@@ -10,6 +10,7 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/forward"
 	"github.com/carawaylanding/carawaylanding/internal/standin"
+	"github.com/carawaylanding/carawaylanding/internal/testbed"
 	"github.com/carawaylanding/carawaylanding/ledger"
 	"github.com/carawaylanding/carawaylanding/node"
 )
@@ -19,7 +20,7 @@
 	total := make(map[string]int)
 	for _, u := range w.sys.Upstreams {
 		var echoes map[string]int
-		if err := getJSON(u.HTTP, "/_echoes", &echoes); err != nil {
+		if err := testbed.GetJSON(u.HTTP, "/_echoes", &echoes); err != nil {
 			return nil, err
 		}
 		for echo, n := range echoes {
@@ -207,7 +208,7 @@
 	if id == "" {
 		return a, fmt.Errorf("the answer names no job")
 	}
-	err := getJSON(admin, "/admin/outcomes/"+string(id), &a)
+	err := testbed.GetJSON(admin, "/admin/outcomes/"+string(id), &a)
 	return a, err
 }
 
@@ -263,7 +264,7 @@
 		return err
 	}
 	var echoes map[string]int
-	if err := getJSON(p.HTTP, "/_echoes", &echoes); err != nil {
+	if err := testbed.GetJSON(p.HTTP, "/_echoes", &echoes); err != nil {
 		return err
 	}
 	n := 0
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -221,7 +219,7 @@
 	var vars struct {
 		Filled int `json:"caraway_ledger_filled"`
 	}
-	err := getJSON(h.Admin, "/debug/vars", &vars)
+	err := testbed.GetJSON(h.Admin, "/debug/vars", &vars)
 	if err == nil && vars.Filled == 0 {
 		err = fmt.Errorf("the ledger of %s is not filled", h.Name)
 	}
@@ -230,7 +228,7 @@
 
 func (w *world) workersOf(h *testbed.Process) (int, error) {
 	var workers []host.Worker
-	err := getJSON(h.Admin, "/admin/upstreams", &workers)
+	err := testbed.GetJSON(h.Admin, "/admin/upstreams", &workers)
 	return len(workers), err
 }
 
@@ -283,25 +281,9 @@
 	return nil
 }
 
-// client bounds what one look at a process may take; a frozen one answers
-// nothing.
-var client = &http.Client{Timeout: 5 * time.Second}
-
-func getJSON(addr, path string, into any) error {
-	res, err := client.Get("http://" + addr + path)
-	if err != nil {
-		return err
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("GET %s%s: %s", addr, path, res.Status)
-	}
-	return json.NewDecoder(res.Body).Decode(into)
-}
-
 // status returns a hub's status.
 func status(h *testbed.Process) (node.StatusAnswer, error) {
 	var s node.StatusAnswer
-	err := getJSON(h.Admin, "/admin/status", &s)
+	err := testbed.GetJSON(h.Admin, "/admin/status", &s)
 	return s, err
 }
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -100,6 +101,23 @@
 	return nil
 }
 
+// observer bounds what one look at a process may take; a frozen one answers
+// nothing.
+var observer = &http.Client{Timeout: 5 * time.Second}
+
+// GetJSON reads the JSON that the address answers on path.
+func GetJSON(addr, path string, into any) error {
+	res, err := observer.Get("http://" + addr + path)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("GET %s%s: %s", addr, path, res.Status)
+	}
+	return json.NewDecoder(res.Body).Decode(into)
+}
+
 // Plan says which processes a system has.
 type Plan struct {
 	// Domains are the failure domains; hosts are spread over them in turn.
