--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 GO ?= go
 BIN := bin
 
+.PHONY: bench-entry bench-idle
 .PHONY: all build demo test lint format-check model bench soak capacity shares
 
 all: build
@@ -33,3 +34,9 @@
 
 soak:
 	@$(GO) run ./internal/soak $(SOAK)
+
+bench-entry: build
+	@$(GO) run ./internal/bench -bin $(BIN) entry
+
+bench-idle: build
+	@$(GO) run ./internal/bench -bin $(BIN) idle
