--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,9 @@
 capacity: build
 	@$(GO) run ./internal/capacity -bin $(BIN)
 
+soak:
+	@$(GO) run ./internal/soak $(SOAK)
+
 bench-entry: build
 	@$(GO) run ./internal/bench -bin $(BIN) entry
 
