--- a/agent/gate.go
+++ b/agent/gate.go
@@ -52,7 +52,7 @@
 type Gate struct {
 	self     contract.Incarnation
 	capacity contract.Capacity
-	used     int
+	inUse    contract.Demand // of the tasks that run
 	draining bool
 	jobs     map[contract.JobID]map[uint32]*gateTask
 	queue    []*contract.Start
@@ -119,11 +119,23 @@
 }
 
 func (g *Gate) fits(s *contract.Start) bool {
-	return g.used+s.Demand.Normalized().Slots <= g.capacity.Slots
+	return g.capacity.Fits(g.with(s, 1))
+}
+
+// with returns what is in use with the start's demand added, or taken off for
+// a sign of -1.
+func (g *Gate) with(s *contract.Start, sign int) contract.Demand {
+	d := s.Demand.Normalized()
+	return contract.Demand{
+		Slots:        g.inUse.Slots + sign*d.Slots,
+		MilliCPU:     g.inUse.MilliCPU + sign*d.MilliCPU,
+		MemoryMB:     g.inUse.MemoryMB + sign*d.MemoryMB,
+		Accelerators: g.inUse.Accelerators + sign*d.Accelerators,
+	}
 }
 
 func (g *Gate) run(s *contract.Start) {
-	g.used += s.Demand.Normalized().Slots
+	g.inUse = g.with(s, 1)
 	g.task(s.Task).state = gateRunning
 }
 
@@ -135,7 +147,7 @@
 	if t == nil || t.state != gateRunning {
 		return nil
 	}
-	g.used -= t.start.Demand.Normalized().Slots
+	g.inUse = g.with(t.start, -1)
 	if reached {
 		g.end(id, t, gateDone)
 	} else {
@@ -250,4 +262,4 @@
 func (g *Gate) Draining() bool { return g.draining }
 
 // Idle reports whether nothing runs or waits.
-func (g *Gate) Idle() bool { return g.used == 0 && len(g.queue) == 0 }
+func (g *Gate) Idle() bool { return g.inUse.Slots == 0 && len(g.queue) == 0 }
--- a/node/node.go
+++ b/node/node.go
@@ -117,11 +117,7 @@
 		return err
 	}
 	defer n.closeLedger()
-	var err error
-	n.records, err = newRecords(n.set.ID, n.set.RecordHolders, n.peers.all(), n.set.DataDir, n.log)
-	if err != nil {
-		return err
-	}
+	n.records = newRecords(n.set.ID, n.set.RecordHolders, n.peers.all(), n.set.DataDir, n.log)
 	if n.set.Has(contract.RoleEntry) {
 		n.observer = newObserver(n.tables)
 		n.entry = entry.New(entry.Config{
@@ -129,8 +125,9 @@
 			Tables:   n.tables,
 			Records:  n.records.client(n.identity.Ref),
 			NewScheduler: func(p contract.Pool) dispatch.Scheduler {
-				return dispatch.NewPool(dispatch.Config{MaxQueue: p.MaxQueue})
+				return dispatch.NewPool(dispatch.FromRow(p, n.identity.Place))
 			},
+			Tell:     n.tell,
 			Outcomes: n.outcomes(),
 			Observer: n.observer,
 			Log:      n.log,
