--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -207,7 +207,7 @@
 // recordsServed checks that a hub votes on job records.
 func recordsServed(h *testbed.Process) error {
 	var a node.RecordsAnswer
-	err := getJSON(h.Admin, "/admin/records", &a)
+	err := testbed.GetJSON(h.Admin, "/admin/records", &a)
 	if err == nil && !a.Serving {
 		err = fmt.Errorf("%s abstains from job records", h.Name)
 	}
