Let a restarted record holder vote sooner, and hold its entry's readiness until then

A quorum's answers count for 0.5 s in place of 1 s, so that a restarted holder copies after 0.75 s in place of 2 s. An entry's readiness waits for its holder's vote, for at most 10 s.

--- a/entry/links.go
+++ b/entry/links.go
@@ -236,8 +236,13 @@
 	return e.active.Done
 }
 
-// Ready reports whether the entry takes work.
+// Ready reports whether the entry takes work. An entry that restarted is ready
+// once its record holder votes again, so that a restart of one entry after the
+// other leaves a quorum.
 func (e *Entry) Ready() bool {
+	if r := e.cfg.Records; r != nil && r.Ready != nil && !r.Ready() {
+		return false
+	}
 	e.drainMu.Lock()
 	defer e.drainMu.Unlock()
 	return !e.draining && !e.leaving && e.cfg.Tables.Version() > 0
--- a/entry/records.go
+++ b/entry/records.go
@@ -27,7 +27,7 @@
 // RecordTimeout is how long the answers to one quorum request count. A holder
 // that restarted waits longer than this before it copies the records, so that
 // no answer of its earlier process counts beside one made after the copy.
-const RecordTimeout = time.Second
+const RecordTimeout = 500 * time.Millisecond
 
 // Records asks the holders of job records.
 type Records struct {
@@ -37,6 +37,9 @@
 	Holders []Holder
 	// Peer returns the open link to one incarnation of another entry, or nil.
 	Peer func(host.Ref) Caller
+	// Ready reports whether this process's own holder votes, or has had long
+	// enough to; nil means true.
+	Ready func() bool
 	// Retention is how long a key is honoured after its job's deadline.
 	Retention time.Duration
 
--- a/node/records.go
+++ b/node/records.go
@@ -111,7 +111,9 @@
 
 // client returns the entry's view of the holders.
 func (r *records) client(self host.Ref) *entry.Records {
+	started := time.Now()
 	c := &entry.Records{Self: self, Retention: record.DefaultRetention, Peer: r.peer}
+	c.Ready = func() bool { return r.serving() || time.Since(started) > readyLimit }
 	for _, id := range r.holders {
 		if id == r.self {
 			c.Holders = append(c.Holders, entry.Holder{Host: id, Caller: r, Local: true})
@@ -137,9 +139,12 @@
 
 // Waits of the holder's upkeep.
 const (
-	copyWait  = 200 * time.Millisecond
-	copyLimit = 30 * time.Second
-	sweepWait = 10 * time.Second
+	settleWait = entry.RecordTimeout + entry.RecordTimeout/2
+	copyWait   = 100 * time.Millisecond
+	// readyLimit is how long an entry's readiness waits for its holder.
+	readyLimit = 10 * time.Second
+	copyLimit  = 30 * time.Second
+	sweepWait  = 10 * time.Second
 )
 
 // run copies the records after a restart, and drops those that expire.
@@ -148,7 +153,7 @@
 		return
 	}
 	// No answer of an earlier process counts any more after this wait.
-	wait(ctx, 2*entry.RecordTimeout)
+	wait(ctx, settleWait)
 	for ctx.Err() == nil && !r.serving() {
 		if r.recover(ctx) {
 			r.log.Info("job records copied")
