Count no caller that left under the objectives

A caller that left was not answered: it is counted in caraway_callers_left alone. The test in node/ failed before and passes after.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -55,6 +55,7 @@
 		{"no objective", whole("r", time.Hour), 0, tally{total: [3]uint32{0, 1, 1}}},
 		{"refused truthfully", contract.AnswerSample{Kind: "overload", Outcome: contract.OutcomeNotRun}, objective, tally{total: [3]uint32{0, 1, 1}, bad: [3]uint32{0, 1, 0}}},
 		{"unknown", contract.AnswerSample{Kind: "upstream-lost", Outcome: contract.OutcomeUnknown}, objective, tally{total: [3]uint32{0, 1, 1}, bad: [3]uint32{0, 1, 1}}},
+		{"cancelled", contract.AnswerSample{Kind: "cancelled", Outcome: contract.OutcomeUnknown}, objective, tally{}},
 		{"over quota", contract.AnswerSample{Kind: "over-quota", Outcome: contract.OutcomeNotRun}, objective, tally{total: [3]uint32{0, 0, 1}}},
 	} {
 		t.Run(tc.name, func(t *testing.T) { must.Eq(t, tc.want, judge(tc.sample, tc.objective)) })
--- a/burn/doc.go
+++ b/burn/doc.go
@@ -16,7 +16,8 @@
 	// Whole counts answers to requests that the caller made rightly; those
 	// that are no whole answer are bad.
 	Whole Indicator = "whole"
-	// Truthful counts all answers; those whose outcome is unknown are bad.
+	// Truthful counts all answers to work that its caller did not cancel; those
+	// whose outcome is unknown are bad.
 	Truthful Indicator = "truthful"
 )
 
--- a/burn/tracker.go
+++ b/burn/tracker.go
@@ -111,7 +111,7 @@
 // of Indicators.
 func judge(s contract.AnswerSample, objective time.Duration) tally {
 	whole := s.Kind == ""
-	concerned := [indicatorCount]bool{whole && objective > 0, !callerKinds[s.Kind], true}
+	concerned := [indicatorCount]bool{whole && objective > 0, !callerKinds[s.Kind], s.Kind != contract.ErrCancelled.Name}
 	bad := [indicatorCount]bool{s.Lag() > objective, !whole, s.Outcome == contract.OutcomeUnknown}
 	var t tally
 	for i := range concerned {
--- a/entry/http.go
+++ b/entry/http.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"expvar"
 	"math"
@@ -61,8 +62,13 @@
 	writeJSON(w, e.Kind.Status, errorBody{Kind: e.Kind.Name, Message: e.Message, Remedy: e.Kind.Remedy, Outcome: e.Outcome, Tasks: e.Tasks})
 }
 
-// observe samples one answer.
-func (e *Entry) observe(route, team string, began time.Time, work time.Duration, err error) {
+// observe samples one answer. A caller that left, as the request's context
+// tells, was not answered.
+func (e *Entry) observe(ctx context.Context, route, team string, began time.Time, work time.Duration, err error) {
+	if ctx.Err() != nil {
+		metrics.CallersLeft.Add(1)
+		return
+	}
 	if err == nil {
 		metrics.AnswersWhole.Add(1)
 	}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -46,7 +46,7 @@
 	if a.id != "" {
 		w.Header().Set(forward.HeaderJobID, string(a.id))
 	}
-	e.observe(spec.Route, spec.Team, began, longest(a.results), a.err)
+	e.observe(r.Context(), spec.Route, spec.Team, began, longest(a.results), a.err)
 	if a.err != nil {
 		WriteError(w, a.err)
 		return
--- a/entry/single.go
+++ b/entry/single.go
@@ -79,7 +79,7 @@
 	err = contract.ErrUpstreamLost.With("the answer was cut")
 	defer func() { x.record(team, route.Name, w.Header(), err) }()
 	err = e.attempts(w, p, run, x)
-	e.observe(route.Name, team, began, x.worked, err)
+	e.observe(r.Context(), route.Name, team, began, x.worked, err)
 	return err
 }
 
--- a/node/load_test.go
+++ b/node/load_test.go
@@ -44,6 +44,9 @@
 	var counts burn.Counts
 	must.NoError(t, hub.admin(t, "GET", "/admin/burn", "", &counts))
 	must.Len(t, 1, counts.Routes)
+	for _, ind := range counts.Routes[0].Indicators {
+		must.Eq(t, 0, ind.Windows[0].Bad, must.Sprintf("%s: a caller that leaves is no bad answer", ind.Indicator))
+	}
 	// An answer may have been whole though its caller had just left.
 	whole := counts.Routes[0].Indicators[0].Windows[0].Total
 	must.Between(t, uint64(rep.Useful()), whole, uint64(rep.Useful())+uint64(rep.Left))
