Tell a caller whose streamed body stalls, and don't blame the worker

A stall in a streamed body ended as upstream-lost, and counted as a failure of the worker, as did a caller that left: waves of cancels could have had healthy workers ejected. It is now slow-body with the outcome unknown; neither counts against the worker. -body-stall sets the limit. A chunked body that ends within the first 64 KiB is sent on with its length, so that the request can be placed again.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,8 @@
 	NewScheduler func(contract.Pool) dispatch.Scheduler
 	// Retention is how long an ended job's state is kept.
 	Retention time.Duration
+	// BodyStall is how long a body may bring nothing.
+	BodyStall time.Duration
 	// Records asks the holders of job records; nil refuses idempotency keys.
 	Records *Records
 	// Outcomes takes the final outcome of each task; nil drops them.
@@ -84,6 +86,9 @@
 	if cfg.Retention == 0 {
 		cfg.Retention = DefaultRetention
 	}
+	if cfg.BodyStall == 0 {
+		cfg.BodyStall = DefaultBodyStall
+	}
 	e := &Entry{
 		cfg:     cfg,
 		pools:   make(map[string]*pool),
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -102,6 +102,9 @@
 	if !time.Now().Before(x.deadline) {
 		return fateUnknown, contract.ErrDeadline.With("no answer of worker %s came before the deadline", wk.Host)
 	}
+	if x.body.broken.Load() {
+		return fateUnknown, unknownOf(errSlowBody.With("the body stalled or ended early after the request had started"))
+	}
 	var op *net.OpError
 	dialed := errors.As(err, &op) && op.Op == "dial"
 	if dialed || !passed && x.fenced(wk) {
@@ -110,6 +113,12 @@
 	return fateUnknown, contract.ErrUpstreamLost.With("worker %s: %v", wk.Host, err)
 }
 
+// callersFault reports that the attempt failed by the caller's doing: it left,
+// or stopped sending. It says nothing about the worker.
+func (x *exchange) callersFault() bool {
+	return x.body.broken.Load() || x.req.Context().Err() != nil
+}
+
 // notRun is the refusal for a request whose last attempt did not start.
 func (x *exchange) notRun(wk workerLink, reason string) error {
 	return x.qualify(contract.ErrNoUpstream.Refuse(time.Second, "worker %s: %s", wk.Host, reason))
@@ -183,6 +192,7 @@
 	buffered []byte
 	streamed bool
 	touched  atomic.Bool
+	broken   atomic.Bool // the caller stopped sending
 	rest     io.ReadCloser
 }
 
@@ -205,7 +215,11 @@
 // Read implements io.Reader for a streamed body.
 func (b *requestBody) Read(p []byte) (int, error) {
 	b.touched.Store(true)
-	return b.rest.Read(p)
+	n, err := b.rest.Read(p)
+	if err != nil && err != io.EOF {
+		b.broken.Store(true)
+	}
+	return n, err
 }
 
 // rewind reports whether the body can be sent from its beginning.
--- a/entry/request.go
+++ b/entry/request.go
@@ -25,8 +25,8 @@
 	// readAheadBytes is how much of a single request's body is read before the
 	// request is placed.
 	readAheadBytes = 64 << 10
-	// bodyStall is how long a body may bring nothing.
-	bodyStall = 10 * time.Second
+	// DefaultBodyStall is the default of Config.BodyStall.
+	DefaultBodyStall = 10 * time.Second
 )
 
 // callerFields are the control fields that a caller may send.
@@ -162,6 +162,10 @@
 	if err != nil {
 		return bodyFault(err)
 	}
+	if len(first) < readAheadBytes && r.ContentLength < 0 {
+		// It is whole: it need not be sent on in chunks.
+		r.ContentLength = int64(len(first))
+	}
 	r.Body = &joinedBody{Reader: io.MultiReader(bytes.NewReader(first), body), Closer: r.Body}
 	return nil
 }
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -66,12 +66,12 @@
 			Holders:   []Holder{{Host: "self", Caller: recordHolder{record.NewHolder(record.Config{}, true, time.Now())}, Local: true}},
 			Retention: record.DefaultRetention,
 		},
-		Log: logr.Discard(),
+		BodyStall: testStall,
+		Log:       logr.Discard(),
 	})
 	ln, err := Listen("127.0.0.1:0")
 	must.NoError(t, err)
 	srv := e.NewServer()
-	srv.Handler = checkRequests(testStall, srv.Handler)
 	srv.ReadHeaderTimeout = testStall
 	go srv.Serve(ln)
 	t.Cleanup(func() { srv.Close() })
--- a/entry/single.go
+++ b/entry/single.go
@@ -99,7 +99,7 @@
 				e.step(p, dispatch.Requeue{Task: x.id, Worker: wk.Ref})
 				continue
 			}
-			e.step(p, dispatch.Finished{Task: x.id, Worker: wk.Ref, Elapsed: x.worked, Failed: err != nil})
+			e.step(p, dispatch.Finished{Task: x.id, Worker: wk.Ref, Elapsed: x.worked, Failed: err != nil && !x.callersFault()})
 			return err
 		case err := <-run.refused:
 			return x.qualify(err)
--- a/node/node.go
+++ b/node/node.go
@@ -131,9 +131,10 @@
 			NewScheduler: func(p contract.Pool) dispatch.Scheduler {
 				return dispatch.NewPool(dispatch.Config{MaxQueue: p.MaxQueue})
 			},
-			Outcomes: n.outcomes(),
-			Observer: n.observer,
-			Log:      n.log,
+			Outcomes:  n.outcomes(),
+			Observer:  n.observer,
+			BodyStall: n.set.BodyStall,
+			Log:       n.log,
 		})
 	}
 	n.tables.Watch(n.tablesChanged)
--- a/settings/check.go
+++ b/settings/check.go
@@ -26,6 +26,7 @@
 	}
 	c.check(s.Heartbeat > 0 && s.Silence >= 2*s.Heartbeat, "-silence %v is under twice -heartbeat %v: raise it", s.Silence, s.Heartbeat)
 	c.check(s.DrainDelay >= 0 && s.DrainLimit > 0, "-drain-delay or -drain-limit is negative: give a duration such as 2s")
+	c.check(s.BodyStall > 0, "-body-stall is %v: give a duration such as 10s", s.BodyStall)
 	for _, p := range s.Peers {
 		c.addr("-peers "+string(p.Host), p.Addr)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,6 +57,7 @@
 	Silence    time.Duration
 	DrainDelay time.Duration
 	DrainLimit time.Duration
+	BodyStall  time.Duration
 
 	// Check asks only to check the settings.
 	Check bool
@@ -68,6 +69,7 @@
 const (
 	defaultDrainDelay = 2 * time.Second
 	defaultDrainLimit = 60 * time.Second
+	defaultBodyStall  = 10 * time.Second
 	defaultSlots      = 8
 )
 
@@ -124,6 +126,7 @@
 	fs.DurationVar(&s.Silence, "silence", link.DefaultSilence, "how long a link may be silent before it is down")
 	fs.DurationVar(&s.DrainDelay, "drain-delay", defaultDrainDelay, "how long listeners stay open after readiness ends")
 	fs.DurationVar(&s.DrainLimit, "drain-limit", defaultDrainLimit, "how long a shutdown waits for work in progress")
+	fs.DurationVar(&s.BodyStall, "body-stall", defaultBodyStall, "how long the body of a caller's request may bring nothing (entry)")
 	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	fs.BoolVar(&s.Version, "version", false, "print the version and exit")
 }
