Blame no worker for a task that was stopped since its job had ended

Cancel waves and jobs of which one task failed ended their other running tasks as unknown, and each counted as a failure of its worker. Where ejection pairs failures of one job on two workers, the worker that really failed was cleared by them. A deadline that passed still counts: the worker may have stalled.

--- a/entry/run.go
+++ b/entry/run.go
@@ -156,6 +156,7 @@
 func (r *jobRun) result(w host.Ref, res *contract.Result) {
 	id := res.Task
 	r.mu.Lock()
+	excused := res.Outcome == contract.OutcomeUnknown && stopped(r.job.Err())
 	disposition := r.job.Result(w, res)
 	if disposition == job.Stray && r.job.Resolve(id.Index, w, res.Outcome, res.Status, res.Reason) {
 		metrics.OutcomesResolved.Add(1)
@@ -170,12 +171,17 @@
 		events = []dispatch.Event{dispatch.Requeue{Task: id, Worker: w}}
 	case job.Ending:
 		metrics.ResultsTaken.Add(1)
-		bad := res.Outcome != contract.OutcomeRan || res.Status >= 500
+		bad := !excused && (res.Outcome != contract.OutcomeRan || res.Status >= 500)
 		events = []dispatch.Event{dispatch.Finished{Task: id, Worker: w, Elapsed: res.Elapsed, Failed: bad}}
 	}
 	r.follow(events, failed)
 }
 
+// stopped reports that a job's end is why its running tasks were cancelled, so
+// that a task that ends unknown says nothing about its worker. A deadline that
+// passed does say something: the worker may have stalled.
+func stopped(end error) bool { return end != nil && !contract.ErrDeadline.Is(end) }
+
 // lost ends the tasks that w holds as unknown.
 func (r *jobRun) lost(w host.Ref) {
 	r.mu.Lock()
