--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,8 @@
 capacity: build
 	@$(GO) run ./internal/capacity -bin $(BIN)
 
+bench: bench-entry bench-idle
+
 bench-entry: build
 	@$(GO) run ./internal/bench -bin $(BIN) entry
 
--- a/burn/page/page.go
+++ b/burn/page/page.go
@@ -22,6 +22,8 @@
 const (
 	plotWidth  = 24 * vg.Centimeter
 	plotHeight = 8 * vg.Centimeter
+	// legendRoom is how far the axis goes on over the highest rate.
+	legendRoom = 1.4
 )
 
 // section is one plot with its title.
@@ -71,6 +73,7 @@
 			return "", err
 		}
 	}
+	p.Y.Max = max(p.Y.Max, 1) * legendRoom
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(canvas))
 	var out bytes.Buffer
