Give the slot back when an answer is cut, and cut off callers that take nothing

Cause: an answer cut while it streamed ended the handler by a panic before the pool was told that the request had finished. Each such answer held a slot of its worker at that entry for good: after 8 of them, with one worker of 8 slots, the ninth request was refused as overload (TestCutAnswersGiveTheirSlotsBack, red before). A caller that took nothing of a long answer held its slot until the answer was taken, past the deadline, for want of a write deadline (TestCallerThatTakesNothingHoldsNoSlot, red without it). The panic now comes last; each write has a deadline of -body-stall.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,7 +24,8 @@
 	NewScheduler func(contract.Pool) dispatch.Scheduler
 	// Retention is how long an ended job's state is kept.
 	Retention time.Duration
-	// BodyStall is how long a body may bring nothing.
+	// BodyStall is how long a caller may send nothing of a body, or take
+	// nothing of an answer.
 	BodyStall time.Duration
 	// Records asks the holders of job records; nil refuses idempotency keys.
 	Records *Records
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -45,6 +45,8 @@
 	// unsure says that an earlier attempt may have run.
 	unsure bool
 	worked time.Duration
+	// cut says that a part of the answer has left: the connection must be cut.
+	cut bool
 }
 
 // gateWait is how long the agent may take to say that the request passed its
@@ -114,9 +116,10 @@
 }
 
 // callersFault reports that the attempt failed by the caller's doing: it left,
-// or stopped sending. It says nothing about the worker.
-func (x *exchange) callersFault() bool {
-	return x.body.broken.Load() || x.req.Context().Err() != nil
+// or stopped sending or taking. It says nothing about the worker.
+func (x *exchange) callersFault(w http.ResponseWriter) bool {
+	sw, ok := w.(*steadyWriter)
+	return ok && sw.broken || x.body.broken.Load() || x.req.Context().Err() != nil
 }
 
 // notRun is the refusal for a request whose last attempt did not start.
@@ -156,7 +159,8 @@
 	}
 	w.Header().Set(forward.HeaderJobID, string(x.id.Job))
 	if err := forward.CopyResponse(w, res); err != nil {
-		panic(http.ErrAbortHandler)
+		x.cut = true
+		return fateAnswered, contract.ErrUpstreamLost.With("the answer was cut: %v", err)
 	}
 	return fateAnswered, nil
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -42,7 +42,9 @@
 // checkRequests refuses requests whose header is ambiguous or absurd before
 // next sees them, and reads ahead in the bodies of the rest.
 func checkRequests(stall time.Duration, next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return http.HandlerFunc(func(plain http.ResponseWriter, r *http.Request) {
+		w := &steadyWriter{ResponseWriter: plain, rc: http.NewResponseController(plain), stall: stall}
+		w.rc.SetWriteDeadline(time.Time{}) // of the request before on the connection
 		if len(r.TransferEncoding) > 0 && ambiguous(r.Context()) {
 			w.Header().Set("Connection", "close")
 			WriteError(w, contract.ErrBadRequest.With("the header has both Content-Length and Transfer-Encoding: send one of them"))
@@ -150,14 +152,14 @@
 // readAhead reads the first part of the body, so that a caller who stalls or
 // leaves holds no worker; a small body is read whole. The rest streams, and
 // may never stall for longer than the limit.
-func readAhead(w http.ResponseWriter, r *http.Request, stall time.Duration) error {
+func readAhead(w *steadyWriter, r *http.Request, stall time.Duration) error {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil
 	}
 	if r.ContentLength > contract.MaxJobBytes && r.URL.Path == jobsPath {
 		return errJobTooLarge()
 	}
-	body := &steadyBody{body: r.Body, rc: http.NewResponseController(w), stall: stall}
+	body := &steadyBody{body: r.Body, rc: w.rc, stall: stall}
 	first, err := io.ReadAll(io.LimitReader(body, readAheadBytes))
 	if err != nil {
 		return bodyFault(err)
@@ -185,23 +187,6 @@
 	io.Closer
 }
 
-// steadyBody gives each read of a body its own deadline.
-type steadyBody struct {
-	body  io.Reader
-	rc    *http.ResponseController
-	stall time.Duration
-}
-
-// Read implements io.Reader.
-func (b *steadyBody) Read(p []byte) (int, error) {
-	b.rc.SetReadDeadline(time.Now().Add(b.stall))
-	n, err := b.body.Read(p)
-	if err == nil || err == io.EOF {
-		b.rc.SetReadDeadline(time.Time{})
-	}
-	return n, err
-}
-
 func errJobTooLarge() error {
 	return contract.ErrTooLarge.With("the job has more than %d bytes: split it into smaller jobs", contract.MaxJobBytes)
 }
--- a/entry/single.go
+++ b/entry/single.go
@@ -80,6 +80,9 @@
 	defer func() { x.record(team, route.Name, w.Header(), err) }()
 	err = e.attempts(w, p, run, x)
 	e.observe(r.Context(), route.Name, team, began, x.worked, err)
+	if x.cut {
+		panic(http.ErrAbortHandler)
+	}
 	return err
 }
 
@@ -99,7 +102,7 @@
 				e.step(p, dispatch.Requeue{Task: x.id, Worker: wk.Ref})
 				continue
 			}
-			e.step(p, dispatch.Finished{Task: x.id, Worker: wk.Ref, Elapsed: x.worked, Failed: err != nil && !x.callersFault()})
+			e.step(p, dispatch.Finished{Task: x.id, Worker: wk.Ref, Elapsed: x.worked, Failed: err != nil && !x.callersFault(w)})
 			return err
 		case err := <-run.refused:
 			return x.qualify(err)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -126,7 +126,7 @@
 	fs.DurationVar(&s.Silence, "silence", link.DefaultSilence, "how long a link may be silent before it is down")
 	fs.DurationVar(&s.DrainDelay, "drain-delay", defaultDrainDelay, "how long listeners stay open after readiness ends")
 	fs.DurationVar(&s.DrainLimit, "drain-limit", defaultDrainLimit, "how long a shutdown waits for work in progress")
-	fs.DurationVar(&s.BodyStall, "body-stall", defaultBodyStall, "how long the body of a caller's request may bring nothing (entry)")
+	fs.DurationVar(&s.BodyStall, "body-stall", defaultBodyStall, "how long a caller may send nothing of a body, or take nothing of an answer (entry)")
 	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	fs.BoolVar(&s.Version, "version", false, "print the version and exit")
 }
