Give the worker back where a placement races a withdrawn request

A placement that had found a single request before it was withdrawn, and placed it after, left a worker that nobody took: its slot was held for good. Red with the check off.

--- a/entry/blame_test.go
+++ b/entry/finished_test.go
@@ -71,3 +71,17 @@
 	must.NoError(t, err)
 	return run
 }
+
+// TestPlacementThatRacesWithdrawalGivesTheWorkerBack: the placement has found
+// the request before it was withdrawn, and places it after.
+func TestPlacementThatRacesWithdrawalGivesTheWorkerBack(t *testing.T) {
+	e := newTestRun(t, &finishedRecorder{}).entry
+	id := contract.TaskID{Job: contract.NewJobID()}
+	run := &singleRun{placed: make(chan workerLink, 1), refused: make(chan error, 1)}
+	e.jobs.swap(id.Job, nil, run)
+	found := e.jobs.get(id.Job)
+	e.withdraw(e.pool("formula"), run, id)
+	ref := host.Ref{Host: "w1", Incarnation: 1}
+	events := found.place(id, workerLink{Worker: host.Worker{Identity: host.Identity{Ref: ref}}})
+	must.Eq(t, []dispatch.Event{dispatch.Finished{Task: id, Worker: ref}}, events)
+}
--- a/entry/single.go
+++ b/entry/single.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -16,13 +17,28 @@
 type singleRun struct {
 	placed  chan workerLink
 	refused chan error
+
+	mu   sync.Mutex // guards gone
+	gone bool       // nobody takes from placed any more
 }
 
-func (s *singleRun) place(_ contract.TaskID, w workerLink) []dispatch.Event {
+func (s *singleRun) place(id contract.TaskID, w workerLink) []dispatch.Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone {
+		return []dispatch.Event{dispatch.Finished{Task: id, Worker: w.Ref}}
+	}
 	s.placed <- w
 	return nil
 }
 
+// leave makes later placements give the worker back.
+func (s *singleRun) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = true
+}
+
 func (s *singleRun) refuse(err error) { s.refused <- err }
 
 // anyTeam is the team of a single request that names none.
@@ -120,6 +136,7 @@
 func (e *Entry) withdraw(p *pool, run *singleRun, id contract.TaskID) {
 	e.step(p, dispatch.Withdraw{Job: id.Job})
 	e.jobs.remove(id.Job, run)
+	run.leave()
 	select {
 	case wk := <-run.placed:
 		e.step(p, dispatch.Finished{Task: id, Worker: wk.Ref})
