Run every test each time that make test is typed

The scenarios build the programs themselves, so the cache of go test does not know their sources: after a change to the entry, make test answered from the cache for scenarios (seen just now). A second run that only reads the cache shows nothing either.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	@$(GO) run ./internal/demo -bin $(BIN)
 
 test: build
-	$(GO) test ./...
+	$(GO) test -count=1 ./...
 
 format-check:
 	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
