--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	@$(GO) run ./internal/demo -bin $(BIN)
 
 test: build
-	$(GO) test ./...
+	$(GO) test -count=1 ./...
 
 format-check:
 	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
@@ -41,6 +41,8 @@
 soak:
 	@$(GO) run ./internal/soak $(SOAK)
 
+bench: bench-entry bench-idle
+
 bench-entry: build
 	@$(GO) run ./internal/bench -bin $(BIN) entry
 
