--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -53,7 +53,7 @@
 	// ejection: the peer probes first.
 	peerFactor = 3
 	// ejectShare is the largest share of the pool's workers that may be
-	// ejected, as its reciprocal; one always may.
+	// ejected, as its reciprocal; one may where another is left.
 	ejectShare = 5
 	// slowRatio and recoveredRatio are how many times slower than the pool a
 	// worker is when it is taken last, and first again.
@@ -124,7 +124,8 @@
 	if w.health.state == ejected {
 		return false
 	}
-	return len(p.ejected)+1 <= max(1, p.linked/ejectShare)
+	most := max(1, p.linked/ejectShare)
+	return len(p.ejected) < min(most, p.linked-1)
 }
 
 func (p *Pool) eject(w *worker, factor time.Duration) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,9 @@
 	Tell func(to contract.HostID, m contract.Message)
 	// Retention is how long an ended job's state is kept.
 	Retention time.Duration
+	// BodyStall is how long a caller may send nothing of a body, or take
+	// nothing of an answer.
+	BodyStall time.Duration
 	// Records asks the holders of job records; nil refuses idempotency keys.
 	Records *Records
 	// Outcomes takes the final outcome of each task; nil drops them.
@@ -87,6 +90,9 @@
 	if cfg.Retention == 0 {
 		cfg.Retention = DefaultRetention
 	}
+	if cfg.BodyStall == 0 {
+		cfg.BodyStall = DefaultBodyStall
+	}
 	e := &Entry{
 		cfg:     cfg,
 		pools:   make(map[string]*pool),
