Tell an owner's "not started" from a final one; report outcomes whose entry is gone

The random test of the join caught a flag that the join had left out.

Agents now hand outcomes whose entry is gone to another entry and keep them until a majority has synced them. A stray result that has not run is no longer recorded: a later attempt may run.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -64,7 +64,10 @@
 	keep    bool
 	acked   bool
 	kept    bool // listed in Agent.kept
-	cancel  context.CancelFunc
+	// reported says that the ledger has the outcome although no owner
+	// acknowledged it.
+	reported bool
+	cancel   context.CancelFunc
 	// wait is told, for a single request, whether it may run.
 	wait   chan bool
 	result *contract.Result
@@ -113,6 +116,7 @@
 	srv := &http.Server{Handler: http.HandlerFunc(a.serveSingle), ReadHeaderTimeout: 10 * time.Second}
 	g.Go(func() error { return ignoreClosed(srv.Serve(a.cfg.HTTPListener)) })
 	g.Go(func() error { a.sweepLoop(linkCtx); return nil })
+	g.Go(func() error { a.orphanLoop(linkCtx); return nil })
 	g.Go(func() error {
 		<-ctx.Done()
 		a.drain()
--- a/contract/message_ledger.go
+++ b/contract/message_ledger.go
@@ -10,6 +10,8 @@
 	KindLedgerRows     MessageKind = 73
 	KindLedgerPull     MessageKind = 74
 	KindLedgerBatches  MessageKind = 75
+	KindLedgerReport   MessageKind = 76
+	KindLedgerReported MessageKind = 77
 )
 
 // LedgerOrigin names the writer of a batch: one incarnation of an entry.
@@ -75,6 +77,20 @@
 	Filled  bool
 }
 
+// LedgerReport hands an entry the outcomes of tasks whose own entry is gone.
+type LedgerReport struct {
+	Records []OutcomeRecord
+}
+
+// LedgerReported answers LedgerReport: a majority has synced the outcomes.
+type LedgerReported struct{}
+
+// MessageKind implements Message.
+func (*LedgerReport) MessageKind() MessageKind { return KindLedgerReport }
+
+// MessageKind implements Message.
+func (*LedgerReported) MessageKind() MessageKind { return KindLedgerReported }
+
 // MessageKind implements Message.
 func (*LedgerAppend) MessageKind() MessageKind { return KindLedgerAppend }
 
@@ -101,5 +117,7 @@
 		func() Message { return new(LedgerRows) },
 		func() Message { return new(LedgerPull) },
 		func() Message { return new(LedgerBatches) },
+		func() Message { return new(LedgerReport) },
+		func() Message { return new(LedgerReported) },
 	)
 }
--- a/contract/record.go
+++ b/contract/record.go
@@ -3,7 +3,8 @@
 import "time"
 
 // OutcomeRecord is one line of the outcome ledger: what became of one task.
-// Records of a task agree or go from unknown to known, never back.
+// Records of a task agree or go from provisional to unknown to known, never
+// back.
 type OutcomeRecord struct {
 	Task    TaskID  `json:"task"`
 	Team    string  `json:"team"`
@@ -17,6 +18,9 @@
 	// Unsure says that an earlier attempt of an idempotent request may have
 	// run too.
 	Unsure bool `json:"unsure,omitempty"`
+	// Provisional says of a task that has not run that a resubmission by the
+	// job's key may still start it.
+	Provisional bool `json:"provisional,omitempty"`
 	// Entry is the host that recorded it.
 	Entry  HostID    `json:"entry"`
 	At     time.Time `json:"at"`
--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -66,7 +66,11 @@
 
 // recordStray records a result whose job this process does not know: the job
 // ended, or the entry restarted. It resolves an outcome that was unknown.
+// A task that did not run at w is left out: a later attempt may have run.
 func (e *Entry) recordStray(w host.Ref, m *contract.Result) {
+	if m.Outcome == contract.OutcomeNotRun {
+		return
+	}
 	e.recordOutcome(contract.OutcomeRecord{
 		Task:        m.Task,
 		Outcome:     m.Outcome,
--- a/entry/run.go
+++ b/entry/run.go
@@ -293,6 +293,7 @@
 		Worker:      t.Ref.Host,
 		Incarnation: t.Ref.Incarnation,
 		Attempt:     t.Attempt,
+		Provisional: t.Outcome == contract.OutcomeNotRun && r.digest != "",
 		Entry:       r.entry.cfg.Identity.Host,
 		At:          time.Now(),
 		Reason:      t.Reason,
--- a/internal/scenario/checks.go
+++ b/internal/scenario/checks.go
@@ -203,6 +203,64 @@
 	})
 }
 
+// expectRecorded waits until the ledger says, by the upstreams' own task IDs,
+// that so many started tasks of a submission ran once. It serves where the
+// answer that names the job was lost: expect-recorded HUB NAME N.
+func (w *world) expectRecorded(args []string) error {
+	if err := need(args, 3, "expect-recorded HUB NAME N"); err != nil {
+		return err
+	}
+	_, h, err := w.submission(args[1], args[0])
+	if err != nil {
+		return err
+	}
+	want, err := strconv.Atoi(args[2])
+	if err != nil {
+		return err
+	}
+	return w.await(func() error {
+		n, err := w.recordedOnce(h)
+		if err == nil && n != want {
+			err = fmt.Errorf("%d started tasks are recorded as run once, not %d", n, want)
+		}
+		return err
+	})
+}
+
+// recordedOnce returns the number of tasks that an upstream has counted and
+// that the ledger calls "ran once".
+func (w *world) recordedOnce(h *testbed.Process) (int, error) {
+	n := 0
+	for _, u := range w.sys.Upstreams {
+		var tasks map[string]standin.Count
+		if err := testbed.GetJSON(u.HTTP, "/_counts", &tasks); err != nil {
+			return 0, err
+		}
+		for id := range tasks {
+			t, err := contract.ParseTaskID(id)
+			if err != nil {
+				return 0, err
+			}
+			a, err := outcomes(h.Admin, t.Job)
+			if err != nil {
+				return 0, err
+			}
+			n += ranOnce(a, t.Index)
+		}
+	}
+	return n, nil
+}
+
+// ranOnce returns 1 where the task ran once, else 0.
+func ranOnce(a node.OutcomesAnswer, index uint32) int {
+	for _, t := range a.Tasks {
+		if t.Task == index && t.Verdict == ledger.RanOnce {
+			return 1
+		}
+	}
+	return 0
+}
+
 func outcomes(admin string, id contract.JobID) (node.OutcomesAnswer, error) {
 	var a node.OutcomesAnswer
 	if id == "" {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -90,6 +90,7 @@
 		"expect-answer":    (*world).expectAnswer,
 		"expect-starts":    (*world).expectStarts,
 		"expect-outcome":   (*world).expectOutcome,
+		"expect-recorded":  (*world).expectRecorded,
 		"expect-unmoved":   (*world).expectUnmoved,
 		"expect-no-revert": (*world).expectNoRevert,
 		"expect-truth":     (*world).expectTruth,
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -24,9 +24,11 @@
 		route = max(route, r.Route)
 		claims = addClaim(claims, r)
 	}
-	if slices.ContainsFunc(claims, known) {
-		claims = slices.DeleteFunc(claims, func(r contract.OutcomeRecord) bool { return !known(r) })
+	best := uint8(0)
+	for _, r := range claims {
+		best = max(best, rank(r))
 	}
+	claims = slices.DeleteFunc(claims, func(r contract.OutcomeRecord) bool { return rank(r) < best })
 	for i := range claims {
 		claims[i].Team = team
 		claims[i].Route = route
@@ -40,7 +42,18 @@
 	return Merge(slices.Concat(a.Records, b.Records)...)
 }
 
-func known(r contract.OutcomeRecord) bool { return r.Outcome != contract.OutcomeUnknown }
+// rank orders claims: one of a higher rank replaces those of lower ones. That
+// one owner of a keyed job did not start a task says nothing about the owner
+// of a resubmission, so it counts less than an unknown outcome.
+func rank(r contract.OutcomeRecord) uint8 {
+	switch {
+	case r.Outcome == contract.OutcomeNotRun && r.Provisional:
+		return 0
+	case r.Outcome == contract.OutcomeUnknown:
+		return 1
+	}
+	return 2
+}
 
 func addClaim(claims []contract.OutcomeRecord, r contract.OutcomeRecord) []contract.OutcomeRecord {
 	r.At = r.At.UTC().Round(0)
@@ -56,7 +69,7 @@
 // agree reports whether two records make the same claim: the same outcome, and
 // for work that ran, in the same process.
 func agree(a, b contract.OutcomeRecord) bool {
-	if a.Outcome != b.Outcome {
+	if a.Outcome != b.Outcome || rank(a) != rank(b) {
 		return false
 	}
 	return a.Outcome != contract.OutcomeRan || a.Worker == b.Worker && a.Incarnation == b.Incarnation
@@ -68,6 +81,7 @@
 	out.Status = max(a.Status, b.Status)
 	out.Attempt = max(a.Attempt, b.Attempt)
 	out.Unsure = a.Unsure || b.Unsure
+	out.Provisional = a.Provisional || b.Provisional
 	out.Entry = max(a.Entry, b.Entry)
 	out.Reason = max(a.Reason, b.Reason)
 	out.At = earlier(a.At, b.At)
@@ -103,7 +117,8 @@
 	// Ran means that the task ran, and that it is not known that it was once:
 	// an idempotent request was retried, or records contradict each other.
 	Ran Verdict = "ran"
-	// NeverRan means that the task did not run and never will.
+	// NeverRan means that the task did not run, and never will unless its job
+	// is resubmitted by its key.
 	NeverRan Verdict = "never ran"
 	// Unknown means that the task may or may not have run.
 	Unknown Verdict = "unknown"
--- a/ledger/row_test.go
+++ b/ledger/row_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"flag"
 	"os"
 	"slices"
@@ -32,6 +33,8 @@
 	notRun := record(contract.OutcomeNotRun, "")
 	ran1 := record(contract.OutcomeRan, "w1")
 	ran2 := record(contract.OutcomeRan, "w2")
+	provisional := notRun
+	provisional.Provisional = true
 	retried := record(contract.OutcomeRan, "w1")
 	retried.Unsure = true
 	cases := []struct {
@@ -46,6 +49,9 @@
 		{"known never goes back", []contract.OutcomeRecord{ran1, unknown}, RanOnce, false},
 		{"never ran", []contract.OutcomeRecord{notRun, unknown}, NeverRan, false},
 		{"two entries agree", []contract.OutcomeRecord{ran1, ran1}, RanOnce, false},
+		{"not started by one owner", []contract.OutcomeRecord{provisional}, NeverRan, false},
+		{"started by the next owner", []contract.OutcomeRecord{provisional, ran1}, RanOnce, false},
+		{"unknown to the next owner", []contract.OutcomeRecord{provisional, unknown}, Unknown, false},
 		{"retried after an unknown attempt", []contract.OutcomeRecord{retried}, Ran, false},
 		{"two workers", []contract.OutcomeRecord{ran1, ran2}, Ran, true},
 		{"ran against not-run", []contract.OutcomeRecord{notRun, ran1}, Ran, true},
@@ -66,6 +72,7 @@
 		Outcome:     rapid.SampledFrom([]contract.Outcome{contract.OutcomeUnknown, contract.OutcomeNotRun, contract.OutcomeRan}).Draw(t, "outcome"),
 		Worker:      rapid.SampledFrom([]contract.HostID{"w1", "w2"}).Draw(t, "worker"),
 		Incarnation: contract.Incarnation(rapid.IntRange(1, 2).Draw(t, "incarnation")),
+		Provisional: rapid.Bool().Draw(t, "provisional"),
 		Unsure:      rapid.Bool().Draw(t, "unsure"),
 		Attempt:     uint32(rapid.IntRange(0, 2).Draw(t, "attempt")),
 		At:          day0.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "at"))),
@@ -82,8 +89,10 @@
 		cut := rapid.IntRange(0, len(records)).Draw(t, "cut")
 		must.Eq(t, want, MergeRows(Merge(records[cut:]...), Merge(records[:cut]...)))
 		must.Eq(t, want, MergeRows(want, Merge(records[:cut]...)))
-		anyKnown := slices.ContainsFunc(records, known)
-		must.Eq(t, anyKnown, slices.ContainsFunc(want.Records, known))
+		best := slices.MaxFunc(records, func(a, b contract.OutcomeRecord) int { return cmp.Compare(rank(a), rank(b)) })
+		for _, r := range want.Records {
+			must.Eq(t, rank(best), rank(r))
+		}
 	})
 }
 
--- a/node/ledger.go
+++ b/node/ledger.go
@@ -102,6 +102,28 @@
 	go func() { l.Reply(seq, n.ledger.replica.Receive(context.Background(), m)) }()
 }
 
+// takeReport records the outcomes that an agent reports for an entry that is
+// gone, and answers once a majority has synced them.
+func (n *Node) takeReport(l *link.Link, seq uint64, m *contract.LedgerReport) {
+	if n.ledger.writer == nil {
+		l.Reply(seq, link.NewFault(contract.ErrInternal.With("host %s is no entry", n.set.ID)))
+		return
+	}
+	for _, r := range m.Records {
+		r.Entry = n.set.ID
+		n.ledger.writer.Record(r)
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), flushLimit)
+		defer cancel()
+		if err := n.ledger.writer.Flush(ctx); err != nil {
+			l.Reply(seq, link.NewFault(contract.ErrNoQuorum.With("the outcomes are not synced yet: %v", err)))
+			return
+		}
+		l.Reply(seq, &contract.LedgerReported{})
+	}()
+}
+
 // OutcomesAnswer is the body of GET /admin/outcomes/{job}.
 type OutcomesAnswer struct {
 	Job   contract.JobID `json:"job"`
--- a/node/links.go
+++ b/node/links.go
@@ -53,6 +53,8 @@
 		n.forControl(l, seq, m)
 	case *contract.LedgerAppend, *contract.LedgerRead, *contract.LedgerPull:
 		n.forLedger(l, seq, m)
+	case *contract.LedgerReport:
+		n.takeReport(l, seq, m)
 	case *contract.RecordWrite, *contract.RecordPrepare, *contract.RecordCopy:
 		l.Reply(seq, n.records.receive(m))
 	case *contract.JobWait:
