--- a/agent/gate_test.go
+++ b/agent/gate_test.go
@@ -63,6 +63,18 @@
 	must.Eq(t, VerdictRun, next)
 }
 
+func TestGateWaitsForMemory(t *testing.T) {
+	g := NewGate(self, contract.Capacity{Slots: 8, MemoryMB: 100})
+	first, second := start(0), start(1)
+	first.Demand.MemoryMB = 60
+	second.Demand.MemoryMB = 60
+	verdict, _ := g.Offer(first)
+	must.Eq(t, VerdictRun, verdict)
+	verdict, _ = g.Offer(second)
+	must.Eq(t, VerdictWait, verdict)
+	must.Eq(t, []*contract.Start{second}, g.Finish(first.Task, true))
+}
+
 func TestGateAdmitsInOrder(t *testing.T) {
 	g := NewGate(self, contract.Capacity{Slots: 1})
 	for i := range uint32(3) {
--- a/contract/message_ledger.go
+++ b/contract/message_ledger.go
@@ -42,8 +42,8 @@
 	Job JobID
 }
 
-// OutcomeRow is what the ledger holds of one task. More than one record means
-// that known records contradict each other.
+// OutcomeRow is what the ledger holds of one task: the records that neither
+// agree with nor replace each other.
 type OutcomeRow struct {
 	Records []OutcomeRecord `json:"records"`
 }
--- a/contract/record.go
+++ b/contract/record.go
@@ -3,8 +3,7 @@
 import "time"
 
 // OutcomeRecord is one line of the outcome ledger: what became of one task.
-// Records of a task agree or go from provisional to unknown to known, never
-// back.
+// Records of a task agree or go from unknown to known, never back.
 type OutcomeRecord struct {
 	Task    TaskID  `json:"task"`
 	Team    string  `json:"team"`
@@ -15,12 +14,12 @@
 	Worker      HostID      `json:"worker,omitempty"`
 	Incarnation Incarnation `json:"incarnation,omitempty"`
 	Attempt     uint32      `json:"attempt,omitempty"`
+	// Round is the round of the owner, for a job with an idempotency key: a
+	// resubmission starts what was not run, under a later round.
+	Round uint64 `json:"round,omitempty"`
 	// Unsure says that an earlier attempt of an idempotent request may have
 	// run too.
 	Unsure bool `json:"unsure,omitempty"`
-	// Provisional says of a task that has not run that a resubmission by the
-	// job's key may still start it.
-	Provisional bool `json:"provisional,omitempty"`
 	// Entry is the host that recorded it.
 	Entry  HostID    `json:"entry"`
 	At     time.Time `json:"at"`
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -14,8 +14,8 @@
 
 // Merge joins the records of one task into its row. The join is commutative,
 // associative and idempotent, so that the order in which records arrive does
-// not matter. A known outcome replaces an unknown one; records that agree
-// become one; known records that contradict each other are all kept.
+// not matter. Records that agree become one, and a final outcome replaces an
+// unknown one; all else is kept for Judge to weigh.
 func Merge(records ...contract.OutcomeRecord) contract.OutcomeRow {
 	var claims []contract.OutcomeRecord
 	var team, route string
@@ -24,11 +24,9 @@
 		route = max(route, r.Route)
 		claims = addClaim(claims, r)
 	}
-	best := uint8(0)
-	for _, r := range claims {
-		best = max(best, rank(r))
+	if slices.ContainsFunc(claims, final) {
+		claims = slices.DeleteFunc(claims, func(r contract.OutcomeRecord) bool { return r.Outcome == contract.OutcomeUnknown })
 	}
-	claims = slices.DeleteFunc(claims, func(r contract.OutcomeRecord) bool { return rank(r) < best })
 	for i := range claims {
 		claims[i].Team = team
 		claims[i].Route = route
@@ -42,17 +40,16 @@
 	return Merge(slices.Concat(a.Records, b.Records)...)
 }
 
-// rank orders claims: one of a higher rank replaces those of lower ones. That
-// one owner of a keyed job did not start a task says nothing about the owner
-// of a resubmission, so it counts less than an unknown outcome.
-func rank(r contract.OutcomeRecord) uint8 {
-	switch {
-	case r.Outcome == contract.OutcomeNotRun && r.Provisional:
-		return 0
-	case r.Outcome == contract.OutcomeUnknown:
-		return 1
-	}
-	return 2
+// provisional reports whether the record says that one owner of a keyed job
+// did not start the task: the owner of a resubmission may have.
+func provisional(r contract.OutcomeRecord) bool {
+	return r.Outcome == contract.OutcomeNotRun && r.Round > 0
+}
+
+// final reports whether nothing that comes later can change what the record
+// says.
+func final(r contract.OutcomeRecord) bool {
+	return r.Outcome != contract.OutcomeUnknown && !provisional(r)
 }
 
 func addClaim(claims []contract.OutcomeRecord, r contract.OutcomeRecord) []contract.OutcomeRecord {
@@ -69,7 +66,7 @@
 // agree reports whether two records make the same claim: the same outcome, and
 // for work that ran, in the same process.
 func agree(a, b contract.OutcomeRecord) bool {
-	if a.Outcome != b.Outcome || rank(a) != rank(b) {
+	if a.Outcome != b.Outcome || provisional(a) != provisional(b) {
 		return false
 	}
 	return a.Outcome != contract.OutcomeRan || a.Worker == b.Worker && a.Incarnation == b.Incarnation
@@ -81,7 +78,7 @@
 	out.Status = max(a.Status, b.Status)
 	out.Attempt = max(a.Attempt, b.Attempt)
 	out.Unsure = a.Unsure || b.Unsure
-	out.Provisional = a.Provisional || b.Provisional
+	out.Round = max(a.Round, b.Round)
 	out.Entry = max(a.Entry, b.Entry)
 	out.Reason = max(a.Reason, b.Reason)
 	out.At = earlier(a.At, b.At)
@@ -102,6 +99,7 @@
 func compareClaims(a, b contract.OutcomeRecord) int {
 	return cmp.Or(
 		cmp.Compare(a.Outcome, b.Outcome),
+		cmp.Compare(min(a.Round, 1), min(b.Round, 1)),
 		cmp.Compare(a.Worker, b.Worker),
 		cmp.Compare(a.Incarnation, b.Incarnation),
 	)
@@ -124,22 +122,89 @@
 	Unknown Verdict = "unknown"
 )
 
+// claims are a row's records by what they say.
+type claims struct {
+	ran, never, provisional, unknown []contract.OutcomeRecord
+}
+
+func claimsOf(row contract.OutcomeRow) claims {
+	var c claims
+	for _, r := range row.Records {
+		switch {
+		case r.Outcome == contract.OutcomeRan:
+			c.ran = append(c.ran, r)
+		case r.Outcome == contract.OutcomeUnknown:
+			c.unknown = append(c.unknown, r)
+		case provisional(r):
+			c.provisional = append(c.provisional, r)
+		default:
+			c.never = append(c.never, r)
+		}
+	}
+	return c
+}
+
+// conflict reports whether records contradict each other: work that ran in
+// two processes, or that a final record, or the owner of a later round than
+// the one that ran it, calls not run.
+func (c claims) conflict() bool {
+	if len(c.ran) == 0 {
+		return false
+	}
+	return len(c.ran) > 1 || len(c.never) > 0 || c.ran[0].Round > 0 && lastRound(c.provisional) > c.ran[0].Round
+}
+
+func lastRound(records []contract.OutcomeRecord) uint64 {
+	var last uint64
+	for _, r := range records {
+		last = max(last, r.Round)
+	}
+	return last
+}
+
+// unresolved reports whether no owner later than the one for which the outcome
+// is unknown has called the task not run.
+func (c claims) unresolved() bool {
+	if len(c.unknown) == 0 {
+		return len(c.provisional) == 0
+	}
+	last := lastRound(c.unknown)
+	return last == 0 || lastRound(c.provisional) <= last
+}
+
 // Judge returns the verdict on a row.
 func Judge(row contract.OutcomeRow) Verdict {
-	ran := slices.ContainsFunc(row.Records, func(r contract.OutcomeRecord) bool { return r.Outcome == contract.OutcomeRan })
+	c := claimsOf(row)
 	switch {
-	case ran && len(row.Records) == 1 && !row.Records[0].Unsure:
+	case len(c.ran) > 0 && !c.conflict() && !c.ran[0].Unsure:
 		return RanOnce
-	case ran:
+	case len(c.ran) > 0:
 		return Ran
-	case len(row.Records) == 1 && row.Records[0].Outcome == contract.OutcomeNotRun:
-		return NeverRan
+	case len(c.never) == 0 && c.unresolved():
+		return Unknown
 	}
-	return Unknown
+	return NeverRan
 }
 
-// Conflict reports whether known records of the row contradict each other.
-func Conflict(row contract.OutcomeRow) bool { return len(row.Records) > 1 }
+// Conflict reports whether records of the row contradict each other.
+func Conflict(row contract.OutcomeRow) bool { return claimsOf(row).conflict() }
+
+// Decisive returns the records that the verdict rests on: all of them where
+// they contradict each other.
+func Decisive(row contract.OutcomeRow) []contract.OutcomeRecord {
+	c := claimsOf(row)
+	switch {
+	case c.conflict():
+		return row.Records
+	case len(c.ran) > 0:
+		return c.ran
+	case len(c.never) > 0:
+		return c.never
+	case c.unresolved():
+		return c.unknown
+	}
+	return c.provisional
+}
 
 // MergeJob joins the rows of one job as several control hosts hold them, in
 // the order of the tasks.
--- a/node/ledger.go
+++ b/node/ledger.go
@@ -152,7 +152,7 @@
 			Task:     row.Records[0].Task.Index,
 			Verdict:  ledger.Judge(row),
 			Conflict: ledger.Conflict(row),
-			Records:  row.Records,
+			Records:  ledger.Decisive(row),
 		})
 	}
 	answer(w, out)
