--- a/internal/scenario/edits.go
+++ b/internal/scenario/edits.go
@@ -15,9 +15,9 @@
 )
 
 // edit puts a route through a hub and waits until it is accepted:
-// edit HUB ROUTE [pool=POOL] [base=N] [id=ID]. With base the edit is tried
-// once; without it, it is made from the hub's version and resent with its ID
-// while no majority answers.
+// edit HUB ROUTE [pool=POOL] [base=N] [id=ID] [times=N]. With base the edit is
+// tried once; without it, it is made from the hub's version and resent with its
+// ID while no majority answers. With times it is one edit after another.
 func (w *world) edit(args []string) error {
 	plain, opts := options(args)
 	if err := need(plain, 2, "edit HUB ROUTE [pool=POOL] [base=N] [id=ID]"); err != nil {
@@ -46,7 +46,15 @@
 		e.Base = contract.Version(n)
 		return w.sendEdit(h, e)
 	}
-	return w.await(func() error { return w.editFromHere(h, e) })
+	first := e.ID
+	for i := range number(opts, "times", 1) {
+		e.PutRoutes[0].TimeoutMS = i
+		e.ID = contract.EditID(fmt.Sprintf("%s.%d", first, i))
+		if err := w.await(func() error { return w.editFromHere(h, e) }); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (w *world) editFromHere(h *testbed.Process, e contract.Edit) error {
@@ -98,6 +106,10 @@
 	})
 }
 
+// expectInForce checks, without waiting, that the hubs have the last accepted
+// version in force: expect-in-force HUB...
+func (w *world) expectInForce(args []string) error { return w.each(args, w.inForce) }
+
 func (w *world) inForce(p *testbed.Process) error {
 	s, err := status(p)
 	if err == nil && s.Version < w.accepted {
--- a/internal/scenario/world.go
+++ b/internal/scenario/world.go
@@ -92,6 +92,7 @@
 		"expect-starts":    (*world).expectStarts,
 		"expect-outcome":   (*world).expectOutcome,
 		"expect-recorded":  (*world).expectRecorded,
+		"expect-in-force":  (*world).expectInForce,
 		"expect-unmoved":   (*world).expectUnmoved,
 		"expect-no-revert": (*world).expectNoRevert,
 		"expect-truth":     (*world).expectTruth,
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -30,6 +31,7 @@
 	submissions, tasks, calls int
 	whole, lost, refused      int
 	unknownAnswers            int
+	kinds                     map[string]int // other answers by kind and outcome
 	started                   int
 	rows, unknownRows         int
 	absent                    int // started tasks without a row
@@ -81,7 +83,7 @@
 }
 
 func audit(sys *testbed.System, submissions []*submission) *report {
-	r := &report{submissions: len(submissions)}
+	r := &report{submissions: len(submissions), kinds: make(map[string]int)}
 	seen, err := readCounts(sys)
 	if err != nil {
 		r.violate(&r.unread, "the upstreams' counts: %v", err)
@@ -132,12 +134,24 @@
 		r.auditWhole(s, a, seen)
 	default:
 		r.refused++
+		r.kinds[kindOf(a)+", "+a.outcome]++
 		if a.outcome == contract.OutcomeUnknown.String() {
 			r.unknownAnswers++
 		}
 	}
 }
 
+// kindOf returns the kind that an answer with an error names.
+func kindOf(a answer) string {
+	var body struct {
+		Kind string `json:"kind"`
+	}
+	if json.Unmarshal(a.body, &body) != nil || body.Kind == "" {
+		return fmt.Sprint(a.status)
+	}
+	return body.Kind
+}
+
 func (r *report) auditWhole(s *submission, a answer, seen counts) {
 	got := echoesOf(s, a)
 	if len(got) != len(s.echoes) {
@@ -280,7 +294,10 @@
 	line("lost answers", r.lost)
 	line("other answers", r.refused)
 	line("  with outcome unknown", r.unknownAnswers)
-	for _, f := range sortedFaults(r.faults) {
+	for _, k := range slices.Sorted(maps.Keys(r.kinds)) {
+		line("  "+k, r.kinds[k])
+	}
+	for _, f := range slices.Sorted(maps.Keys(r.faults)) {
 		line("fault: "+string(f), r.faults[f])
 	}
 	line("tasks started", r.started)
@@ -301,12 +318,3 @@
 		fmt.Println("  -", e)
 	}
 }
-
-func sortedFaults(counts map[fault]int) []fault {
-	var out []fault
-	for f := range counts {
-		out = append(out, f)
-	}
-	slices.Sort(out)
-	return out
-}
