--- a/entry/single.go
+++ b/entry/single.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -16,13 +17,28 @@
 type singleRun struct {
 	placed  chan workerLink
 	refused chan error
+
+	mu   sync.Mutex // guards gone
+	gone bool       // nobody takes from placed any more
 }
 
-func (s *singleRun) place(_ contract.TaskID, w workerLink) []dispatch.Event {
+func (s *singleRun) place(id contract.TaskID, w workerLink) []dispatch.Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone {
+		return []dispatch.Event{dispatch.Finished{Task: id, Worker: w.Ref}}
+	}
 	s.placed <- w
 	return nil
 }
 
+// leave makes later placements give the worker back.
+func (s *singleRun) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = true
+}
+
 func (s *singleRun) refuse(err error) { s.refused <- err }
 
 // anyTeam is the team of a single request that names none.
@@ -80,7 +96,10 @@
 	x.team, x.route = team, route.Name
 	defer func() { x.record(w.Header(), err) }()
 	err = e.attempts(w, p, run, x)
-	e.observe(route.Name, team, began, x.worked, err)
+	e.observe(r.Context(), route.Name, team, began, x.worked, err)
+	if x.cut {
+		panic(http.ErrAbortHandler)
+	}
 	return err
 }
 
@@ -101,7 +120,7 @@
 				e.step(p, dispatch.Requeue{Task: placed, Worker: wk.Ref})
 				continue
 			}
-			e.step(p, dispatch.Finished{Task: placed, Worker: wk.Ref, Elapsed: x.worked, Failed: err != nil})
+			e.step(p, dispatch.Finished{Task: placed, Worker: wk.Ref, Elapsed: x.worked, Failed: err != nil && !x.callersFault(w)})
 			return err
 		case err := <-run.refused:
 			return x.qualify(err)
@@ -119,6 +138,7 @@
 func (e *Entry) withdraw(p *pool, run *singleRun, id contract.TaskID) {
 	e.step(p, dispatch.Withdraw{Job: id.Job})
 	e.jobs.remove(id.Job, run)
+	run.leave()
 	select {
 	case wk := <-run.placed:
 		e.step(p, dispatch.Finished{Task: id, Worker: wk.Ref})
