Refuse starts made under older rows than the agent knows

The entries tell each agent which edit last changed or removed the routes and its pools: names and versions only, all on announcement and the changed ones on each edit.

--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,7 @@
 
 bench-idle: build
 	@$(GO) run ./internal/bench -bin $(BIN) idle
+
+.PHONY: bench-agreement
+bench-agreement: build
+	@$(GO) run ./internal/benchagreement -bin $(BIN)
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -49,6 +49,7 @@
 	bytes  int               // size of the results that are kept
 	links  map[contract.HostID]*link.Link
 	tables contract.Version
+	rows   rowVersions
 	// linkNumber counts the links that came up.
 	linkNumber uint64
 }
--- a/agent/links.go
+++ b/agent/links.go
@@ -77,6 +77,8 @@
 	switch m := m.(type) {
 	case *contract.Heartbeat:
 		a.sawTables(m.Tables)
+	case *contract.RowVersions:
+		a.tookRows(l, m)
 	case *contract.Start:
 		a.takeStart(l, m)
 	case *contract.ResultAck:
@@ -100,7 +102,7 @@
 	a.acked(l, s.Acks)
 	s.Acks = nil
 	a.mu.Lock()
-	verdict, reason := a.gate.Offer(s)
+	verdict, reason := a.offer(s)
 	if verdict == VerdictRun || verdict == VerdictWait {
 		a.tasks[s.Task] = &task{
 			owner:   host.FromHello(l.Remote()).Ref,
@@ -111,9 +113,10 @@
 	if verdict == VerdictRun {
 		a.launch(s)
 	}
+	known := a.tables
 	a.mu.Unlock()
 	if verdict == VerdictRefuse {
-		l.Send(&contract.StartRefused{Task: s.Task, Attempt: s.Attempt, Reason: reason})
+		l.Send(&contract.StartRefused{Task: s.Task, Attempt: s.Attempt, Reason: reason, Tables: known})
 	}
 }
 
--- a/agent/single.go
+++ b/agent/single.go
@@ -55,19 +55,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &contract.Start{
+	s := &contract.Start{
 		Task:    id,
 		To:      contract.Incarnation(to),
 		Attempt: uint32(attempt),
 		Lease:   time.Duration(lease) * time.Millisecond,
-	}, nil
+	}
+	return s, readRows(r.Header, s)
 }
 
 // admitSingle passes the gate, waiting for a slot while the caller is there.
 func (a *Agent) admitSingle(ctx context.Context, s *contract.Start) (string, bool) {
 	ready := make(chan bool, 1)
 	a.mu.Lock()
-	verdict, reason := a.gate.Offer(s)
+	verdict, reason := a.offer(s)
 	if verdict == VerdictRun || verdict == VerdictWait {
 		a.tasks[s.Task] = &task{wait: ready}
 	}
--- a/contract/message.go
+++ b/contract/message.go
@@ -97,6 +97,8 @@
 	Task    TaskID
 	Attempt uint32
 	Reason  string
+	// Tables is the version that the agent has heard of.
+	Tables Version
 }
 
 // Result is the end of a started task. The agent keeps it until ResultAck.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -35,6 +35,7 @@
 	entry    *Entry
 	req      *http.Request
 	body     *requestBody
+	route    contract.Route
 	id       contract.TaskID
 	deadline time.Time
 	attempt  uint32
@@ -92,6 +93,7 @@
 		// The agent asks for the body once the request has passed its gate.
 		out.Header.Set("Expect", "100-continue")
 	}
+	setRows(out.Header, x.route, x.entry.cfg.Tables.Version())
 	setStart(out.Header, x.id, x.attempt, wk.Ref, time.Until(x.deadline))
 	return agentTransport.RoundTrip(out)
 }
--- a/entry/links.go
+++ b/entry/links.go
@@ -77,7 +77,7 @@
 		e.resulted(ref, m)
 	case *contract.StartRefused:
 		metrics.StartsRefused.Add(1)
-		e.unsent(ref, m.Task, m.Attempt)
+		e.startRefused(ref, m)
 	case *contract.TaskStates:
 		e.states(ref, m)
 	case *contract.Drain:
@@ -102,6 +102,7 @@
 	}
 	e.workers[w.Ref] = &workerLink{Worker: w, link: l, number: m.Link}
 	e.workersMu.Unlock()
+	e.tellRows(l, w.Pools)
 	e.cfg.Log.Info("worker announced", "worker", w.Host, "domain", w.Place.Domain, "slots", w.Capacity.Slots)
 	for _, ref := range replaced {
 		e.retire(ref, w)
--- a/entry/single.go
+++ b/entry/single.go
@@ -63,6 +63,7 @@
 		entry:    e,
 		req:      r,
 		body:     body,
+		route:    route,
 		id:       contract.TaskID{Job: contract.NewJobID()},
 		deadline: began.Add(singleDeadline(r, route)),
 		retry:    route.Retryable(r.Method) && r.Header.Get(forward.HeaderNonIdempotent) == "",
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -17,6 +17,9 @@
 	HeaderAttempt        = "Caraway-Attempt"
 	HeaderIncarnation    = "Caraway-Incarnation"
 	HeaderLeaseMS        = "Caraway-Lease-Ms"
+	HeaderTables         = "Caraway-Tables"
+	HeaderRoute          = "Caraway-Route"
+	HeaderPool           = "Caraway-Pool"
 	HeaderTeam           = "Caraway-Team"
 	HeaderNonIdempotent  = "Caraway-Non-Idempotent"
 	HeaderDeadlineMS     = "Caraway-Deadline-Ms"
@@ -50,6 +53,7 @@
 // controlFields are the fields that only the system's own processes set.
 var controlFields = []string{
 	HeaderOutcome, HeaderJobID, HeaderTaskID, HeaderAttempt, HeaderIncarnation, HeaderLeaseMS,
+	HeaderTables, HeaderRoute, HeaderPool,
 }
 
 // StripControl removes the system's own fields from what came from outside.
--- /dev/null
+++ b/internal/benchagreement/system.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/internal/testbed"
+	"github.com/carawaylanding/carawaylanding/node"
+)
+
+// Sizes of the system that is measured.
+const (
+	controlHosts = 3
+	entryHosts   = 3
+	agents       = 11
+)
+
+// system is a bed with control hosts, entries and agents as processes of
+// their own. The agents' upstreams are not started: no work is sent.
+type system struct {
+	bed              *testbed.Bed
+	control, entries []*testbed.Process
+	agents           []*testbed.Process
+}
+
+func newSystem(bin, dir string) (*system, error) {
+	s := &system{bed: testbed.New(bin, dir)}
+	var peers, ids, links []string
+	for i := range controlHosts {
+		p, err := s.hub(fmt.Sprintf("control%d", i+1))
+		if err != nil {
+			return nil, err
+		}
+		s.control = append(s.control, p)
+		ids = append(ids, p.Name)
+	}
+	for i := range entryHosts {
+		p, err := s.hub(fmt.Sprintf("entry%d", i+1))
+		if err != nil {
+			return nil, err
+		}
+		s.entries = append(s.entries, p)
+		links = append(links, p.Link)
+	}
+	for _, p := range s.hubs() {
+		peers = append(peers, p.Name+"="+p.Link)
+	}
+	for i, p := range s.hubs() {
+		role, more := contract.RoleControl, []string{"-data-dir", filepath.Join(dir, p.Name)}
+		if i >= controlHosts {
+			role = contract.RoleEntry
+			more = append(more, "-http-addr", p.HTTP)
+		}
+		if err := os.MkdirAll(filepath.Join(dir, p.Name), 0o755); err != nil {
+			return nil, err
+		}
+		s.bed.Add(p, "carawayd", append(more, "-id", p.Name, "-roles", string(role), "-failure-domain", fmt.Sprint("d", i%controlHosts),
+			"-link-addr", p.Link, "-admin-addr", p.Admin, "-peers", strings.Join(peers, ","), "-control", strings.Join(ids, ","))...)
+	}
+	return s, s.addAgents(links)
+}
+
+func (s *system) hubs() []*testbed.Process {
+	return append(append([]*testbed.Process{}, s.control...), s.entries...)
+}
+
+func (s *system) all() []*testbed.Process { return append(s.hubs(), s.agents...) }
+
+func (s *system) hub(name string) (*testbed.Process, error) {
+	p := &testbed.Process{Name: name}
+	for _, addr := range []*string{&p.HTTP, &p.Link, &p.Admin} {
+		free, err := testbed.FreeAddr()
+		if err != nil {
+			return nil, err
+		}
+		*addr = free
+	}
+	return p, nil
+}
+
+func (s *system) addAgents(links []string) error {
+	for i := range agents {
+		p, err := s.hub(fmt.Sprintf("worker%d", i+1))
+		if err != nil {
+			return err
+		}
+		s.bed.Add(p, "carawayd", "-id", p.Name, "-roles", string(contract.RoleAgent), "-failure-domain", fmt.Sprint("d", i%controlHosts),
+			"-http-addr", p.HTTP, "-admin-addr", p.Admin, "-entries", strings.Join(links, ","), "-upstream", "http://127.0.0.1:9", "-pools", "formula")
+		s.agents = append(s.agents, p)
+	}
+	return nil
+}
+
+func (s *system) start() error {
+	for _, p := range s.all() {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// get reads JSON from a process's operators' interface.
+func get(ctx context.Context, p *testbed.Process, path string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Admin+path, nil)
+	if err != nil {
+		return err
+	}
+	return do(req, into)
+}
+
+func do(req *http.Request, into any) error {
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", req.URL, res.Status)
+	}
+	return json.NewDecoder(res.Body).Decode(into)
+}
+
+// edit makes one edit through a process.
+func edit(ctx context.Context, p *testbed.Process, e contract.Edit) (contract.Version, error) {
+	raw, err := json.Marshal(e)
+	if err != nil {
+		return 0, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Admin+"/admin/edits", strings.NewReader(string(raw)))
+	if err != nil {
+		return 0, err
+	}
+	var a node.EditAnswer
+	err = do(req, &a)
+	return a.Version, err
+}
+
+// pollInterval is the pause between two looks at the versions in force.
+const pollInterval = time.Millisecond
+
+// awaitInForce waits until all but the absent processes have the version.
+func (s *system) awaitInForce(ctx context.Context, v contract.Version, absent string) error {
+	for ctx.Err() == nil {
+		var all []node.ProcessStatus
+		if err := get(ctx, s.entries[0], "/admin/processes", &all); err != nil {
+			return err
+		}
+		current := 0
+		for _, p := range all {
+			if string(p.Host) != absent && p.Version >= v {
+				current++
+			}
+		}
+		want := len(s.all())
+		if absent != "" {
+			want--
+		}
+		if current == want {
+			return nil
+		}
+		time.Sleep(pollInterval)
+	}
+	return fmt.Errorf("version %d is not in force everywhere: %w", v, ctx.Err())
+}
--- a/node/links.go
+++ b/node/links.go
@@ -92,11 +92,23 @@
 	}()
 }
 
-// sawVersion pulls what a peer has newer. Agents hold no tables to pull.
+// sawVersion pulls what a peer has newer. An agent holds no tables, but has
+// heard of them: then each peer is asked.
 func (n *Node) sawVersion(l *link.Link, v contract.Version) {
 	n.versions.saw(l, v)
-	if v > n.tables.Version() && !host.FromHello(l.Remote()).Has(contract.RoleAgent) {
-		l.Send(&contract.TablesPull{Have: n.tables.Version()})
+	have := n.tables.Version()
+	if v <= have {
+		return
+	}
+	pull := &contract.TablesPull{Have: have}
+	if !host.FromHello(l.Remote()).Has(contract.RoleAgent) {
+		l.Send(pull)
+		return
+	}
+	for _, p := range n.peers.all() {
+		if l := p.Link(); l != nil {
+			l.Send(pull)
+		}
 	}
 }
 
@@ -137,19 +149,9 @@
 		}
 		n.sendDelta(l, tables.Since(v.Tables, have))
 	}
-	n.tellAgents(v.Version)
-}
-
-// tellAgents sends the version in force to each agent: a busy link carries no
-// heartbeat by itself.
-func (n *Node) tellAgents(v contract.Version) {
-	if n.entry == nil {
-		return
-	}
-	for _, l := range n.entry.AgentLinks() {
-		if l != nil {
-			l.Send(&contract.Heartbeat{Tables: v})
-		}
+	if n.entry != nil {
+		n.entry.RowsChanged(v, n.rowsTold)
+		n.rowsTold = v.Version
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,9 @@
 	peers    peers
 	versions versions
 	linkCtx  context.Context // ends with the node's links
+	// rowsTold is the version whose rows the agents were told of; it is used
+	// by one change of the tables at a time.
+	rowsTold contract.Version
 	entry    *entry.Entry
 	records  *records
 	control  *control.Control
