--- a/agent/tables.go
+++ b/agent/tables.go
@@ -54,6 +54,7 @@
 	a.tables = max(a.tables, m.Tables)
 	v := a.tables
 	a.mu.Unlock()
+	metrics.TablesVersion.Set(int64(v))
 	l.Send(&contract.Heartbeat{Tables: v})
 }
 
--- a/control/round.go
+++ b/control/round.go
@@ -147,11 +147,11 @@
 	return reg, raw, nil
 }
 
-// first returns the register before the first edit, with the group that forms
-// (the specification's FORM).
+// first returns the register before the first edit, with the group that forms.
+// The specification begins after it.
 func (c *Control) first(round *quorum.Round) (Register, error) {
-	if v := c.cfg.InForce().Version; v > 0 {
-		return Register{}, contract.ErrNoQuorum.With("the control hosts have empty disks, but version %d is in force here: bring back a host with its disk, or stop all entry and control hosts together, start them and restore a backup", v)
+	if err := c.mayForm(); err != nil {
+		return Register{}, err
 	}
 	if round.Forming() {
 		return Register{Tables: contract.Tables{Group: round.First()}}, nil
@@ -163,6 +163,14 @@
 	return Register{Tables: contract.Tables{Group: g}}, nil
 }
 
+// mayForm refuses to begin again beside a version in force.
+func (c *Control) mayForm() error {
+	if v := c.cfg.InForce().Version; v > 0 {
+		return contract.ErrNoQuorum.With("the control hosts have empty disks, but version %d is in force here: bring back a host with its disk, or stop all entry and control hosts together, start them and restore a backup", v)
+	}
+	return nil
+}
+
 // firstEpoch is the epoch of the group that forms.
 const firstEpoch = 1
 
--- a/control/vote.go
+++ b/control/vote.go
@@ -8,6 +8,11 @@
 
 // prepare votes on a Prepare.
 func (c *Control) prepare(m *contract.Prepare) (contract.Message, error) {
+	if m.Forming && c.accepted().ballot == (contract.Ballot{}) {
+		if err := c.mayForm(); err != nil {
+			return nil, err
+		}
+	}
 	var answer *contract.Promise
 	err := c.vote(func(a *quorum.Acceptor) bool {
 		answer = a.Prepare(m)
--- a/internal/benchagreement/system.go
+++ b/internal/benchagreement/system.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/internal/testbed"
 	"github.com/carawaylanding/carawaylanding/node"
@@ -34,7 +36,7 @@
 	s := &system{bed: testbed.New(bin, dir)}
 	var peers, ids, links []string
 	for i := range controlHosts {
-		p, err := s.hub(fmt.Sprintf("control%d", i+1))
+		p, err := process(fmt.Sprintf("control%d", i+1), func(p *testbed.Process) []*string { return []*string{&p.Link, &p.Admin} })
 		if err != nil {
 			return nil, err
 		}
@@ -42,7 +44,7 @@
 		ids = append(ids, p.Name)
 	}
 	for i := range entryHosts {
-		p, err := s.hub(fmt.Sprintf("entry%d", i+1))
+		p, err := process(fmt.Sprintf("entry%d", i+1), func(p *testbed.Process) []*string { return []*string{&p.HTTP, &p.Link, &p.Admin} })
 		if err != nil {
 			return nil, err
 		}
@@ -73,9 +75,11 @@
 
 func (s *system) all() []*testbed.Process { return append(s.hubs(), s.agents...) }
 
-func (s *system) hub(name string) (*testbed.Process, error) {
+// process returns a process without a program, with those of its addresses
+// that the caller picks.
+func process(name string, pick func(*testbed.Process) []*string) (*testbed.Process, error) {
 	p := &testbed.Process{Name: name}
-	for _, addr := range []*string{&p.HTTP, &p.Link, &p.Admin} {
+	for _, addr := range pick(p) {
 		free, err := testbed.FreeAddr()
 		if err != nil {
 			return nil, err
@@ -87,7 +91,7 @@
 
 func (s *system) addAgents(links []string) error {
 	for i := range agents {
-		p, err := s.hub(fmt.Sprintf("worker%d", i+1))
+		p, err := process(fmt.Sprintf("worker%d", i+1), func(p *testbed.Process) []*string { return []*string{&p.HTTP, &p.Admin} })
 		if err != nil {
 			return err
 		}
@@ -143,30 +147,32 @@
 	return a.Version, err
 }
 
-// pollInterval is the pause between two looks at the versions in force.
-const pollInterval = time.Millisecond
+// pollInterval is the pause between two looks at a process's version.
+const pollInterval = 2 * time.Millisecond
 
-// awaitInForce waits until all but the absent processes have the version.
+// awaitInForce waits until all but the absent process have the version.
 func (s *system) awaitInForce(ctx context.Context, v contract.Version, absent string) error {
-	for ctx.Err() == nil {
-		var all []node.ProcessStatus
-		if err := get(ctx, s.entries[0], "/admin/processes", &all); err != nil {
-			return err
+	g, ctx := errgroup.WithContext(ctx)
+	for _, p := range s.all() {
+		if p.Name != absent {
+			g.Go(func() error { return awaitVersion(ctx, p, v) })
 		}
-		current := 0
-		for _, p := range all {
-			if string(p.Host) != absent && p.Version >= v {
-				current++
-			}
+	}
+	return g.Wait()
+}
+
+func awaitVersion(ctx context.Context, p *testbed.Process, v contract.Version) error {
+	for ctx.Err() == nil {
+		var vars struct {
+			Version contract.Version `json:"caraway_tables_version"`
 		}
-		want := len(s.all())
-		if absent != "" {
-			want--
+		if err := get(ctx, p, "/debug/vars", &vars); err != nil {
+			return err
 		}
-		if current == want {
+		if vars.Version >= v {
 			return nil
 		}
 		time.Sleep(pollInterval)
 	}
-	return fmt.Errorf("version %d is not in force everywhere: %w", v, ctx.Err())
+	return fmt.Errorf("version %d is not in force at %s: %w", v, p.Name, ctx.Err())
 }
--- a/metrics/quorum.go
+++ b/metrics/quorum.go
@@ -4,6 +4,8 @@
 
 // Agreement of the control hosts, and the tables in force.
 var (
+	// TablesVersion is the version in force in this process.
+	TablesVersion = expvar.NewInt("caraway_tables_version")
 	// QuorumRounds counts rounds that were started.
 	QuorumRounds = expvar.NewInt("caraway_quorum_rounds")
 	// QuorumRoundsLost counts rounds that were not chosen.
--- a/node/links.go
+++ b/node/links.go
@@ -133,6 +133,7 @@
 	if v.Version == 0 {
 		return
 	}
+	metrics.TablesVersion.Set(int64(v.Version))
 	n.dialMembers(v.Group)
 	for id, p := range n.peers.all() {
 		l := p.Link()
