--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 GO ?= go
 BIN := bin
 
+.PHONY: all build demo test lint format-check model bench soak capacity shares bench-load bench-dispatch
 .PHONY: bench-entry bench-idle
-.PHONY: all build demo test lint format-check model bench soak capacity shares
 
 all: build
 
@@ -14,7 +14,7 @@
 	@$(GO) run ./internal/demo -bin $(BIN)
 
 test: build
-	$(GO) test ./...
+	$(GO) test -count=1 ./...
 
 format-check:
 	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
@@ -26,12 +26,23 @@
 model:
 	@spec/check
 
+bench-load:
+	$(GO) run ./internal/loadlab/bench -span 120s -seeds 5 -plot docs/design/load.png
+
+bench-dispatch:
+	$(GO) test -run '^$$' -bench . -benchmem ./dispatch
+
 shares:
 	@$(GO) run ./internal/shares
 
 capacity: build
 	@$(GO) run ./internal/capacity -bin $(BIN)
 
+soak:
+	@$(GO) run ./internal/soak $(SOAK)
+
+bench: bench-entry bench-idle
+
 bench-entry: build
 	@$(GO) run ./internal/bench -bin $(BIN) entry
 
@@ -41,3 +52,7 @@
 .PHONY: bench-agreement
 bench-agreement: build
 	@$(GO) run ./internal/benchagreement -bin $(BIN)
+
+.PHONY: bench-record
+bench-record: build
+	@$(GO) run ./internal/benchrecord -bin $(BIN)
--- a/agent/links.go
+++ b/agent/links.go
@@ -7,6 +7,7 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/host"
 	"github.com/carawaylanding/carawaylanding/link"
+	"github.com/carawaylanding/carawaylanding/metrics"
 )
 
 // LinkUp implements link.Handler: it announces the upstream and sends again
@@ -19,6 +20,7 @@
 	a.linkNumber++
 	number := a.linkNumber
 	draining := a.gate.Draining()
+	grants := a.credits.entryUp(ref.Host)
 	a.dropWaiting(func(owner host.Ref) bool { return owner.Host == ref.Host && owner != ref })
 	var unacked []*contract.Result
 	for _, t := range a.tasks {
@@ -37,6 +39,7 @@
 	for _, r := range unacked {
 		l.Send(r)
 	}
+	a.sendCredits(grants)
 	a.cfg.Log.Info("link up", "entry", ref.Host)
 }
 
@@ -48,10 +51,13 @@
 func (a *Agent) LinkDown(l *link.Link, err error) {
 	ref := host.FromHello(l.Remote()).Ref
 	a.mu.Lock()
+	var grants []creditMail
 	if a.links[ref.Host] == l {
 		delete(a.links, ref.Host)
+		grants = a.credits.entryDown(ref.Host)
 	}
 	a.mu.Unlock()
+	a.sendCredits(grants)
 	a.cfg.Log.Info("link down", "entry", ref.Host, "err", err)
 	time.AfterFunc(orphanGrace, func() {
 		a.mu.Lock()
@@ -85,6 +91,8 @@
 		a.acked(l, m.Tasks)
 	case *contract.Fence:
 		a.fence(l, seq, m)
+	case *contract.CreditReset:
+		a.resetCredits(m.Pool)
 	case *contract.Cancel:
 		a.cancelJob(l, m.Job)
 	case *contract.StatusRequest, *contract.DrainRequest:
@@ -109,6 +117,10 @@
 			expires: time.Now().Add(s.Lease),
 			keep:    s.Keep,
 		}
+		a.credits.begin(s, l.Remote().Host)
+	}
+	if verdict == VerdictWait {
+		metrics.StartsQueued.Add(1)
 	}
 	if verdict == VerdictRun {
 		a.launch(s)
@@ -181,12 +193,13 @@
 	state := a.gate.Fence(id, attempt)
 	t := a.tasks[id]
 	if state != contract.TaskFenced || t == nil {
-		return state
+		return reported(state)
 	}
 	if t.wait != nil {
 		t.wait <- false
 	}
 	delete(a.tasks, id)
+	delete(a.credits.uses, id)
 	return state
 }
 
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -45,10 +45,12 @@
 		}
 	}
 	a.release(r.Task, r.Outcome != contract.OutcomeNotRun)
+	grants := a.credits.end(r.Task)
 	a.mu.Unlock()
 	for _, l := range to {
 		l.Send(r)
 	}
+	a.sendCredits(grants)
 }
 
 // release frees the task's slots and launches what now fits; the caller holds
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/carawaylanding/carawaylanding/dispatch"
 	"github.com/carawaylanding/carawaylanding/host"
 	"github.com/carawaylanding/carawaylanding/link"
+	"github.com/carawaylanding/carawaylanding/membership"
 	"github.com/carawaylanding/carawaylanding/tables"
 )
 
@@ -22,8 +23,13 @@
 	Tables   *tables.Holder
 	// NewScheduler makes the scheduler of a pool.
 	NewScheduler func(contract.Pool) dispatch.Scheduler
+	// Tell sends a message to another entry; it may be lost.
+	Tell func(to contract.HostID, m contract.Message)
 	// Retention is how long an ended job's state is kept.
 	Retention time.Duration
+	// BodyStall is how long a caller may send nothing of a body, or take
+	// nothing of an answer.
+	BodyStall time.Duration
 	// Records asks the holders of job records; nil refuses idempotency keys.
 	Records *Records
 	// Outcomes takes the final outcome of each task; nil drops them.
@@ -58,9 +64,11 @@
 	workersMu sync.RWMutex // guards workers
 	workers   map[host.Ref]*workerLink
 
-	jobs  jobShards
-	plans plans
-	acks  acks
+	jobs    jobShards
+	plans   plans
+	acks    acks
+	credits creditState
+	members members
 
 	retries retryBudget
 
@@ -84,12 +92,17 @@
 	if cfg.Retention == 0 {
 		cfg.Retention = DefaultRetention
 	}
+	if cfg.BodyStall == 0 {
+		cfg.BodyStall = DefaultBodyStall
+	}
 	e := &Entry{
 		cfg:     cfg,
 		pools:   make(map[string]*pool),
 		workers: make(map[host.Ref]*workerLink),
 	}
 	e.jobs.init()
+	e.members.dir = membership.New()
+	e.credits.grants = make(map[grantKey]contract.CreditGrant)
 	cfg.Tables.Watch(e.poolsChanged)
 	return e
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -35,6 +35,7 @@
 	entry    *Entry
 	req      *http.Request
 	body     *requestBody
+	team     string
 	route    contract.Route
 	id       contract.TaskID
 	deadline time.Time
@@ -46,6 +47,8 @@
 	// unsure says that an earlier attempt may have run.
 	unsure bool
 	worked time.Duration
+	// cut says that a part of the answer has left: the connection must be cut.
+	cut bool
 }
 
 // gateWait is how long the agent may take to say that the request passed its
@@ -104,6 +107,9 @@
 	if !time.Now().Before(x.deadline) {
 		return fateUnknown, contract.ErrDeadline.With("no answer of worker %s came before the deadline", wk.Host)
 	}
+	if x.body.broken.Load() {
+		return fateUnknown, unknownOf(errSlowBody.With("the body stalled or ended early after the request had started"))
+	}
 	var op *net.OpError
 	dialed := errors.As(err, &op) && op.Op == "dial"
 	if dialed || !passed && x.fenced(wk) {
@@ -112,6 +118,13 @@
 	return fateUnknown, contract.ErrUpstreamLost.With("worker %s: %v", wk.Host, err)
 }
 
+// callersFault reports that the attempt failed by the caller's doing: it left,
+// or stopped sending or taking. It says nothing about the worker.
+func (x *exchange) callersFault(w http.ResponseWriter) bool {
+	sw, ok := w.(*steadyWriter)
+	return ok && sw.broken || x.body.broken.Load() || x.req.Context().Err() != nil
+}
+
 // notRun is the refusal for a request whose last attempt did not start.
 func (x *exchange) notRun(wk workerLink, reason string) error {
 	return x.qualify(contract.ErrNoUpstream.Refuse(time.Second, "worker %s: %s", wk.Host, reason))
@@ -149,7 +162,8 @@
 	}
 	w.Header().Set(forward.HeaderJobID, string(x.id.Job))
 	if err := forward.CopyResponse(w, res); err != nil {
-		panic(http.ErrAbortHandler)
+		x.cut = true
+		return fateAnswered, contract.ErrUpstreamLost.With("the answer was cut: %v", err)
 	}
 	return fateAnswered, nil
 }
@@ -185,6 +199,7 @@
 	buffered []byte
 	streamed bool
 	touched  atomic.Bool
+	broken   atomic.Bool // the caller stopped sending
 	rest     io.ReadCloser
 }
 
@@ -207,7 +222,11 @@
 // Read implements io.Reader for a streamed body.
 func (b *requestBody) Read(p []byte) (int, error) {
 	b.touched.Store(true)
-	return b.rest.Read(p)
+	n, err := b.rest.Read(p)
+	if err != nil && err != io.EOF {
+		b.broken.Store(true)
+	}
+	return n, err
 }
 
 // rewind reports whether the body can be sent from its beginning.
--- a/entry/links.go
+++ b/entry/links.go
@@ -37,7 +37,9 @@
 	if !current {
 		return
 	}
+	e.memberLost(ref)
 	e.cfg.Log.Info("worker silent", "worker", ref.Host, "err", err)
+	e.dropGrants(worker)
 	for _, p := range e.poolsOf(worker) {
 		e.step(p, dispatch.WorkerDown{Worker: ref})
 	}
@@ -80,6 +82,8 @@
 		e.startRefused(ref, m)
 	case *contract.TaskStates:
 		e.states(ref, m)
+	case *contract.CreditGrant:
+		e.granted(ref, m)
 	case *contract.Drain:
 		e.drained(ref)
 	}
@@ -107,9 +111,7 @@
 	for _, ref := range replaced {
 		e.retire(ref, w)
 	}
-	for _, p := range e.poolsOf(w) {
-		e.step(p, dispatch.WorkerUp{Worker: w})
-	}
+	e.admit(w, m.Link)
 	e.reconcile(l, w.Ref)
 }
 
@@ -181,6 +183,7 @@
 	if !ok {
 		return
 	}
+	e.memberDrained(ref)
 	for _, p := range e.poolsOf(worker) {
 		e.step(p, dispatch.WorkerUp{Worker: worker})
 	}
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,91 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/failuredomain"
+	"github.com/carawaylanding/carawaylanding/host"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func worker(id string, inc contract.Incarnation) host.Worker {
+	return host.Worker{
+		Identity: host.Identity{Ref: host.Ref{Host: contract.HostID(id), Incarnation: inc}, Place: failuredomain.Place{Domain: "patan", Rack: "rack1"}},
+		Pools:    []string{"formula"},
+		Capacity: contract.Capacity{Slots: 8},
+	}
+}
+
+func TestRackThatRestartsAtOnceIsNotDamped(t *testing.T) {
+	d := New()
+	for i := range 40 {
+		d.Announced(worker(fmt.Sprint("w", i), 1), start)
+	}
+	for i := range 40 {
+		d.Lost(worker(fmt.Sprint("w", i), 1).Ref, start.Add(time.Second))
+	}
+	must.Eq(t, []View{{Pool: "formula", Domain: "patan", Silent: 40}}, d.Views(start.Add(2*time.Second)))
+	for i := range 40 {
+		must.Zero(t, d.Announced(worker(fmt.Sprint("w", i), 2), start.Add(3*time.Second)))
+	}
+	must.Eq(t, []View{{Pool: "formula", Domain: "patan", Up: 40, Slots: 320}}, d.Views(start.Add(4*time.Second)))
+	must.Eq(t, Counts{Joined: 40, Restarted: 40, Lost: 40}, d.Counts())
+}
+
+func TestFlappingWorkerIsDampedAndComesBack(t *testing.T) {
+	d := New()
+	now := start
+	var wait time.Duration
+	for inc := contract.Incarnation(1); wait == 0; inc++ {
+		must.Less(t, contract.Incarnation(7), inc)
+		wait = d.Announced(worker("w", inc), now)
+		if wait == 0 {
+			d.Lost(worker("w", inc).Ref, now.Add(time.Second))
+		}
+		now = now.Add(2 * time.Second)
+	}
+	now = now.Add(-2 * time.Second)
+	must.Eq(t, 1, d.Views(now)[0].Damped)
+	must.Positive(t, d.Announced(worker("w", 9), now.Add(wait/2)))
+	must.Eq(t, 1, d.Views(now.Add(2 * time.Minute))[0].Up)
+	must.Zero(t, d.Announced(worker("w", 9), now.Add(2*time.Minute)))
+	must.Eq(t, int64(1), d.Counts().Damped)
+}
+
+func TestDrainIsNoLoss(t *testing.T) {
+	d := New()
+	now := start
+	for inc := contract.Incarnation(1); inc < 20; inc++ {
+		must.Zero(t, d.Announced(worker("w", inc), now))
+		d.Drained(worker("w", inc).Ref, now)
+		must.Eq(t, 1, d.Views(now)[0].Draining)
+		d.Lost(worker("w", inc).Ref, now.Add(time.Second))
+		now = now.Add(2 * time.Second)
+	}
+	must.SliceEmpty(t, d.Views(now))
+	must.Eq(t, Counts{Joined: 19, Drained: 19}, d.Counts())
+}
+
+func TestLateLossOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+	d := New()
+	d.Announced(worker("w", 1), start)
+	d.Announced(worker("w", 2), start)
+	d.Lost(worker("w", 1).Ref, start)
+	must.Eq(t, 1, d.Views(start)[0].Up)
+}
+
+func TestSilentWorkerIsForgotten(t *testing.T) {
+	d := New()
+	d.Announced(worker("w", 1), start)
+	d.Lost(worker("w", 1).Ref, start)
+	d.Sweep(start.Add(forgetAfter - 1))
+	must.SliceLen(t, 1, d.Views(start))
+	d.Sweep(start.Add(forgetAfter))
+	must.SliceEmpty(t, d.Views(start))
+}
--- a/node/links.go
+++ b/node/links.go
@@ -15,6 +15,7 @@
 // that neither side waits for an idle link to learn that it is behind.
 func (n *Node) LinkUp(l *link.Link) {
 	l.Send(n.heartbeat())
+	n.peerChanged(l)
 	if n.fromAgent(l) {
 		n.entry.LinkUp(l)
 	}
@@ -23,6 +24,7 @@
 // LinkDown implements link.Handler.
 func (n *Node) LinkDown(l *link.Link, err error) {
 	n.versions.down(l)
+	n.peerChanged(l)
 	if n.fromAgent(l) {
 		n.entry.LinkDown(l, err)
 	}
@@ -57,6 +59,10 @@
 		l.Reply(seq, n.records.receive(m))
 	case *contract.JobWait:
 		n.waitJob(l, seq, m)
+	case *contract.CreditAsk, *contract.CreditLend, *contract.WorkerSuspect:
+		if n.entry != nil {
+			n.entry.ReceivePeer(l.Remote().Host, m)
+		}
 	default:
 		if n.fromAgent(l) {
 			n.entry.Receive(l, m)
@@ -167,6 +173,7 @@
 		if err == nil {
 			n.tables.Merge(d)
 			n.log.Info("caught up", "version", n.tables.Version())
+			n.records.caughtUp(n.control != nil && n.control.OriginalDisk())
 			return
 		}
 		select {
