--- a/entry/links.go
+++ b/entry/links.go
@@ -37,6 +37,7 @@
 	if !current {
 		return
 	}
+	e.memberLost(ref)
 	e.cfg.Log.Info("worker silent", "worker", ref.Host, "err", err)
 	e.dropGrants(worker)
 	for _, p := range e.poolsOf(worker) {
@@ -78,7 +79,7 @@
 		e.resulted(ref, m)
 	case *contract.StartRefused:
 		metrics.StartsRefused.Add(1)
-		e.unsent(ref, m.Task, m.Attempt)
+		e.startRefused(ref, m)
 	case *contract.TaskStates:
 		e.states(ref, m)
 	case *contract.CreditGrant:
@@ -105,14 +106,12 @@
 	}
 	e.workers[w.Ref] = &workerLink{Worker: w, link: l, number: m.Link}
 	e.workersMu.Unlock()
+	e.tellRows(l, w.Pools)
 	e.cfg.Log.Info("worker announced", "worker", w.Host, "domain", w.Place.Domain, "slots", w.Capacity.Slots)
 	for _, ref := range replaced {
 		e.retire(ref, w)
 	}
-	for _, p := range e.poolsOf(w) {
-		e.step(p, dispatch.WorkerUp{Worker: w})
-		e.replayGrant(p, w.Ref)
-	}
+	e.admit(w, m.Link)
 	e.reconcile(l, w.Ref)
 }
 
@@ -184,6 +183,7 @@
 	if !ok {
 		return
 	}
+	e.memberDrained(ref)
 	for _, p := range e.poolsOf(worker) {
 		e.step(p, dispatch.WorkerUp{Worker: worker})
 	}
