--- a/internal/loadlab/result.go
+++ b/internal/loadlab/result.go
@@ -102,11 +102,23 @@
 		jobs := workload(cfg)
 		l := newLab(cfg)
 		l.run(jobs)
-		all.add(l, jobs, floor(cfg.Site, jobs))
+		all.add(l, jobs, floor(cfg.Site, l.completed(jobs)))
 	}
 	return all.result(cfg, len(seeds))
 }
 
+// completed returns the jobs that got their whole answer: the floor has no
+// others in its queue, so that refusals don't flatter a policy.
+func (l *lab) completed(jobs []*simJob) []*simJob {
+	var out []*simJob
+	for _, j := range jobs {
+		if l.runs[j.id].complete {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
 // samples adds up runs.
 type samples struct {
 	response, floor  []time.Duration
