--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	@$(GO) run ./internal/demo -bin $(BIN)
 
 test: build
-	$(GO) test ./...
+	$(GO) test -count=1 ./...
 
 format-check:
 	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
@@ -38,8 +38,17 @@
 capacity: build
 	@$(GO) run ./internal/capacity -bin $(BIN)
 
+soak:
+	@$(GO) run ./internal/soak $(SOAK)
+
+bench: bench-entry bench-idle
+
 bench-entry: build
 	@$(GO) run ./internal/bench -bin $(BIN) entry
 
 bench-idle: build
 	@$(GO) run ./internal/bench -bin $(BIN) idle
+
+.PHONY: bench-record
+bench-record: build
+	@$(GO) run ./internal/benchrecord -bin $(BIN)
--- a/entry/single.go
+++ b/entry/single.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -16,13 +17,28 @@
 type singleRun struct {
 	placed  chan workerLink
 	refused chan error
+
+	mu   sync.Mutex // guards gone
+	gone bool       // nobody takes from placed any more
 }
 
-func (s *singleRun) place(_ contract.TaskID, w workerLink) []dispatch.Event {
+func (s *singleRun) place(id contract.TaskID, w workerLink) []dispatch.Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone {
+		return []dispatch.Event{dispatch.Finished{Task: id, Worker: w.Ref}}
+	}
 	s.placed <- w
 	return nil
 }
 
+// leave makes later placements give the worker back.
+func (s *singleRun) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = true
+}
+
 func (s *singleRun) refuse(err error) { s.refused <- err }
 
 // anyTeam is the team of a single request that names none.
@@ -77,14 +93,19 @@
 	}
 	e.step(p, dispatch.Submit{Job: x.id.Job, Team: team, Route: route.Name, Deadline: x.deadline, Demands: []contract.Demand{{Slots: 1}}})
 	err = contract.ErrUpstreamLost.With("the answer was cut")
-	defer func() { x.record(team, route.Name, w.Header(), err) }()
+	x.team, x.route = team, route.Name
+	defer func() { x.record(w.Header(), err) }()
 	err = e.attempts(w, p, run, x)
-	e.observe(route.Name, team, began, x.worked, err)
+	e.observe(r.Context(), route.Name, team, began, x.worked, err)
+	if x.cut {
+		panic(http.ErrAbortHandler)
+	}
 	return err
 }
 
 // attempts places the request until it is answered, or must not go again.
 func (e *Entry) attempts(w http.ResponseWriter, p *pool, run *singleRun, x *exchange) error {
+	placed := x.id
 	timer := time.NewTimer(time.Until(x.deadline))
 	defer timer.Stop()
 	for {
@@ -95,19 +116,19 @@
 			sent := time.Now()
 			fate, err := x.relay(w, wk)
 			x.worked = time.Since(sent)
-			if x.again(fate) {
-				e.step(p, dispatch.Requeue{Task: x.id, Worker: wk.Ref})
+			if x.again(fate, err) {
+				e.step(p, dispatch.Requeue{Task: placed, Worker: wk.Ref})
 				continue
 			}
-			e.step(p, dispatch.Finished{Task: x.id, Worker: wk.Ref, Elapsed: x.worked, Failed: err != nil})
+			e.step(p, dispatch.Finished{Task: placed, Worker: wk.Ref, Elapsed: x.worked, Failed: err != nil && !x.callersFault(w)})
 			return err
 		case err := <-run.refused:
 			return x.qualify(err)
 		case <-timer.C:
-			e.withdraw(p, run, x.id)
+			e.withdraw(p, run, placed)
 			return x.qualify(contract.ErrOverload.Refuse(time.Second, "no worker was free before the deadline"))
 		case <-x.req.Context().Done():
-			e.withdraw(p, run, x.id)
+			e.withdraw(p, run, placed)
 			return x.qualify(contract.ErrCancelled.With("the caller went away"))
 		}
 	}
@@ -117,6 +138,7 @@
 func (e *Entry) withdraw(p *pool, run *singleRun, id contract.TaskID) {
 	e.step(p, dispatch.Withdraw{Job: id.Job})
 	e.jobs.remove(id.Job, run)
+	run.leave()
 	select {
 	case wk := <-run.placed:
 		e.step(p, dispatch.Finished{Task: id, Worker: wk.Ref})
@@ -125,7 +147,7 @@
 }
 
 // again reports whether the request may be placed once more.
-func (x *exchange) again(f fate) bool {
+func (x *exchange) again(f fate, err error) bool {
 	if x.attempt >= maxSingleAttempts || x.req.Context().Err() != nil || !x.body.rewind() {
 		return false
 	}
@@ -141,6 +163,9 @@
 			metrics.RetriesDenied.Add(1)
 			return false
 		}
+		// The gate never starts one task twice: the retry is another task.
+		x.record(nil, err)
+		x.id.Index++
 		x.unsure = true
 		metrics.SingleRetries.Add(1)
 		return true
--- a/node/node.go
+++ b/node/node.go
@@ -117,11 +117,7 @@
 		return err
 	}
 	defer n.closeLedger()
-	var err error
-	n.records, err = newRecords(n.set.ID, n.set.RecordHolders, n.peers.all(), n.set.DataDir, n.log)
-	if err != nil {
-		return err
-	}
+	n.records = newRecords(n.set.ID, n.set.RecordHolders, n.peers.all(), n.set.DataDir, n.log)
 	if n.set.Has(contract.RoleEntry) {
 		n.observer = newObserver(n.tables)
 		n.entry = entry.New(entry.Config{
@@ -131,10 +127,11 @@
 			NewScheduler: func(p contract.Pool) dispatch.Scheduler {
 				return dispatch.NewPool(dispatch.FromRow(p, n.identity.Place))
 			},
-			Tell:     n.tell,
-			Outcomes: n.outcomes(),
-			Observer: n.observer,
-			Log:      n.log,
+			Tell:      n.tell,
+			Outcomes:  n.outcomes(),
+			Observer:  n.observer,
+			BodyStall: n.set.BodyStall,
+			Log:       n.log,
 		})
 	}
 	n.tables.Watch(n.tablesChanged)
@@ -207,9 +204,6 @@
 // readHeaderTimeout bounds how slowly a request's header may arrive.
 const readHeaderTimeout = 10 * time.Second
 
-// idleConnTimeout bounds how long a caller's connection may be idle.
-const idleConnTimeout = 2 * time.Minute
-
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -221,16 +215,11 @@
 	if n.entry == nil {
 		return nil, nil
 	}
-	ln, err := net.Listen("tcp", n.set.HTTPAddr)
+	ln, err := entry.Listen(n.set.HTTPAddr)
 	if err != nil {
 		return nil, err
 	}
-	srv := &http.Server{
-		Handler:           n.entry.Handler(),
-		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    entry.MaxHeaderBytes,
-		IdleTimeout:       idleConnTimeout,
-	}
+	srv := n.entry.NewServer()
 	g.Go(func() error { return ignoreClosed(srv.Serve(ln)) })
 	return srv, nil
 }
--- a/record/holder.go
+++ b/record/holder.go
@@ -69,6 +69,9 @@
 	return h.serving
 }
 
+// Serve ends the abstention of a holder that has never served before.
+func (h *Holder) Serve() { h.serving = true }
+
 // Len returns the number of records.
 func (h *Holder) Len() int { return len(h.records) }
 
@@ -199,6 +202,7 @@
 }
 
 // Recovery gathers the records of the other holders for one that restarted.
+// It is the specification's Recover.
 type Recovery struct {
 	need   int
 	copies map[contract.HostID][]contract.JobRecord
