Leave the probe of an ejected worker to one entry

Each entry probed a failing worker on its own schedule, and each probe costs a caller's job. An entry that is told of a peer's ejection now puts its own probe off as long as the peer's fail. The test was seen to fail without the change.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -80,7 +80,10 @@
 }
 
 // WorkerSuspected is a peer's report on a worker.
-type WorkerSuspected struct{ Suspect *contract.WorkerSuspect }
+type WorkerSuspected struct {
+	From    contract.HostID
+	Suspect *contract.WorkerSuspect
+}
 
 // WorkerLoad is a worker's own report of the slots that are in use or waited
 // for there. Only baselines use it.
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -27,6 +27,9 @@
 	// before says nothing.
 	failedAt time.Time
 	until    time.Time
+	// prober says that this entry ejected the worker on what it saw itself, and
+	// probes it.
+	prober bool
 	// backoff is how long the last ejection lasts.
 	backoff time.Duration
 	ratio   average // logarithm of actual over expected run time
@@ -96,6 +99,7 @@
 	switch {
 	case w.health.streak >= limit && p.mayEject(w):
 		p.eject(w, 1)
+		w.health.prober = true
 	case w.health.streak >= max(1, limit/2) && w.health.state == healthy:
 		w.health.state = onTrial
 	default:
@@ -174,7 +178,7 @@
 }
 
 // suspected takes a peer's report.
-func (p *Pool) suspected(s *contract.WorkerSuspect) {
+func (p *Pool) suspected(from contract.HostID, s *contract.WorkerSuspect) {
 	w := p.workers.byRef[host.Ref{Host: s.Worker, Incarnation: s.Incarnation}]
 	if w == nil {
 		return
@@ -193,15 +197,31 @@
 		h.state = healthy
 		h.streak = 0
 		h.backoff = 0
+	case s.Ejected && h.state == ejected:
+		p.deferProbe(h, from)
 	case s.Ejected && p.mayEject(w):
 		h.streak = max(h.streak, s.Failures)
 		p.eject(w, peerFactor)
+		h.prober = false
 	case h.state == healthy:
 		h.streak = max(h.streak, s.Failures)
 		h.state = onTrial
 	}
 }
 
+// deferProbe leaves the probe of an ejected worker to a peer that has ejected
+// it too; of two that saw it fail, the one with the lower ID probes.
+func (p *Pool) deferProbe(h *health, peer contract.HostID) {
+	if h.prober && p.self < peer {
+		return
+	}
+	h.prober = false
+	if later := p.now.Add(peerFactor * h.backoff); later.After(h.until) {
+		h.backoff = min(2*h.backoff, maxEjection)
+		h.until = later
+	}
+}
+
 // endEjections lets each worker whose ejection is over run one task.
 func (p *Pool) endEjections() {
 	kept := p.ejected[:0]
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -192,7 +192,7 @@
 	case CreditLent:
 		p.lent(ev)
 	case WorkerSuspected:
-		p.suspected(ev.Suspect)
+		p.suspected(ev.From, ev.Suspect)
 	}
 }
 
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -271,7 +271,7 @@
 	case *contract.CreditLend:
 		m.step(t, to, CreditLent{From: from, Lend: msg})
 	case *contract.WorkerSuspect:
-		m.step(t, to, WorkerSuspected{Suspect: msg})
+		m.step(t, to, WorkerSuspected{From: from, Suspect: msg})
 	}
 }
 
@@ -531,3 +531,21 @@
 	must.SliceEmpty(t, drain(1))
 	must.True(t, contract.ErrNoUpstream.Is(refusalOf(t, p.Step(testStart, Submit{Job: "new", Demands: declared(1, 100)}))))
 }
+
+// TestPeersLeaveTheProbe holds that an entry that was told of an ejection goes
+// on leaving the worker alone while the peer's probes fail.
+func TestPeersLeaveTheProbe(t *testing.T) {
+	p := poolWith(Config{}, contract.Capacity{Slots: 2}, contract.Capacity{Slots: 2})
+	bad := testWorker(0, contract.Capacity{}).Ref
+	p.Step(testStart, Peers{Self: "b", Peers: []contract.HostID{"a"}})
+	report := WorkerSuspected{From: "a", Suspect: &contract.WorkerSuspect{Worker: bad.Host, Incarnation: bad.Incarnation, Failures: 2, Ejected: true}}
+	p.Step(testStart, report)
+	p.Step(testStart.Add(firstEjection), report)
+	now := testStart.Add(peerFactor*firstEjection + time.Second)
+	p.Step(now, Tick{})
+	for _, pl := range placesOf(p.Step(now, Submit{Job: "j", Demands: declared(4, 100)})) {
+		must.NotEq(t, bad, pl.Worker)
+	}
+	report.Suspect = &contract.WorkerSuspect{Worker: bad.Host, Incarnation: bad.Incarnation}
+	must.Len(t, 2, placesOf(p.Step(now, report)))
+}
--- a/entry/credit.go
+++ b/entry/credit.go
@@ -93,7 +93,7 @@
 	case *contract.CreditLend:
 		e.stepNamed(m.Pool, dispatch.CreditLent{From: from, Lend: m})
 	case *contract.WorkerSuspect:
-		e.stepNamed(m.Pool, dispatch.WorkerSuspected{Suspect: m})
+		e.stepNamed(m.Pool, dispatch.WorkerSuspected{From: from, Suspect: m})
 	}
 }
 
--- a/internal/loadlab/hosts.go
+++ b/internal/loadlab/hosts.go
@@ -73,7 +73,7 @@
 		deliver = func() { to.borrow(dispatch.CreditLent{From: e.id, Lend: m}) }
 	case *contract.WorkerSuspect:
 		l.count.Suspects++
-		deliver = func() { to.step(dispatch.WorkerSuspected{Suspect: m}) }
+		deliver = func() { to.step(dispatch.WorkerSuspected{From: e.id, Suspect: m}) }
 	}
 	l.after(l.latency(e.domain, to.domain), deliver)
 }
