--- a/internal/loadlab/lab.go
+++ b/internal/loadlab/lab.go
@@ -239,6 +239,11 @@
 		l.loseEntry(l.entries[0])
 	case FaultCancel:
 		l.cancelWave()
+	case FaultTogether:
+		l.agents[0].failing = true
+		l.agents[1].slow = true
+		l.cancelWave()
+		l.loseEntry(l.entries[0])
 	}
 }
 
