--- a/dispatch/arrival.go
+++ b/dispatch/arrival.go
@@ -60,3 +60,29 @@
 	}
 	return time.Duration(wait * float64(time.Second))
 }
+
+// drainRate measures how much work ends each second.
+type drainRate struct {
+	since time.Time
+	work  time.Duration
+	rate  float64 // slots that were busy in the last windows
+}
+
+// drainWindow is how long work is added up before the rate is brought up to
+// date.
+const drainWindow = time.Second
+
+func (d *drainRate) add(now time.Time, work time.Duration) {
+	if d.since.IsZero() {
+		d.since = now
+	}
+	d.work += work
+	span := now.Sub(d.since)
+	if span < drainWindow {
+		return
+	}
+	keep := math.Exp2(-span.Seconds() / drainWindow.Seconds())
+	d.rate = keep*d.rate + (1-keep)*d.work.Seconds()/span.Seconds()
+	d.since = now
+	d.work = 0
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -232,7 +232,7 @@
 	return max(minRetryAfter, time.Duration(float64(excess)/rate))
 }
 
-// ref names the worker in messages.
+// refOf returns the worker that a message names.
 func refOf(id contract.HostID, inc contract.Incarnation) host.Ref {
 	return host.Ref{Host: id, Incarnation: inc}
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -97,47 +96,6 @@
 	wakeOut time.Time // the wake that the driver was asked for last
 }
 
-// jobState is one job with unfinished tasks.
-type jobState struct {
-	id       contract.JobID
-	team     string
-	route    string
-	admitted time.Time
-	deadline time.Time
-	seq      uint64
-	base     int64 // the key's part that doesn't change, in nanoseconds
-	key      int64
-	tasks    []taskState
-	queued   []uint32 // unplaced tasks, the longest last
-	open     int      // tasks not finished
-	inQueue  bool
-	started  bool
-	closed   bool // withdrawn
-	node     treapNode
-
-	// remaining is the expected work of unfinished tasks, queuedWork of
-	// unplaced ones, attained of placed ones, in slots times time.
-	remaining  time.Duration
-	queuedWork time.Duration
-	attained   time.Duration
-
-	failedOn *worker
-	cleared  bool
-}
-
-type taskState struct {
-	demand contract.Demand
-	est    time.Duration
-	worker *worker // where it is placed; nil otherwise
-	placed time.Time
-}
-
-func (t *taskState) work() time.Duration { return t.est * time.Duration(t.demand.Slots) }
-
-func (j *jobState) nextTask() uint32 { return j.queued[len(j.queued)-1] }
-
-func (j *jobState) demand(i uint32) contract.Demand { return j.tasks[i].demand }
-
 // NewPool returns a pool without workers.
 func NewPool(cfg Config) *Pool {
 	if cfg.MaxQueue == 0 {
@@ -441,29 +399,3 @@
 	j.closed = true
 	p.requeued(j)
 }
-
-// drainRate measures how much work ends each second.
-type drainRate struct {
-	since time.Time
-	work  time.Duration
-	rate  float64 // slots that were busy in the last windows
-}
-
-// drainWindow is how long work is added up before the rate is brought up to
-// date.
-const drainWindow = time.Second
-
-func (d *drainRate) add(now time.Time, work time.Duration) {
-	if d.since.IsZero() {
-		d.since = now
-	}
-	d.work += work
-	span := now.Sub(d.since)
-	if span < drainWindow {
-		return
-	}
-	keep := math.Exp2(-span.Seconds() / drainWindow.Seconds())
-	d.rate = keep*d.rate + (1-keep)*d.work.Seconds()/span.Seconds()
-	d.since = now
-	d.work = 0
-}
