Keep outcomes in half the bytes

Cause: at the size to design for the ledger exceeds its budget. Its rows named every field, and repeated the task that their key holds; each batch repeated the job with each of its tasks.

--- a/ledger/exchange.go
+++ b/ledger/exchange.go
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	b := &contract.LedgerBatch{Origin: id.origin, Seq: id.seq, At: stored.At}
-	for _, t := range stored.Tasks {
+	for _, t := range stored.tasks() {
 		row, err := getRow(tx, rowKey(t))
 		if err != nil {
 			return nil, err
@@ -131,7 +131,7 @@
 	if err := msgpack.Unmarshal(tx.Bucket(batchesBucket).Get(key), &stored); err != nil {
 		return err
 	}
-	for _, t := range stored.Tasks {
+	for _, t := range stored.tasks() {
 		if err := removeRow(tx, rowKey(t), cutoff); err != nil {
 			return err
 		}
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -2,14 +2,12 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"path/filepath"
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.etcd.io/bbolt"
 	berrors "go.etcd.io/bbolt/errors"
 
@@ -45,12 +43,6 @@
 	maxGroupWait = 2 * time.Millisecond
 )
 
-// storedBatch is a batch as it is kept: its records are in the rows.
-type storedBatch struct {
-	At    time.Time
-	Tasks []contract.TaskID
-}
-
 // OpenStore opens or creates the ledger in dir.
 func OpenStore(dir string) (*Store, error) {
 	path := filepath.Join(dir, fileName)
@@ -150,9 +142,9 @@
 }
 
 func putBatch(tx *bbolt.Tx, b contract.LedgerBatch) error {
-	stored := storedBatch{At: b.At, Tasks: make([]contract.TaskID, len(b.Records))}
-	for i, r := range b.Records {
-		stored.Tasks[i] = r.Task
+	stored := storedBatch{At: b.At}
+	for _, r := range b.Records {
+		stored.add(r.Task)
 		if err := mergeRow(tx, r); err != nil {
 			return err
 		}
@@ -174,25 +166,7 @@
 	if Conflict(after) && !Conflict(before) {
 		metrics.LedgerConflicts.Add(1)
 	}
-	return put(tx.Bucket(rowsBucket), key, &after)
-}
-
-func getRow(tx *bbolt.Tx, key []byte) (contract.OutcomeRow, error) {
-	var row contract.OutcomeRow
-	raw := tx.Bucket(rowsBucket).Get(key)
-	if raw == nil {
-		return row, nil
-	}
-	err := msgpack.Unmarshal(raw, &row)
-	return row, err
-}
-
-func put(b *bbolt.Bucket, key []byte, v any) error {
-	raw, err := msgpack.Marshal(v)
-	if err != nil {
-		return err
-	}
-	return b.Put(key, raw)
+	return putRow(tx, key, after)
 }
 
 // Job returns the rows of a job in the order of its tasks.
@@ -202,8 +176,8 @@
 	err := s.db.View(func(tx *bbolt.Tx) error {
 		c := tx.Bucket(rowsBucket).Cursor()
 		for k, raw := c.Seek(prefix); bytes.HasPrefix(k, prefix); k, raw = c.Next() {
-			var row contract.OutcomeRow
-			if err := msgpack.Unmarshal(raw, &row); err != nil {
+			row, err := decodeRow(k, raw)
+			if err != nil {
 				return err
 			}
 			out = append(out, row)
@@ -223,33 +197,3 @@
 	}
 	return out
 }
-
-func rowKey(t contract.TaskID) []byte {
-	key := append([]byte(t.Job), 0)
-	return binary.BigEndian.AppendUint32(key, t.Index)
-}
-
-// numberBytes is the size of a number in a key.
-const numberBytes = 8
-
-func batchKey(o contract.LedgerOrigin, seq uint64) []byte {
-	key := binary.BigEndian.AppendUint64([]byte(o.Host), uint64(o.Incarnation))
-	return binary.BigEndian.AppendUint64(key, seq)
-}
-
-func parseBatchKey(k []byte) (contract.LedgerOrigin, uint64, error) {
-	n := len(k) - 2*numberBytes
-	if n < 0 {
-		return contract.LedgerOrigin{}, 0, fmt.Errorf("%s is damaged: replace the disk and remove the file, the other control hosts refill it", fileName)
-	}
-	origin := contract.LedgerOrigin{
-		Host:        contract.HostID(k[:n]),
-		Incarnation: contract.Incarnation(binary.BigEndian.Uint64(k[n:])),
-	}
-	return origin, binary.BigEndian.Uint64(k[n+numberBytes:]), nil
-}
-
-func timeKey(at time.Time, batch []byte) []byte {
-	key := binary.BigEndian.AppendUint64(nil, uint64(at.UnixNano()))
-	return append(key, batch...)
-}
