Let the retention of keys be set, and give a quorum's answers their second again

After two of three holders restarted together, keys are refused for twice the retention: -record-retention shortens it, and bounds a keyed job's deadline.

--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -22,6 +22,9 @@
 	if e.cfg.Records == nil {
 		return answered{id: id, err: unknownOf(contract.ErrNoQuorum.Refuse(time.Second, "this entry has no record holders: set -record-holders"))}
 	}
+	if limit := e.cfg.Records.Retention; spec.Deadline() > limit {
+		return answered{id: id, err: contract.ErrBadRequest.With("the deadline is %v: with an Idempotency-Key give at most %v", spec.Deadline(), limit)}
+	}
 	if err := e.begin(); err != nil {
 		return answered{id: id, err: unknownOf(err)}
 	}
--- a/entry/records.go
+++ b/entry/records.go
@@ -27,7 +27,7 @@
 // RecordTimeout is how long the answers to one quorum request count. A holder
 // that restarted waits longer than this before it copies the records, so that
 // no answer of its earlier process counts beside one made after the copy.
-const RecordTimeout = 500 * time.Millisecond
+const RecordTimeout = time.Second
 
 // Records asks the holders of job records.
 type Records struct {
@@ -40,7 +40,8 @@
 	// Ready reports whether this process's own holder votes, or has had long
 	// enough to; nil means true.
 	Ready func() bool
-	// Retention is how long a key is honoured after its job's deadline.
+	// Retention is how long a key is honoured after its job's deadline, and the
+	// longest deadline with a key.
 	Retention time.Duration
 
 	attempts atomic.Uint64
--- a/node/node.go
+++ b/node/node.go
@@ -117,7 +117,7 @@
 		return err
 	}
 	defer n.closeLedger()
-	n.records = newRecords(n.set.ID, n.set.RecordHolders, n.peers.all(), n.set.DataDir, n.log)
+	n.records = newRecords(n.set.ID, n.set.RecordHolders, n.peers.all(), n.set.DataDir, n.set.RecordRetention, n.log)
 	if n.set.Has(contract.RoleEntry) {
 		n.observer = newObserver(n.tables)
 		n.entry = entry.New(entry.Config{
--- a/node/records.go
+++ b/node/records.go
@@ -28,6 +28,8 @@
 	dataDir string
 	peers   map[contract.HostID]*link.Dialer
 	log     logr.Logger
+	// retention is how long a key is honoured after its job's deadline.
+	retention time.Duration
 
 	mu     sync.Mutex // guards holder
 	holder *record.Holder
@@ -38,10 +40,10 @@
 const markerFile = "record-holder"
 
 // newRecords returns the records of the process. Its holder abstains.
-func newRecords(self contract.HostID, holders []contract.HostID, peers map[contract.HostID]*link.Dialer, dataDir string, log logr.Logger) *records {
-	r := &records{self: self, holders: holders, dataDir: dataDir, peers: peers, log: log}
+func newRecords(self contract.HostID, holders []contract.HostID, peers map[contract.HostID]*link.Dialer, dataDir string, retention time.Duration, log logr.Logger) *records {
+	r := &records{self: self, holders: holders, dataDir: dataDir, peers: peers, retention: retention, log: log}
 	if slices.Contains(holders, self) {
-		r.holder = record.NewHolder(record.Config{}, false, time.Now())
+		r.holder = record.NewHolder(record.Config{MaxTTL: 2 * retention}, false, time.Now())
 	}
 	return r
 }
@@ -112,7 +114,7 @@
 // client returns the entry's view of the holders.
 func (r *records) client(self host.Ref) *entry.Records {
 	started := time.Now()
-	c := &entry.Records{Self: self, Retention: record.DefaultRetention, Peer: r.peer}
+	c := &entry.Records{Self: self, Retention: r.retention, Peer: r.peer}
 	c.Ready = func() bool { return r.serving() || time.Since(started) > readyLimit }
 	for _, id := range r.holders {
 		if id == r.self {
--- a/record/holder.go
+++ b/record/holder.go
@@ -14,8 +14,8 @@
 	MaxRecords int
 	// MaxPlacements bounds the placements of all plans together.
 	MaxPlacements int
-	// MaxTTL bounds how long a record is kept: a holder that restarted has
-	// forgotten nothing that is older.
+	// MaxTTL bounds how long a record is kept, from its last write: a holder
+	// that restarted has forgotten nothing that is older.
 	MaxTTL time.Duration
 }
 
@@ -25,7 +25,7 @@
 	DefaultMaxPlacements = 2_000_000
 	// DefaultRetention is how long a key is honoured after its job's deadline.
 	DefaultRetention = 10 * time.Minute
-	DefaultMaxTTL    = DefaultRetention + contract.MaxDeadline
+	DefaultMaxTTL    = 2 * DefaultRetention
 )
 
 func (c Config) withDefaults() Config {
--- a/settings/check.go
+++ b/settings/check.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/record"
 )
 
 // Has reports whether the process plays the role.
@@ -25,6 +26,7 @@
 		c.check(known, "-roles: %q is not known: give entry, control or agent", role)
 	}
 	c.check(s.Heartbeat > 0 && s.Silence >= 2*s.Heartbeat, "-silence %v is under twice -heartbeat %v: raise it", s.Silence, s.Heartbeat)
+	c.check(s.RecordRetention > 0 && s.RecordRetention <= record.DefaultRetention, "-record-retention %v is not above 0 and up to %v, as long as agents remember: change it", s.RecordRetention, record.DefaultRetention)
 	c.check(s.DrainDelay >= 0 && s.DrainLimit > 0, "-drain-delay or -drain-limit is negative: give a duration such as 2s")
 	c.check(s.BodyStall > 0, "-body-stall is %v: give a duration such as 10s", s.BodyStall)
 	for _, p := range s.Peers {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,6 +15,7 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/link"
+	"github.com/carawaylanding/carawaylanding/record"
 )
 
 // EnvPrefix begins the name of each environment variable: the flag -link-addr
@@ -46,6 +47,8 @@
 	DataDir string
 	// RecordHolders hold the records of jobs with an idempotency key.
 	RecordHolders []contract.HostID
+	// RecordRetention is how long a key is honoured after its job's deadline.
+	RecordRetention time.Duration
 
 	// Entries are the link addresses that an agent announces itself to.
 	Entries  []string
@@ -113,6 +116,7 @@
 	fs.StringVar(&s.AdminAddr, "admin-addr", "", "IP:port of the operators' interface; optional for an agent")
 	fs.StringVar(&r.peers, "peers", "", "comma-separated ID=IP:port of the other entry and control hosts")
 	fs.StringVar(&r.control, "control", "", "comma-separated IDs of the first control hosts")
+	fs.DurationVar(&s.RecordRetention, "record-retention", record.DefaultRetention, "how long an Idempotency-Key is honoured after its job's deadline, and the longest deadline with a key; the same on every host")
 	fs.StringVar(&r.holders, "record-holders", "", "comma-separated IDs of the entry or control hosts that hold job records; the same on every host; empty means those of -control")
 	fs.StringVar(&s.DataDir, "data-dir", "", "folder of the synced state (control)")
 	fs.StringVar(&r.entries, "entries", "", "comma-separated link addresses of the entries (agent)")
