--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -40,6 +40,8 @@
 	id       contract.TaskID
 	deadline time.Time
 	attempt  uint32
+	// quick counts the attempts that ended within gateWait.
+	quick int
 	// worker is where the last attempt was placed.
 	worker host.Ref
 	// retry says that the request may run more than once.
--- a/entry/single.go
+++ b/entry/single.go
@@ -61,7 +61,8 @@
 	}
 }
 
-// maxSingleAttempts bounds the attempts at one request.
+// maxSingleAttempts bounds the attempts at one request that end at once. Those
+// that wait for a busy worker are bounded by the deadline.
 const maxSingleAttempts = 4
 
 func (e *Entry) runSingle(w http.ResponseWriter, r *http.Request, route contract.Route) error {
@@ -148,7 +149,10 @@
 
 // again reports whether the request may be placed once more.
 func (x *exchange) again(f fate, err error) bool {
-	if x.attempt >= maxSingleAttempts || x.req.Context().Err() != nil || !x.body.rewind() {
+	if x.worked < gateWait {
+		x.quick++
+	}
+	if x.quick >= maxSingleAttempts || x.req.Context().Err() != nil || !x.body.rewind() {
 		return false
 	}
 	switch f {
