Bound the answers that an entry and an agent keep

An entry kept every ended job's payloads and bodies for ten minutes, without a bound; at 1,000 jobs a second of 10 kB that is 6 GB (worked out, not measured). An agent that is asked about a task that ran, and whose result it no longer keeps, said done and sent nothing, so that a takeover waited until its deadline: it now sends a result with status 410.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -131,6 +131,7 @@
 	must.Eq(t, start(0).Task, next[*contract.Result](b).Task)
 	must.NoError(t, l.Send(&contract.ResultAck{Tasks: []contract.TaskID{start(0).Task}}))
 	must.NoError(t, l.Send(&contract.Fence{Tasks: []contract.TaskID{start(0).Task}, Attempts: []uint32{1}}))
+	must.Eq(t, http.StatusGone, next[*contract.Result](b).Status)
 	must.Eq(t, contract.TaskDone, next[*contract.TaskStates](b).Reports[0].State)
 	must.Eq(t, 1, b.starts.Load())
 }
--- a/agent/links.go
+++ b/agent/links.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -149,6 +150,9 @@
 		t := a.tasks[id]
 		state := a.fenceTask(id, attempt)
 		reply.Reports = append(reply.Reports, contract.TaskReport{Task: id, State: state, Attempt: a.gate.Attempt(id)})
+		if state == contract.TaskDone && (t == nil || t.result == nil) {
+			done = append(done, goneResult(id, a.gate.Attempt(id)))
+		}
 		if t == nil {
 			continue
 		}
@@ -176,6 +180,14 @@
 	l.Send(reply)
 }
 
+// goneResult stands for the result of a task that ran and is no longer kept.
+func goneResult(id contract.TaskID, attempt uint32) *contract.Result {
+	return &contract.Result{
+		Task: id, Attempt: attempt, Outcome: contract.OutcomeRan, Status: http.StatusGone,
+		Reason: "the task ran, and its result is no longer kept",
+	}
+}
+
 // adopt makes ref the owner.
 func (t *task) adopt(ref host.Ref) {
 	if t.owner == ref {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,7 @@
 	jobs    jobShards
 	plans   plans
 	acks    acks
+	kept    keptAnswers
 	credits creditState
 	members members
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -79,6 +79,7 @@
 	<-run.done
 	time.AfterFunc(e.cfg.Retention, func() { e.jobs.remove(id, run) })
 	results, err := run.outcome()
+	run.drop()
 	return answered{id: id, results: results, err: err}
 }
 
@@ -107,6 +108,7 @@
 		pool:     p,
 		route:    route,
 		spec:     spec,
+		demands:  demands(spec),
 		deadline: time.Now().Add(spec.Deadline()),
 		done:     make(chan struct{}),
 		job:      job.New(id, len(spec.Tasks)),
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -101,6 +101,7 @@
 		run.takeOver()
 	}()
 	run.watch(context.Background())
+	e.kept.add(run, time.Now(), e.cfg.Retention)
 	time.AfterFunc(e.cfg.Retention, func() { e.jobs.remove(run.job.ID(), run) })
 }
 
@@ -111,7 +112,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case r.owner != nil || r.refused != nil:
+	case r.owner != nil || r.refused != nil || r.dropped:
 		return false
 	case !r.answered:
 		return true
--- a/entry/plans.go
+++ b/entry/plans.go
@@ -166,7 +166,7 @@
 }
 
 func (r *jobRun) submission() dispatch.Submit {
-	return dispatch.Submit{Job: r.job.ID(), Team: r.spec.Team, Route: r.route.Name, Deadline: r.deadline, Demands: demands(r.spec)}
+	return dispatch.Submit{Job: r.job.ID(), Team: r.spec.Team, Route: r.route.Name, Deadline: r.deadline, Demands: r.demands}
 }
 
 // takeOver makes this run the owner after another, under a later round: it
--- a/entry/run.go
+++ b/entry/run.go
@@ -17,7 +17,8 @@
 	entry    *Entry
 	pool     *pool
 	route    contract.Route
-	spec     contract.JobSpec
+	spec     contract.JobSpec // its tasks are guarded by mu
+	demands  []contract.Demand
 	deadline time.Time
 	done     chan struct{} // closed when the job has its answer
 	// digest and epoch are set for a job with an idempotency key.
@@ -37,6 +38,8 @@
 	// unclaimed means that the record was refused: the run knows nothing of
 	// the tasks' outcomes.
 	unclaimed bool
+	// dropped means that the results' bodies are no longer kept.
+	dropped bool
 	// sealing means that the owner's epoch is being confirmed before an answer
 	// that says not-run; sealed that this is over.
 	sealing, sealed bool
@@ -329,5 +332,8 @@
 	if err := r.job.Err(); err != nil {
 		return nil, err
 	}
+	if r.dropped {
+		return nil, contract.ErrAnswerGone.WithTasks(r.job.Results(), "the job ran whole, and its answer is no longer kept")
+	}
 	return r.job.Results(), nil
 }
--- a/job/job.go
+++ b/job/job.go
@@ -194,7 +194,9 @@
 		}
 		return Ending
 	}
-	t.result.Body = r.Body
+	if j.failed == nil {
+		t.result.Body = r.Body
+	}
 	t.result.Elapsed = r.Elapsed
 	j.end(t, r.Outcome, r.Status, r.Reason)
 	if r.Outcome != contract.OutcomeRan || r.Status >= 300 {
@@ -232,6 +234,13 @@
 	return ids, attempts
 }
 
+// DropBodies forgets the results' bodies, once the answer has been taken.
+func (j *Job) DropBodies() {
+	for i := range j.tasks {
+		j.tasks[i].result.Body = nil
+	}
+}
+
 // AnyNotRun reports whether a task has ended without a start.
 func (j *Job) AnyNotRun() bool {
 	return slices.ContainsFunc(j.tasks, func(t task) bool {
