Kill one hub at a time in the soak, unless a majority's memory is to be lost

Hubs are now killed one at a time until all holders serve again; -lose-majority does the former. Restarts that fail are tried again and said on standard error: a run beside another soak ended without its third hub, with nothing in its log. Callers wait longer between calls and call up to 12 times.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -26,11 +26,11 @@
 	// singleShare and keyedShare are shares of the submissions, in percent.
 	singleShare = 30
 	keyedShare  = 60
-	maxCalls    = 6
+	maxCalls    = 12
 	callLimit   = 25 * time.Second
 	deadlineMS  = 15_000
 	// resubmitWait is the wait before a submission is sent again.
-	resubmitWait = 100 * time.Millisecond
+	resubmitWait = 500 * time.Millisecond
 )
 
 // answer is what a caller was told by one call.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/internal/testbed"
+	"github.com/carawaylanding/carawaylanding/node"
 )
 
 // fault is one kind of failure.
@@ -34,8 +38,8 @@
 
 // Times of the faults.
 const (
-	minPause  = 100 * time.Millisecond
-	maxPause  = 500 * time.Millisecond
+	minPause  = 200 * time.Millisecond
+	maxPause  = 800 * time.Millisecond
 	minLength = 50 * time.Millisecond
 	maxLength = 4 * time.Second
 	// maxRestart bounds how long a killed process is away; half of them are
@@ -46,18 +50,29 @@
 
 // injector breaks the system at random; the seed decides what and when.
 type injector struct {
-	sys    *testbed.System
-	rand   *rand.Rand
-	counts map[fault]int
+	sys  *testbed.System
+	rand *rand.Rand
+	// majority lets hubs be killed while another one's holder of job records
+	// has not caught up: a majority may then have lost its memory.
+	majority bool
 
 	open sync.WaitGroup
+	// hubs is held while a hub is down, or its holder has not caught up.
+	hubs sync.Mutex
 
-	mu   sync.Mutex // guards busy
-	busy map[string]bool
+	mu     sync.Mutex // guards busy and counts
+	busy   map[string]bool
+	counts map[fault]int
 }
 
-func newInjector(sys *testbed.System, seed uint64) *injector {
-	return &injector{sys: sys, rand: rand.New(rand.NewPCG(seed, 0)), counts: make(map[fault]int), busy: make(map[string]bool)}
+func newInjector(sys *testbed.System, cfg config) *injector {
+	return &injector{
+		sys:      sys,
+		rand:     rand.New(rand.NewPCG(cfg.seed, 0)),
+		majority: cfg.majority,
+		counts:   make(map[fault]int),
+		busy:     make(map[string]bool),
+	}
 }
 
 func (in *injector) run(ctx context.Context) {
@@ -81,7 +96,7 @@
 	length := in.between(minLength, maxLength)
 	switch f {
 	case faultKillHub:
-		in.kill(f, hub)
+		in.killHub(f, hub)
 	case faultKillAgent:
 		in.kill(f, agent)
 	case faultFreezeHub:
@@ -103,10 +118,73 @@
 	in.on(f, p.Name, func() {
 		p.Kill()
 		time.Sleep(away)
-		p.Start()
+		restart(p)
+	})
+}
+
+// Bounds of a restart: where the machine has no room for a process just now.
+const (
+	restartTries = 20
+	restartWait  = time.Second
+)
+
+// restart starts a killed process, and says on standard error why it could not
+// at once.
+func restart(p *testbed.Process) {
+	for range restartTries {
+		err := p.Start()
+		if err == nil {
+			return
+		}
+		fmt.Fprintln(os.Stderr, "restart:", err)
+		time.Sleep(restartWait)
+	}
+}
+
+// killHub kills a hub, and unless a majority may be lost, one at a time.
+func (in *injector) killHub(f fault, p *testbed.Process) {
+	if in.majority {
+		in.kill(f, p)
+		return
+	}
+	if !in.hubs.TryLock() {
+		return
+	}
+	away := in.between(0, maxRestart)
+	started := in.on(f, p.Name, func() {
+		defer in.hubs.Unlock()
+		p.Kill()
+		time.Sleep(away)
+		restart(p)
+		in.awaitHolders()
 	})
+	if !started {
+		in.hubs.Unlock()
+	}
+}
+
+// holderLimit bounds the wait for restarted holders; a further kill may follow
+// it in any case.
+const holderLimit = 30 * time.Second
+
+// awaitHolders waits until every hub's holder of job records serves.
+func (in *injector) awaitHolders() {
+	ctx, cancel := context.WithTimeout(context.Background(), holderLimit)
+	defer cancel()
+	for _, h := range in.sys.Hubs {
+		testbed.Await(ctx, func() error {
+			var a node.RecordsAnswer
+			err := testbed.GetJSON(h.Admin, "/admin/records", &a)
+			if err == nil && !a.Serving {
+				err = errAbstains
+			}
+			return err
+		})
+	}
 }
 
+var errAbstains = errors.New("the holder abstains")
+
 func (in *injector) freeze(f fault, p *testbed.Process, length time.Duration) {
 	in.on(f, p.Name, func() {
 		p.Signal(syscall.SIGSTOP)
@@ -128,7 +206,7 @@
 		return
 	}
 	if f == faultLose {
-		in.counts[f]++
+		in.count(f)
 		r.Lose()
 		return
 	}
@@ -156,22 +234,30 @@
 	})
 }
 
-// on runs a fault in the background, unless its target has one already.
-func (in *injector) on(f fault, target string, run func()) {
+// on runs a fault in the background, unless its target has one already; it
+// reports whether it does.
+func (in *injector) on(f fault, target string, run func()) bool {
 	in.mu.Lock()
 	taken := in.busy[target]
 	in.busy[target] = true
 	in.mu.Unlock()
 	if taken {
-		return
+		return false
 	}
-	in.counts[f]++
+	in.count(f)
 	in.open.Go(func() {
 		run()
 		in.mu.Lock()
 		defer in.mu.Unlock()
 		delete(in.busy, target)
 	})
+	return true
+}
+
+func (in *injector) count(f fault) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.counts[f]++
 }
 
 // repair undoes what is left of the faults.
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -25,6 +25,7 @@
 	tasks    int
 	duration time.Duration
 	broken   bool
+	majority bool
 }
 
 // The system under test.
@@ -40,6 +41,7 @@
 	flag.IntVar(&cfg.tasks, "tasks", 20_000, "number of tasks to submit")
 	flag.DurationVar(&cfg.duration, "duration", 120*time.Second, "when to stop submitting, whatever the number of tasks")
 	flag.BoolVar(&cfg.broken, "broken", false, "build with a gate that lies about its fences, and pass only if that is caught")
+	flag.BoolVar(&cfg.majority, "lose-majority", false, "also kill hubs while others catch up: job records may be lost by a majority, and keyed jobs are then refused for long")
 	flag.Parse()
 	if err := run(cfg); err != nil {
 		fmt.Fprintln(os.Stderr, "soak failed:", err)
@@ -70,7 +72,7 @@
 		return err
 	}
 	began := time.Now()
-	injector := newInjector(sys, cfg.seed)
+	injector := newInjector(sys, cfg)
 	submissions := load(sys, cfg, injector)
 	injector.repair()
 	if err := quiesce(sys); err != nil {
