--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -35,7 +35,7 @@
 	rec := contract.OutcomeRecord{
 		Task:        x.id,
 		Team:        x.team,
-		Route:       x.route,
+		Route:       x.route.Name,
 		Worker:      x.worker.Host,
 		Incarnation: x.worker.Incarnation,
 		Attempt:     x.attempt,
