Refuse for now, not for ever, while a restarted entry has no tables

The soak showed no-route for a route that exists: an entry that had just restarted answered 404 with the remedy to correct the request, since it had no tables yet. It now refuses with 503, not-run and Retry-After until it has read them from a quorum. entry-restarted-without-a-quorum failed first, with 404.

--- a/entry/links.go
+++ b/entry/links.go
@@ -216,6 +216,9 @@
 
 // begin counts work in progress; it fails once the entry drains.
 func (e *Entry) begin() error {
+	if e.cfg.Tables.Version() == 0 {
+		return contract.ErrNoQuorum.Refuse(time.Second, "this entry has just started and has no tables yet")
+	}
 	if err := e.ledgerRoom(); err != nil {
 		return err
 	}
--- a/entry/single.go
+++ b/entry/single.go
@@ -46,16 +46,16 @@
 
 // serveSingle matches a request to its route and streams it to the pool.
 func (e *Entry) serveSingle(w http.ResponseWriter, r *http.Request) {
-	route, ok := e.cfg.Tables.View().Router.Match(r)
-	if !ok {
-		WriteError(w, contract.ErrNoRoute.With("no route matches %s %s", r.Method, r.URL.Path))
-		return
-	}
 	if err := e.begin(); err != nil {
 		WriteError(w, err)
 		return
 	}
 	defer e.active.Done()
+	route, ok := e.cfg.Tables.View().Router.Match(r)
+	if !ok {
+		WriteError(w, contract.ErrNoRoute.With("no route matches %s %s", r.Method, r.URL.Path))
+		return
+	}
 	if err := e.runSingle(w, r, route); err != nil {
 		WriteError(w, err)
 	}
