Test deltas from any version, and split the planning of a member change

A trial that took a delta one version too old was found by no random sample, so the boundary has a test of its own, which finds it.

--- a/control/members.go
+++ b/control/members.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"reflect"
@@ -57,24 +58,27 @@
 // plan returns the joint group that the request asks for, or the present one
 // where it is in force already.
 func (c *Control) plan(ctx context.Context, g contract.Group, m contract.MemberRequest) (contract.Group, error) {
-	next := g.Clone()
-	next.Epoch++
-	next.Old = g.Clone().Members
-	present, isMember := g.Find(m.Host)
 	switch m.Action {
 	case contract.MemberRemove:
-		if !isMember {
-			return g, nil
-		}
-		if len(g.Members) == 1 {
-			return g, contract.ErrMembers.With("host %s is the last member: add another first", m.Host)
-		}
-		next.Members = slices.DeleteFunc(next.Members, func(x contract.Member) bool { return x.Host == m.Host })
-		return next, nil
+		return planRemove(g, m)
 	case contract.MemberAdd, contract.MemberReplace:
-	default:
-		return g, contract.ErrBadRequest.With("the action %q is not known: give %s, %s or %s", m.Action, contract.MemberAdd, contract.MemberRemove, contract.MemberReplace)
+		return c.planJoin(ctx, g, m)
+	}
+	return g, contract.ErrBadRequest.With("the action %q is not known: give %s, %s or %s", m.Action, contract.MemberAdd, contract.MemberRemove, contract.MemberReplace)
+}
+
+func planRemove(g contract.Group, m contract.MemberRequest) (contract.Group, error) {
+	if _, isMember := g.Find(m.Host); !isMember {
+		return g, nil
+	}
+	if len(g.Members) == 1 {
+		return g, contract.ErrMembers.With("host %s is the last member: add another first", m.Host)
 	}
+	return joint(g, without(g.Members, m.Host)), nil
+}
+
+func (c *Control) planJoin(ctx context.Context, g contract.Group, m contract.MemberRequest) (contract.Group, error) {
+	present, isMember := g.Find(m.Host)
 	if m.Action == contract.MemberReplace && !isMember {
 		return g, contract.ErrMembers.With("host %s is no member: add it", m.Host)
 	}
@@ -91,24 +95,19 @@
 	if !isMember && len(g.Members) == maxMembers {
 		return g, contract.ErrMembers.With("there are %d members, the most allowed: remove one first", maxMembers)
 	}
-	joining := contract.Member{Host: m.Host, Disk: st.Disk, Addr: m.Addr}
-	if joining.Addr == "" {
-		joining.Addr = present.Addr
-	}
-	next.Members = slices.DeleteFunc(next.Members, func(x contract.Member) bool { return x.Host == m.Host })
-	next.Members = append(next.Members, joining)
-	slices.SortFunc(next.Members, func(a, b contract.Member) int { return compareHosts(a.Host, b.Host) })
-	return next, nil
+	joining := contract.Member{Host: m.Host, Disk: st.Disk, Addr: cmp.Or(m.Addr, present.Addr)}
+	members := append(without(g.Members, m.Host), joining)
+	slices.SortFunc(members, func(a, b contract.Member) int { return cmp.Compare(a.Host, b.Host) })
+	return joint(g, members), nil
 }
 
-func compareHosts(a, b contract.HostID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+// joint returns the group that goes from g to the members.
+func joint(g contract.Group, members []contract.Member) contract.Group {
+	return contract.Group{Epoch: g.Epoch + 1, Members: members, Old: slices.Clone(g.Members)}
+}
+
+func without(members []contract.Member, id contract.HostID) []contract.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m contract.Member) bool { return m.Host == id })
 }
 
 // askVoter returns the state of a host's vote, which must be able to join.
@@ -152,12 +151,12 @@
 
 // settle agrees on the new members alone (the specification's SETTLE). The
 // caller has seen the joint group chosen.
-func (c *Control) settle(ctx context.Context, joint contract.Group) (chosen, error) {
+func (c *Control) settle(ctx context.Context, open contract.Group) (chosen, error) {
 	return c.change(ctx, func(r Register) (Register, error) {
-		if !reflect.DeepEqual(r.Tables.Group, joint) {
+		if !reflect.DeepEqual(r.Tables.Group, open) {
 			return r, nil
 		}
-		next := joint.Clone()
+		next := open.Clone()
 		next.Epoch++
 		next.Old = nil
 		return r.regroup(next, "members settled", time.Now()), nil
--- a/node/node.go
+++ b/node/node.go
@@ -139,7 +139,7 @@
 	}
 	n.tables.Watch(n.tablesChanged)
 	n.tables.Watch(n.history.changed)
-	return n.serve(ctx, linkCtx, closeLinks)
+	return n.serve(ctx, closeLinks)
 }
 
 // openControl starts the control role; the returned function closes its store.
@@ -167,7 +167,8 @@
 // serve opens the listeners and runs until ctx is done. Shutdown goes in
 // order: readiness ends, the balancer's delay passes, work in progress ends,
 // listeners close, links close.
-func (n *Node) serve(ctx, linkCtx context.Context, closeLinks func()) error {
+func (n *Node) serve(ctx context.Context, closeLinks func()) error {
+	linkCtx := n.linkCtx
 	linkLn, err := net.Listen("tcp", n.set.LinkAddr)
 	if err != nil {
 		return err
--- a/quorum/round.go
+++ b/quorum/round.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -170,12 +171,7 @@
 	for _, p := range r.promised {
 		g.Members = append(g.Members, contract.Member{Host: p.host, Disk: p.disk})
 	}
-	slices.SortFunc(g.Members, func(a, b contract.Member) int {
-		if a.Host < b.Host {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(g.Members, func(a, b contract.Member) int { return cmp.Compare(a.Host, b.Host) })
 	return g
 }
 
--- a/tables/tables_test.go
+++ b/tables/tables_test.go
@@ -1,6 +1,8 @@
 package tables
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -52,3 +54,59 @@
 	must.False(t, h.Merge(newest.Delta(2)))
 	must.Eq(t, contract.Version(0), h.Version())
 }
+
+// randomEdit puts, changes or removes one pool.
+func randomEdit(rng *rand.Rand) contract.Edit {
+	name := fmt.Sprint("p", rng.IntN(20))
+	if rng.IntN(2) == 0 {
+		return contract.Edit{DeletePools: []string{name}}
+	}
+	return contract.Edit{PutPools: []contract.Pool{{Name: name, MaxQueue: rng.IntN(100)}}}
+}
+
+func TestDeltasFromAnyVersionGiveTheSameTables(t *testing.T) {
+	const edits = 2500 // more removals than are kept
+	rng := rand.New(rand.NewPCG(1, 2))
+	vs := []contract.Tables{{}}
+	for range edits {
+		next, err := vs[len(vs)-1].Apply(randomEdit(rng))
+		must.NoError(t, err)
+		vs = append(vs, next)
+	}
+	must.Positive(t, vs[edits].RemovalsFrom)
+	for range 500 {
+		from := rng.IntN(edits)
+		have := from + rng.IntN(edits-from)
+		h := NewHolder()
+		h.Offer(vs[have])
+		d := Since(vs[edits], contract.Version(from))
+		must.True(t, h.Merge(d), must.Sprintf("from %d into %d", from, have))
+		must.Eq(t, vs[edits], h.View().Tables, must.Sprintf("from %d into %d", from, have))
+	}
+}
+
+func TestDeltaFromBeforeTheOldestRemovalKnownHoldsAllRows(t *testing.T) {
+	const rows = 600 // more than the removals kept
+	var put contract.Edit
+	for i := range rows {
+		put.PutPools = append(put.PutPools, contract.Pool{Name: fmt.Sprint("p", i)})
+	}
+	first, err := (&contract.Tables{}).Apply(put)
+	must.NoError(t, err)
+	vs := []contract.Tables{{}, first}
+	for i := range rows {
+		next, err := vs[len(vs)-1].Apply(contract.Edit{DeletePools: []string{fmt.Sprint("p", i)}})
+		must.NoError(t, err)
+		vs = append(vs, next)
+	}
+	newest := vs[len(vs)-1]
+	oldest := newest.RemovalsFrom
+	for from, full := range map[contract.Version]bool{oldest - 1: true, oldest: false} {
+		d := Since(newest, from)
+		must.Eq(t, full, d.From == 0)
+		h := NewHolder()
+		h.Offer(vs[from])
+		must.True(t, h.Merge(d))
+		must.SliceEmpty(t, h.View().Pools)
+	}
+}
