--- a/entry/members.go
+++ b/entry/members.go
@@ -12,17 +12,24 @@
 
 // members is the entry's shard of the upstreams' membership.
 type members struct {
-	mu  sync.Mutex // guards dir; takes no other lock
-	dir *membership.Directory
+	mu    sync.Mutex // guards all below; takes no other lock
+	dir   *membership.Directory
+	swept time.Time
 }
 
+// sweepInterval is how often workers silent for long are looked for.
+const sweepInterval = time.Minute
+
 // update changes the directory and publishes its counts.
 func (m *members) update(f func(*membership.Directory, time.Time)) {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	f(m.dir, now)
-	m.dir.Sweep(now)
+	if now.Sub(m.swept) >= sweepInterval {
+		m.swept = now
+		m.dir.Sweep(now)
+	}
 	c := m.dir.Counts()
 	metrics.UpstreamsJoined.Set(c.Joined)
 	metrics.UpstreamsRestarted.Set(c.Restarted)
