Start the test nodes again where another program took an address

TestCutAnswersGiveTheirSlotsBack failed once in three runs of make test: another package's stand-in had taken the address that was drawn for the entry, and answered in its place. A test node now starts again with addresses drawn anew, and is used only once its own listeners are open. Not made weaker: the checks are as they were.

--- a/node/admin_test.go
+++ b/node/admin_test.go
@@ -1,12 +1,15 @@
 package node_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,18 +32,64 @@
 	done chan error
 }
 
+// startTries bounds how often a process is started: another program may take
+// an address between its being drawn and its being opened.
+const startTries = 5
+
+// start runs a node.
 func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	return startDrawn(t, func() []string { return args })
+}
+
+// startDrawn runs a node whose arguments are drawn anew for each try.
+func startDrawn(t *testing.T, draw func() []string) *process {
+	t.Helper()
+	for range startTries {
+		p, err := startOnce(t, draw())
+		if err == nil {
+			return p
+		}
+		t.Logf("start again: %v", err)
+	}
+	t.Fatal("no start found its addresses free")
+	return nil
+}
+
+// startOnce returns once all listeners of the node are open.
+func startOnce(t *testing.T, args []string) (*process, error) {
 	t.Helper()
 	set, err := settings.Parse(args, t.Output())
 	must.NoError(t, err)
 	p := &process{set: set, done: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
-	go func() { p.done <- node.Run(ctx, set, logr.Discard()) }()
+	log := &startLog{started: make(chan struct{})}
+	go func() { p.done <- node.Run(ctx, set, logr.FromSlogHandler(slog.NewTextHandler(log, nil))) }()
+	select {
+	case err := <-p.done:
+		cancel()
+		return nil, err
+	case <-log.started:
+	}
 	t.Cleanup(func() {
 		cancel()
 		<-p.done
 	})
-	return p
+	return p, nil
+}
+
+// startLog waits for the event that all listeners are open.
+type startLog struct {
+	once    sync.Once
+	started chan struct{}
+}
+
+// Write implements io.Writer; a handler writes one event at a time.
+func (l *startLog) Write(p []byte) (int, error) {
+	if bytes.Contains(p, []byte("msg=started")) || bytes.Contains(p, []byte(`msg="agent started"`)) {
+		l.once.Do(func() { close(l.started) })
+	}
+	return len(p), nil
 }
 
 func freeAddr(t *testing.T) string {
@@ -51,15 +100,19 @@
 }
 
 func startHub(t *testing.T, args ...string) *process {
-	return start(t, append([]string{
-		"-id", "hub", "-roles", "entry,control", "-failure-domain", "patan", "-control", "hub", "-data-dir", t.TempDir(),
-		"-link-addr", freeAddr(t), "-http-addr", freeAddr(t), "-admin-addr", freeAddr(t), "-drain-delay", "0s",
-	}, args...)...)
+	return startDrawn(t, func() []string {
+		return append([]string{
+			"-id", "hub", "-roles", "entry,control", "-failure-domain", "patan", "-control", "hub", "-data-dir", t.TempDir(),
+			"-link-addr", freeAddr(t), "-http-addr", freeAddr(t), "-admin-addr", freeAddr(t), "-drain-delay", "0s",
+		}, args...)
+	})
 }
 
 func startWorker(t *testing.T, hub *process, upstream string) *process {
-	return start(t, "-id", "worker", "-roles", "agent", "-failure-domain", "thamel", "-http-addr", freeAddr(t),
-		"-entries", hub.set.LinkAddr, "-upstream", upstream, "-pools", "formula")
+	return startDrawn(t, func() []string {
+		return []string{"-id", "worker", "-roles", "agent", "-failure-domain", "thamel", "-http-addr", freeAddr(t),
+			"-entries", hub.set.LinkAddr, "-upstream", upstream, "-pools", "formula"}
+	})
 }
 
 func (p *process) admin(t *testing.T, method, path string, body string, into any) error {
