--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -22,6 +22,9 @@
 	if e.cfg.Records == nil {
 		return answered{id: id, err: unknownOf(contract.ErrNoQuorum.Refuse(time.Second, "this entry has no record holders: set -record-holders"))}
 	}
+	if limit := e.cfg.Records.Retention; spec.Deadline() > limit {
+		return answered{id: id, err: contract.ErrBadRequest.With("the deadline is %v: with an Idempotency-Key give at most %v", spec.Deadline(), limit)}
+	}
 	if err := e.begin(); err != nil {
 		return answered{id: id, err: unknownOf(err)}
 	}
@@ -98,6 +101,7 @@
 		run.takeOver()
 	}()
 	run.watch(context.Background())
+	e.kept.add(run, time.Now(), e.cfg.Retention)
 	time.AfterFunc(e.cfg.Retention, func() { e.jobs.remove(run.job.ID(), run) })
 }
 
@@ -108,7 +112,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case r.owner != nil || r.refused != nil:
+	case r.owner != nil || r.refused != nil || r.dropped:
 		return false
 	case !r.answered:
 		return true
