--- a/cmd/carawayctl/members.go
+++ b/cmd/carawayctl/members.go
@@ -38,6 +38,8 @@
 		switch {
 		case !m.Answers:
 			disk = "?"
+		case m.Fault != "":
+			disk = "not readable"
 		case !m.DiskKept:
 			disk = "another: replace the member"
 		}
@@ -45,6 +47,8 @@
 	}
 	fmt.Fprintf(w, "version %d, epoch %d\n", s.Version, s.Epoch)
 	switch {
+	case s.Epoch == 0:
+		fmt.Fprintln(w, "the control hosts have not agreed yet: start all that -control names")
 	case !s.Agreed:
 		fmt.Fprintln(w, "no majority answers: edits are refused, traffic goes on; bring back a host with its disk")
 	case s.Joint:
