Ask every worker of the plan, also when one says that its upstream was not reached

Cause: in a takeover, a worker's result that says not-run made the job forget the other workers that it had asked. The task went back into the queue and started again while another worker of the plan ran it. Such a result now says nothing in a takeover; the fence report that follows it does.

--- a/job/job.go
+++ b/job/job.go
@@ -124,44 +124,6 @@
 	return true
 }
 
-// Adopt records that an earlier owner may have sent the attempt at task i to
-// w. It is called before any other event of the job.
-func (j *Job) Adopt(i uint32, w host.Ref, attempt uint32) {
-	t := j.task(i)
-	if t == nil || t.phase > phaseAsked {
-		return
-	}
-	t.phase = phaseAsked
-	t.attempt = max(t.attempt, attempt)
-	if !slices.Contains(t.asked, w) {
-		t.asked = append(t.asked, w)
-	}
-}
-
-// Started records that w says that it has started task i, for another owner.
-func (j *Job) Started(i uint32, w host.Ref) {
-	t := j.task(i)
-	if t == nil || t.phase != phaseAsked || !slices.Contains(t.asked, w) {
-		return
-	}
-	t.phase = phaseSent
-	t.worker = w
-	t.asked = nil
-	t.unsure = false
-}
-
-func (j *Job) unasked(i uint32, w host.Ref) bool {
-	t := j.task(i)
-	if t == nil || t.phase != phaseAsked || !slices.Contains(t.asked, w) {
-		return false
-	}
-	t.asked = slices.DeleteFunc(t.asked, func(a host.Ref) bool { return a == w })
-	if len(t.asked) > 0 {
-		return false
-	}
-	return j.requeue(t)
-}
-
 // maxNotStarted is how many workers may report that they could not reach their
 // upstream before the task fails.
 const maxNotStarted = 3
@@ -182,7 +144,10 @@
 // Result records the end of task i at w. A result that does not belong to the
 // task's present worker is stray.
 func (j *Job) Result(w host.Ref, r *contract.Result) Disposition {
-	j.Started(r.Task.Index, w)
+	if r.Outcome != contract.OutcomeNotRun {
+		// A result that says not-run leaves the other workers of the plan to ask.
+		j.Started(r.Task.Index, w)
+	}
 	t := j.sentTo(r.Task.Index, w)
 	if t == nil || r.Outcome == contract.OutcomeNotRun && r.Attempt < t.attempt {
 		return Stray
@@ -205,61 +170,6 @@
 	return Ending
 }
 
-// Resolve makes a task that ended as unknown at w known, and reports whether
-// it did. The job's answer stays as it was.
-func (j *Job) Resolve(i uint32, w host.Ref, o contract.Outcome, status int, reason string) bool {
-	t := j.task(i)
-	if t == nil || t.phase != phaseEnded || t.worker != w || t.result.Outcome != contract.OutcomeUnknown || o == contract.OutcomeUnknown {
-		return false
-	}
-	if t.unsure && o == contract.OutcomeNotRun {
-		return false // another worker may have started it
-	}
-	t.result.Outcome = o
-	t.result.Status = status
-	t.result.Reason = reason
-	j.ended = append(j.ended, t.result.Task)
-	return true
-}
-
-// Unknown returns the tasks that ended as unknown at w, as Held does.
-func (j *Job) Unknown(w host.Ref) (ids []contract.TaskID, attempts []uint32) {
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.phase == phaseEnded && t.worker == w && t.result.Outcome == contract.OutcomeUnknown {
-			ids = append(ids, contract.TaskID{Job: j.id, Index: uint32(i)})
-			attempts = append(attempts, t.attempt)
-		}
-	}
-	return ids, attempts
-}
-
-// DropBodies forgets the results' bodies, once the answer has been taken.
-func (j *Job) DropBodies() {
-	for i := range j.tasks {
-		j.tasks[i].result.Body = nil
-	}
-}
-
-// AnyNotRun reports whether a task has ended without a start.
-func (j *Job) AnyNotRun() bool {
-	return slices.ContainsFunc(j.tasks, func(t task) bool {
-		return t.phase == phaseEnded && t.result.Outcome == contract.OutcomeNotRun
-	})
-}
-
-// Doubt makes unknown what has not run: another owner of the job may have
-// started it since.
-func (j *Job) Doubt() {
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.phase == phaseEnded && t.result.Outcome == contract.OutcomeNotRun {
-			t.result.Outcome = contract.OutcomeUnknown
-			t.result.Reason = "no quorum could say whether another entry took the job over"
-		}
-	}
-}
-
 // Close stops placement: the deadline is near. A job with a task that is fenced
 // from now on fails once the others have ended, or at its deadline.
 func (j *Job) Close() { j.closing = true }
@@ -306,107 +216,12 @@
 	}
 }
 
-// Held returns the tasks that w may hold without an end, each with the last
-// attempt that may have been sent.
-func (j *Job) Held(w host.Ref) (ids []contract.TaskID, attempts []uint32) {
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		sent := t.phase == phaseSent && t.worker == w
-		if sent || t.phase == phaseAsked && slices.Contains(t.asked, w) {
-			ids = append(ids, contract.TaskID{Job: j.id, Index: uint32(i)})
-			attempts = append(attempts, t.attempt)
-		}
-	}
-	return ids, attempts
-}
-
-// Holders returns the workers that hold tasks without an end.
-func (j *Job) Holders() []host.Ref {
-	seen := make(map[host.Ref]bool)
-	var out []host.Ref
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		holders := t.asked
-		if t.phase == phaseSent {
-			holders = []host.Ref{t.worker}
-		}
-		for _, w := range holders {
-			if !seen[w] {
-				seen[w] = true
-				out = append(out, w)
-			}
-		}
-	}
-	return out
-}
-
-// Ended is a task whose outcome is final, with the worker it was last sent to.
-type Ended struct {
-	contract.TaskResult
-	Ref host.Ref
-}
-
-// TakeEnded returns the tasks that ended since the last call.
-func (j *Job) TakeEnded() []Ended {
-	out := make([]Ended, 0, len(j.ended))
-	for _, i := range j.ended {
-		t := &j.tasks[i]
-		out = append(out, Ended{TaskResult: t.result, Ref: t.worker})
-	}
-	j.ended = j.ended[:0]
-	return out
-}
-
 // Done reports whether the job has its answer: it failed, or all tasks ended.
 func (j *Job) Done() bool { return j.failed != nil || j.open == 0 }
 
 // Settled reports whether every task's outcome is final.
 func (j *Job) Settled() bool { return j.open == 0 }
 
-// Err returns the typed reason why the job failed with the outcomes by task so
-// far, or nil.
-func (j *Job) Err() error {
-	if j.failed == nil {
-		return nil
-	}
-	e, ok := contract.AsError(j.failed)
-	if !ok {
-		return j.failed
-	}
-	return e.Kind.WithTasks(j.Results(), "%s", e.Message)
-}
-
-// Status returns the job's state for its caller.
-func (j *Job) Status() contract.JobStatus {
-	s := contract.JobStatus{ID: j.id, State: contract.JobRunning, Tasks: j.Results()}
-	switch {
-	case j.failed != nil:
-		s.State = contract.JobFailed
-	case j.open == 0:
-		s.State = contract.JobComplete
-	}
-	outcomes := make([]contract.Outcome, len(s.Tasks))
-	for i, t := range s.Tasks {
-		outcomes[i] = t.Outcome
-	}
-	s.Outcome = contract.Combine(outcomes)
-	return s
-}
-
-// Results returns the tasks' results in order. A task that was sent and has
-// not ended is unknown; one that waits is not-run once the job has failed.
-func (j *Job) Results() []contract.TaskResult {
-	out := make([]contract.TaskResult, len(j.tasks))
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		out[i] = t.result
-		if t.phase == phaseSent {
-			out[i].Worker = t.worker.Host
-		}
-	}
-	return out
-}
-
 func (j *Job) task(i uint32) *task {
 	if int(i) >= len(j.tasks) {
 		return nil
--- a/record/histories_test.go
+++ b/record/histories_test.go
@@ -15,7 +15,7 @@
 	historySeeds = 30_000
 	// mistakeSeeds is the number of seeded histories in which each mistake
 	// must show.
-	mistakeSeeds = 60_000
+	mistakeSeeds = 100_000
 	rapidSeed    = "4"
 )
 
--- a/record/history_test.go
+++ b/record/history_test.go
@@ -61,8 +61,10 @@
 	ref     host.Ref
 	gate    *agent.Gate
 	running []*contract.Start
-	owners  map[contract.TaskID]simOwner
-	done    map[contract.TaskID]*contract.Result
+	// unreached are running tasks whose upstream can't be reached.
+	unreached map[contract.TaskID]bool
+	owners    map[contract.TaskID]simOwner
+	done      map[contract.TaskID]*contract.Result
 }
 
 // simOwner is one life of an entry.
@@ -115,6 +117,8 @@
 		gate:   agent.NewGate(inc, contract.Capacity{Slots: histSlots}),
 		owners: make(map[contract.TaskID]simOwner),
 		done:   make(map[contract.TaskID]*contract.Result),
+
+		unreached: make(map[contract.TaskID]bool),
 	}
 }
 
@@ -300,14 +304,14 @@
 			}
 			attempt := wk.gate.Attempt(id)
 			wk.owners[id] = owner
+			if res := wk.done[id]; res != nil {
+				owner.tell(func() { e.result(ref, res) })
+			}
 			if state == contract.TaskFenced {
 				owner.tell(func() { e.unsent(id, ref, max(attempt, attempts[i])) })
 				continue
 			}
 			owner.tell(func() { e.current(func(r *simRun) { r.job.Started(id.Index, ref) }) })
-			if res := wk.done[id]; res != nil {
-				owner.tell(func() { e.result(ref, res) })
-			}
 		}
 	})
 }
@@ -340,7 +344,11 @@
 }
 
 func (e *simEntry) result(ref host.Ref, res *contract.Result) {
-	e.current(func(r *simRun) { r.job.Result(ref, res) })
+	e.current(func(r *simRun) {
+		if r.job.Result(ref, res) == job.Requeued {
+			e.extend(r)
+		}
+	})
 }
 
 // settle ends a job that is done. One that failed is sealed first.
@@ -393,6 +401,9 @@
 		s.To = wk.ref.Incarnation
 	}
 	verdict, _ := wk.gate.Offer(s)
+	if verdict == agent.VerdictRun || verdict == agent.VerdictWait {
+		delete(wk.done, s.Task)
+	}
 	if w.gateOff && verdict == agent.VerdictKnown {
 		verdict = agent.VerdictRun
 	}
@@ -409,12 +420,16 @@
 }
 
 func (w *world) run(wk *simWorker, s *contract.Start) {
+	wk.running = append(wk.running, s)
+	if w.choose(6) == 0 {
+		wk.unreached[s.Task] = true
+		return
+	}
 	i := s.Task.Index
 	w.starts[i]++
 	if w.starts[i] > 1 {
 		w.fail("task %d started %d times", i, w.starts[i])
 	}
-	wk.running = append(wk.running, s)
 }
 
 func (w *world) finish(wk *simWorker) {
@@ -425,10 +440,15 @@
 	s := wk.running[n]
 	wk.running = slices.Delete(wk.running, n, n+1)
 	res := &contract.Result{Task: s.Task, Attempt: s.Attempt, Outcome: contract.OutcomeRan, Status: 200, Body: s.Payload}
+	reached := !wk.unreached[s.Task]
+	if !reached {
+		delete(wk.unreached, s.Task)
+		res = &contract.Result{Task: s.Task, Attempt: s.Attempt, Outcome: contract.OutcomeNotRun}
+	}
 	wk.done[s.Task] = res
 	owner, ref := wk.owners[s.Task], wk.ref
 	owner.tell(func() { owner.result(ref, res) })
-	for _, next := range wk.gate.Finish(s.Task, true) {
+	for _, next := range wk.gate.Finish(s.Task, reached) {
 		w.run(wk, next)
 	}
 }
