--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -224,17 +224,22 @@
 
 // endEjections lets each worker whose ejection is over run one task.
 func (p *Pool) endEjections() {
-	kept := p.ejected[:0]
-	for _, w := range p.ejected {
-		if p.now.Before(w.health.until) {
-			p.wake(w.health.until)
+	p.ejected = p.keep(p.ejected, func(w *worker) time.Time { return w.health.until }, func(w *worker) { w.health.state = onTrial })
+}
+
+// keep returns the workers whose time has not come, and ends it for the others.
+func (p *Pool) keep(ws []*worker, until func(*worker) time.Time, end func(*worker)) []*worker {
+	kept := ws[:0]
+	for _, w := range ws {
+		if t := until(w); p.now.Before(t) {
+			p.wake(t)
 			kept = append(kept, w)
 			continue
 		}
-		w.health.state = onTrial
+		end(w)
 		p.workers.changed(w)
 	}
-	p.ejected = kept
+	return kept
 }
 
 // measure compares a task's run time with what was expected.
@@ -268,15 +273,5 @@
 }
 
 func (p *Pool) endHolds() {
-	kept := p.held[:0]
-	for _, w := range p.held {
-		if p.now.Before(w.health.holdEnd) {
-			p.wake(w.health.holdEnd)
-			kept = append(kept, w)
-			continue
-		}
-		w.health.held = false
-		p.workers.changed(w)
-	}
-	p.held = kept
+	p.held = p.keep(p.held, func(w *worker) time.Time { return w.health.holdEnd }, func(w *worker) { w.health.held = false })
 }
