Let no takeover start what the ledger may call not run

The first owner had recorded the task as not run, truly; the owner of a resubmission started it, and it and the worker were killed before its end was recorded.

Ruled out: a start outside the record's plan, since the task's second start was in the plan of round 2; and calling every not-run of a keyed job unknown, which would lose the line for all jobs that are never sent again.

Now an owner of a later round records what it is about to start as unknown, and waits until a majority of the control hosts has synced that; where it does not sync in time the resubmission is refused. In a row, owners are ordered by round and host, so that an owner's own not-run resolves its unknown.

--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -27,6 +28,36 @@
 	return nil
 }
 
+// syncedSink is an OutcomeSink that can say when its records are safe.
+type syncedSink interface {
+	// Sync waits until every record taken before is safe.
+	Sync(ctx context.Context) error
+}
+
+// announce records tasks that are about to start under a later round as
+// unknown, and waits until that is safe. The owner before may have recorded
+// that they were not run; should this entry die before it records their ends,
+// that must not be the last word.
+func (r *jobRun) announce(tasks []uint32) error {
+	s, ok := r.entry.cfg.Outcomes.(syncedSink)
+	if !ok {
+		return nil
+	}
+	for _, i := range tasks {
+		r.entry.recordOutcome(contract.OutcomeRecord{
+			Task:    contract.TaskID{Job: r.job.ID(), Index: i},
+			Team:    r.spec.Team,
+			Route:   r.route.Name,
+			Outcome: contract.OutcomeUnknown,
+			Round:   r.epoch.Round,
+			Reason:  "about to start",
+		})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), RecordTimeout)
+	defer cancel()
+	return s.Sync(ctx)
+}
+
 // record records the end of the exchange, where it was placed at all.
 func (x *exchange) record(answer http.Header, err error) {
 	if x.attempt == 0 {
--- a/entry/plans.go
+++ b/entry/plans.go
@@ -198,11 +198,17 @@
 	}
 	wg.Wait()
 	r.mu.Lock()
-	queued := r.job.Queued() && !r.job.Done()
+	queued := r.job.Queued()
+	done := r.job.Done()
 	r.mu.Unlock()
-	if queued {
-		r.entry.step(r.pool, r.submission())
+	if done || len(queued) == 0 {
+		return
+	}
+	if err := r.announce(queued); err != nil {
+		r.refuse(contract.ErrNoQuorum.Refuse(ledgerWait, "the outcome ledger did not sync: %v", err))
+		return
 	}
+	r.entry.step(r.pool, r.submission())
 }
 
 // inquireWait is the wait before a worker is asked again.
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -39,11 +39,13 @@
 
 // Call implements Caller.
 func (h recordHolder) Call(_ context.Context, m contract.Message) (contract.Message, error) {
-	w, ok := m.(*contract.RecordWrite)
-	if !ok {
-		return nil, fmt.Errorf("unexpected %T", m)
+	switch m := m.(type) {
+	case *contract.RecordWrite:
+		return h.holder.Write(time.Now(), m), nil
+	case *contract.RecordPrepare:
+		return h.holder.Prepare(time.Now(), m), nil
 	}
-	return h.holder.Write(time.Now(), w), nil
+	return nil, fmt.Errorf("unexpected %T", m)
 }
 
 // testStall is how long the test's server waits for a stalled body.
--- a/job/job.go
+++ b/job/job.go
@@ -179,9 +179,15 @@
 	return !slices.ContainsFunc(j.tasks, func(t task) bool { return t.phase != phaseQueued || t.attempt > 0 })
 }
 
-// Queued reports whether a task waits for placement.
-func (j *Job) Queued() bool {
-	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.phase == phaseQueued })
+// Queued returns the tasks that wait for placement.
+func (j *Job) Queued() []uint32 {
+	var out []uint32
+	for i := range j.tasks {
+		if j.tasks[i].phase == phaseQueued {
+			out = append(out, uint32(i))
+		}
+	}
+	return out
 }
 
 // Attempt returns the last attempt at task i that may have been sent.
--- a/ledger/outbox.go
+++ b/ledger/outbox.go
@@ -71,6 +71,22 @@
 	o.open = nil
 }
 
+// Mark closes the open records, and returns the number of the last batch.
+func (o *Outbox) Mark(now time.Time) uint64 {
+	o.seal(now)
+	return o.seq
+}
+
+// SafeThrough reports whether a majority has each batch up to seq.
+func (o *Outbox) SafeThrough(seq uint64) bool {
+	for _, b := range o.batches {
+		if b.Seq <= seq && !b.safe {
+			return false
+		}
+	}
+	return true
+}
+
 // Next returns the batches to send to holder: the oldest ones that it has not
 // acknowledged.
 func (o *Outbox) Next(now time.Time, holder contract.HostID) []contract.LedgerBatch {
--- a/ledger/row.go
+++ b/ledger/row.go
@@ -78,8 +78,10 @@
 	out.Status = max(a.Status, b.Status)
 	out.Attempt = max(a.Attempt, b.Attempt)
 	out.Unsure = a.Unsure || b.Unsure
-	out.Round = max(a.Round, b.Round)
-	out.Entry = max(a.Entry, b.Entry)
+	if owns(b, a) {
+		out.Round = b.Round
+		out.Entry = b.Entry
+	}
 	out.Reason = max(a.Reason, b.Reason)
 	out.At = earlier(a.At, b.At)
 	if cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Incarnation, b.Incarnation)) < 0 {
@@ -89,6 +91,12 @@
 	return out
 }
 
+// owns reports whether a's owner came after b's: by round, and for takeovers
+// that raced in one round, by host.
+func owns(a, b contract.OutcomeRecord) bool {
+	return cmp.Or(cmp.Compare(a.Round, b.Round), cmp.Compare(a.Entry, b.Entry)) > 0
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -162,14 +170,30 @@
 	return last
 }
 
-// unresolved reports whether no owner later than the one for which the outcome
-// is unknown has called the task not run.
+// unresolved reports whether neither the last owner for which the outcome is
+// unknown nor a later one has called the task not run. An owner after the first
+// calls a task unknown before it starts it, so that what the ones before called
+// not run counts no more.
 func (c claims) unresolved() bool {
 	if len(c.unknown) == 0 {
 		return len(c.provisional) == 0
 	}
-	last := lastRound(c.unknown)
-	return last == 0 || lastRound(c.provisional) <= last
+	last := lastOwner(c.unknown)
+	if last.Round == 0 || len(c.provisional) == 0 {
+		return true
+	}
+	return owns(last, lastOwner(c.provisional))
+}
+
+// lastOwner returns the record of the owner that came last.
+func lastOwner(records []contract.OutcomeRecord) contract.OutcomeRecord {
+	last := records[0]
+	for _, r := range records[1:] {
+		if owns(r, last) {
+			last = r
+		}
+	}
+	return last
 }
 
 // Judge returns the verdict on a row.
--- a/ledger/row_test.go
+++ b/ledger/row_test.go
@@ -38,6 +38,10 @@
 		r.Round = n
 		return r
 	}
+	by := func(entry contract.HostID, r contract.OutcomeRecord) contract.OutcomeRecord {
+		r.Entry = entry
+		return r
+	}
 	cases := []struct {
 		name     string
 		records  []contract.OutcomeRecord
@@ -53,6 +57,9 @@
 		{"not started by one owner", []contract.OutcomeRecord{round(1, notRun)}, NeverRan, false},
 		{"reported by its worker", []contract.OutcomeRecord{round(1, notRun), ran1}, RanOnce, false},
 		{"unknown to the next owner", []contract.OutcomeRecord{round(1, notRun), round(2, unknown)}, Unknown, false},
+		{"started by the next owner, and then fenced", []contract.OutcomeRecord{round(1, notRun), round(2, unknown), round(2, notRun)}, NeverRan, false},
+		{"unknown to the owner that won the round", []contract.OutcomeRecord{round(2, notRun), by("hub3", round(2, unknown))}, Unknown, false},
+		{"unknown to the owner that lost the round", []contract.OutcomeRecord{by("hub3", round(2, notRun)), round(2, unknown)}, NeverRan, false},
 		{"unknown to its worker", []contract.OutcomeRecord{round(1, notRun), unknown}, Unknown, false},
 		{"fenced by the next owner", []contract.OutcomeRecord{round(1, unknown), round(2, notRun)}, NeverRan, false},
 		{"retried after an unknown attempt", []contract.OutcomeRecord{retried}, Ran, false},
@@ -77,6 +84,7 @@
 		Outcome:     rapid.SampledFrom([]contract.Outcome{contract.OutcomeUnknown, contract.OutcomeNotRun, contract.OutcomeRan}).Draw(t, "outcome"),
 		Worker:      rapid.SampledFrom([]contract.HostID{"w1", "w2"}).Draw(t, "worker"),
 		Incarnation: contract.Incarnation(rapid.IntRange(1, 2).Draw(t, "incarnation")),
+		Entry:       rapid.SampledFrom([]contract.HostID{"hub1", "hub2"}).Draw(t, "entry"),
 		Round:       rapid.Uint64Range(0, 2).Draw(t, "round"),
 		Unsure:      rapid.Bool().Draw(t, "unsure"),
 		Attempt:     uint32(rapid.IntRange(0, 2).Draw(t, "attempt")),
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -76,8 +76,9 @@
 	resendWait = 250 * time.Millisecond
 	// appendTimeout bounds one append.
 	appendTimeout = 3 * time.Second
-	// flushPoll is how often Flush looks.
+	// flushPoll is how often Flush looks, and syncPoll how often Sync does.
 	flushPoll = 10 * time.Millisecond
+	syncPoll  = 2 * time.Millisecond
 )
 
 // Run sends until ctx is done.
@@ -102,6 +103,26 @@
 	return nil
 }
 
+// Sync waits until a majority holds every record that was taken before, or
+// until ctx is done.
+func (w *Writer) Sync(ctx context.Context) error {
+	w.mu.Lock()
+	seq := w.box.Mark(time.Now())
+	w.mu.Unlock()
+	for !w.safeThrough(seq) {
+		if err := sleep(ctx, syncPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *Writer) safeThrough(seq uint64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.box.SafeThrough(seq)
+}
+
 func (w *Writer) feed(ctx context.Context, id contract.HostID, h Holder) {
 	for {
 		select {
