Acknowledge a result only once its outcome is synced

Cause: an entry acknowledged a result within 100 ms, synced or not, and the agent then forgot it. An entry that died between the two took the line with it, though the agent had known.

Now an acknowledgement waits until a majority of the control hosts has the outcome; until then the agent keeps the result, and reports it through another entry should this one die. Nothing waits on the path of an answer.

The tests show the order: no acknowledgement before the position is safe.

--- a/entry/run.go
+++ b/entry/run.go
@@ -103,7 +103,7 @@
 		Lease:   lease,
 		Tables:  r.entry.cfg.Tables.Version(),
 		Keep:    r.keyed(),
-		Acks:    r.entry.acks.take(p.worker),
+		Acks:    r.entry.takeAcks(p.worker),
 	}
 }
 
--- a/ledger/outbox.go
+++ b/ledger/outbox.go
@@ -77,8 +77,17 @@
 	return o.seq
 }
 
+// Position returns the number of the batch that the last record is or will be
+// in.
+func (o *Outbox) Position() uint64 {
+	return o.seq + uint64((len(o.open)+maxSend-1)/maxSend)
+}
+
 // SafeThrough reports whether a majority has each batch up to seq.
 func (o *Outbox) SafeThrough(seq uint64) bool {
+	if seq > o.seq {
+		return false
+	}
 	for _, b := range o.batches {
 		if b.Seq <= seq && !b.safe {
 			return false
--- a/ledger/outbox_test.go
+++ b/ledger/outbox_test.go
@@ -81,3 +81,19 @@
 	must.LessEq(t, lagWindow, box.lagging)
 	must.False(t, box.Full())
 }
+
+func TestPositionIsSafeOnceAMajorityHasIt(t *testing.T) {
+	o := NewOutbox(contract.LedgerOrigin{Host: "e"}, 3, 100)
+	o.Add(contract.OutcomeRecord{Task: contract.TaskID{Job: "j"}})
+	at := o.Position()
+	must.False(t, o.SafeThrough(at)) // not in a batch yet
+	batches := o.Next(day0, "c1")
+	must.Eq(t, at, o.Position())
+	o.Acked("c1", batches)
+	must.False(t, o.SafeThrough(at))
+	o.Acked("c2", batches)
+	must.True(t, o.SafeThrough(at))
+	o.Add(contract.OutcomeRecord{Task: contract.TaskID{Job: "k"}})
+	must.False(t, o.SafeThrough(o.Position()))
+	must.True(t, o.SafeThrough(at))
+}
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -109,7 +109,7 @@
 	w.mu.Lock()
 	seq := w.box.Mark(time.Now())
 	w.mu.Unlock()
-	for !w.safeThrough(seq) {
+	for !w.Safe(seq) {
 		if err := sleep(ctx, syncPoll); err != nil {
 			return err
 		}
@@ -117,7 +117,15 @@
 	return nil
 }
 
-func (w *Writer) safeThrough(seq uint64) bool {
+// Position returns the position of the last record that was taken.
+func (w *Writer) Position() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.box.Position()
+}
+
+// Safe reports whether a majority holds every record up to the position.
+func (w *Writer) Safe(seq uint64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.box.SafeThrough(seq)
