--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 soak:
 	@$(GO) run ./internal/soak $(SOAK)
 
-bench: bench-entry bench-idle
+bench: bench-entry bench-idle bench-record bench-agreement bench-dispatch bench-load
 
 bench-entry: build
 	@$(GO) run ./internal/bench -bin $(BIN) entry
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -39,7 +39,11 @@
 		mem = append(mem, point{float64(n), heapAfter(func() any { return loaded(1, n) })})
 	}
 	for _, n := range workerCounts {
-		cost = append(cost, point{float64(n), decisionTime(n)})
+		ns, err := decisionTime(n)
+		if err != nil {
+			return nil, err
+		}
+		cost = append(cost, point{float64(n), ns})
 	}
 	return collect(
 		slopeOf("scheduler memory", "queued task", "bytes", mem),
@@ -47,13 +51,15 @@
 	)
 }
 
-// loaded returns a scheduler with the given workers, all busy, and tasks that
-// wait.
+// loaded returns a scheduler with the given workers, each with one credit, and
+// tasks of which all but one for each worker wait.
 func loaded(workers, tasks int) dispatch.Scheduler {
 	p := dispatch.NewPool(dispatch.Config{MaxQueue: 2 * (tasks + workers)})
 	now := time.Unix(0, 0)
 	for i := range workers {
-		p.Step(now, dispatch.WorkerUp{Worker: benchWorker(i)})
+		w := benchWorker(i)
+		p.Step(now, dispatch.WorkerUp{Worker: w})
+		p.Step(now, dispatch.CreditGranted{Worker: w.Ref, Epoch: 1, Slots: w.Capacity.Slots})
 	}
 	for id := 0; tasks > 0; id++ {
 		n := min(tasks, contract.MaxTasks)
@@ -86,18 +92,24 @@
 
 // decisionTime returns the nanoseconds to submit, place and finish one task
 // among the workers.
-func decisionTime(workers int) float64 {
+func decisionTime(workers int) (float64, error) {
 	p := loaded(workers, 0)
 	now := time.Unix(0, 0)
+	placed := 0
 	began := time.Now()
 	for i := range decisionRounds {
 		for _, a := range p.Step(now, submitOf(i, 1, now)) {
 			if place, ok := a.(dispatch.Place); ok {
+				placed++
 				p.Step(now, dispatch.Finished{Task: place.Task, Worker: place.Worker, Elapsed: time.Second})
 			}
 		}
 	}
-	return float64(time.Since(began).Nanoseconds()) / decisionRounds
+	took := time.Since(began)
+	if placed != decisionRounds {
+		return 0, fmt.Errorf("%d of %d tasks were placed among %d workers", placed, decisionRounds, workers)
+	}
+	return float64(took.Nanoseconds()) / decisionRounds, nil
 }
 
 // tableSizes are the numbers of routes in the table.
--- a/internal/capacity/workout.go
+++ b/internal/capacity/workout.go
@@ -24,7 +24,11 @@
 	linksPerWorker   = 2
 	workersPerEntry  = designWorkers * linksPerWorker / designEntries
 	startsPerEntry   = designStarts / designEntries
-	startsPerWorker  = designStarts / designWorkers
+	// peerLinks are an entry's links with the other entries: each dials each.
+	peerLinks = 2 * (designEntries - 1)
+	// linksPerEntry are all links of an entry.
+	linksPerEntry   = workersPerEntry + peerLinks
+	startsPerWorker = designStarts / designWorkers
 )
 
 // The budget of one daemon for control.
@@ -94,9 +98,9 @@
 }
 
 var workoutItems = []workoutItem{
-	{"entry", "resident, idle", "entry memory", "idle worker", "bytes", workersPerEntry, budgetMemory},
-	{"entry", "processor, idle links", "entry processor time", "idle worker", "core share", workersPerEntry, budgetCPU},
-	{"entry", "links, idle", "entry link traffic", "idle worker", "bytes/s", workersPerEntry, budgetBytes},
+	{"entry", "resident, idle", "entry memory", "idle worker", "bytes", linksPerEntry, budgetMemory},
+	{"entry", "processor, idle links", "entry processor time", "idle worker", "core share", linksPerEntry, budgetCPU},
+	{"entry", "links, idle", "entry link traffic", "idle worker", "bytes/s", linksPerEntry, budgetBytes},
 	{"entry", "processor, starts at the peak", "entry processor time", "start/s", "core share", startsPerEntry, 0},
 	{"entry", "links, starts at the peak", "entry link traffic", "start/s", "bytes/s", startsPerEntry, 0},
 	{"entry", "one decision", "scheduler decision", "worker known", "ns", workersPerEntry, 0},
@@ -131,8 +135,8 @@
 }
 
 func printWorkout(out io.Writer, lines []line) {
-	fmt.Fprintf(out, "\nat %d workers, %d starts/s, %d entries, %d links a worker: %d workers and %d starts/s an entry\n",
-		designWorkers, designStarts, designEntries, linksPerWorker, workersPerEntry, startsPerEntry)
+	fmt.Fprintf(out, "\nat %d workers, %d starts/s, %d entries, %d links a worker: %d workers, %d links and %d starts/s an entry\n",
+		designWorkers, designStarts, designEntries, linksPerWorker, workersPerEntry, linksPerEntry, startsPerEntry)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ROLE\tWHAT\tVALUE\tUNIT\tBUDGET\tVERDICT")
 	for _, l := range lines {
