Probe the last worker of a pool at once

Cause: a single request beside a frozen worker was refused for 16 s, though the pool's other worker lived: it had been ejected for failures before, and nothing ended that when it became the last one.

Ruled out: the slots of the frozen worker, which came back with its link.

Now, when a worker goes down and only ejected ones are left, the ejection that would end first ends at once, with one task as its probe. The new test fails without it.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -227,6 +227,27 @@
 	p.ejected = p.keep(p.ejected, func(w *worker) time.Time { return w.health.until }, func(w *worker) { w.health.state = onTrial })
 }
 
+// probeLast ends the ejection that would end first where no other worker is
+// left.
+func (p *Pool) probeLast() {
+	var first *worker
+	linked := 0
+	for _, w := range p.ejected {
+		if !w.linked {
+			continue
+		}
+		linked++
+		if first == nil || w.health.until.Before(first.health.until) {
+			first = w
+		}
+	}
+	if first == nil || linked < p.linked {
+		return
+	}
+	first.health.until = p.now
+	p.endEjections()
+}
+
 // keep returns the workers whose time has not come, and ends it for the others.
 func (p *Pool) keep(ws []*worker, until func(*worker) time.Time, end func(*worker)) []*worker {
 	kept := ws[:0]
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -236,6 +236,7 @@
 	p.unlink(w)
 	w.allot, w.granted, w.epoch = 0, 0, 0
 	p.forget(w)
+	p.probeLast()
 }
 
 // forget drops a worker that is gone and holds no task.
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -169,6 +169,25 @@
 	must.Eq(t, 1, probes)
 }
 
+// TestLastWorkerIsProbedAtOnce: where only ejected workers are left, waiting for
+// the end of an ejection would stop the pool.
+func TestLastWorkerIsProbedAtOnce(t *testing.T) {
+	p := poolWith(Config{}, contract.Capacity{Slots: 4}, contract.Capacity{Slots: 4})
+	bad, good := testWorker(0, contract.Capacity{}).Ref, testWorker(1, contract.Capacity{}).Ref
+	now := testStart
+	for n := range 40 {
+		now = now.Add(time.Millisecond)
+		for _, pl := range placesOf(p.Step(now, Submit{Job: contract.JobID(fmt.Sprint("j", n)), Demands: declared(5, 1)})) {
+			p.Step(now, Finished{Task: pl.Task, Worker: pl.Worker, Elapsed: time.Millisecond, Failed: pl.Worker == bad})
+		}
+	}
+	must.SliceLen(t, 1, p.ejected)
+	must.Positive(t, p.waiting)
+	out := placesOf(p.Step(now, WorkerDown{Worker: good}))
+	must.SliceLen(t, 1, out)
+	must.Eq(t, bad, out[0].Worker)
+}
+
 func TestFailuresOfOneJobDoNotEject(t *testing.T) {
 	p := poolWith(Config{}, contract.Capacity{Slots: 8}, contract.Capacity{Slots: 8})
 	for _, pl := range placesOf(p.Step(testStart, Submit{Job: "poison", Demands: declared(16, 1)})) {
