Let a takeover take no placement of an earlier run

A resubmission first claims the record in the first round, and offers its tasks to the pool; where another entry owns the job, the claim is refused and the tasks are withdrawn, and a run of the next round takes the job's ID. A placement that the pool had already made then reached the new run, which did not know yet what the owner before had started: it wrote the placement into the record under its own round, and sent the start.

Found by the ledger's rows of that job: all 28 tasks were adopted under round 2, but three had a second start at a first attempt, 0.8 s before the workers of the first had all been asked. Ruled out: a lost plan, since no holder of the record had restarted; and an ejection's probe, which changes no owner.

Now a run with a key takes placements only once it has claimed its record, or adopted what may have started.

--- a/entry/plans.go
+++ b/entry/plans.go
@@ -152,6 +152,7 @@
 func (r *jobRun) claim() {
 	r.mu.Lock()
 	r.claiming = true
+	r.placeable = true
 	r.mu.Unlock()
 	r.entry.step(r.pool, r.submission())
 	r.mu.Lock()
@@ -208,6 +209,9 @@
 		r.refuse(contract.ErrNoQuorum.Refuse(ledgerWait, "the outcome ledger did not sync: %v", err))
 		return
 	}
+	r.mu.Lock()
+	r.placeable = true
+	r.mu.Unlock()
 	r.entry.step(r.pool, r.submission())
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -29,6 +29,9 @@
 	job      *job.Job
 	refused  error
 	answered bool
+	// placeable means that a job with a key has claimed its record, or has
+	// adopted what the owner before may have started.
+	placeable bool
 	// claiming holds plans back until the job's placements have been gathered.
 	claiming bool
 	// pending are placements whose starts wait for the record's quorum.
@@ -57,6 +60,11 @@
 func (r *jobRun) place(id contract.TaskID, w workerLink) []dispatch.Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.keyed() && !r.placeable {
+		// The placement is meant for an earlier run of the job here. This one
+		// doesn't know yet what has started.
+		return []dispatch.Event{dispatch.Finished{Task: id, Worker: w.Ref}}
+	}
 	attempt, ok := r.job.Place(id.Index, w.Ref)
 	if !ok {
 		return []dispatch.Event{dispatch.Finished{Task: id, Worker: w.Ref}}
