Decide in one place whether a start is new at the gate

Offer and Refuse each held the same checks of incarnation, state and attempt, in two files. Both now call open; behaviour is as before, and the tests of agent and the random histories of record pass unchanged.

--- a/agent/gate.go
+++ b/agent/gate.go
@@ -87,19 +87,10 @@
 // Offer takes a start. The reason goes with VerdictRefuse. It is the
 // specification's Offer.
 func (g *Gate) Offer(s *contract.Start) (Verdict, string) {
-	if s.To != g.self {
-		return VerdictRefuse, "the start is addressed to another incarnation"
-	}
-	t := g.task(s.Task)
-	switch {
-	case t == nil:
-		t = g.put(s.Task, &gateTask{})
-	case t.state != gateFenced:
-		return VerdictKnown, ""
-	case s.Attempt <= t.attempt:
-		return VerdictRefuse, "the task is fenced"
+	t, verdict, reason := g.open(s)
+	if t == nil {
+		return verdict, reason
 	}
-	t.attempt = s.Attempt
 	if g.draining {
 		g.end(s.Task, t, gateFenced)
 		return VerdictRefuse, "the worker is draining"
@@ -118,6 +109,36 @@
 	return VerdictWait, ""
 }
 
+// Refuse fences a start for a reason of the agent's own, unless the task was
+// offered before.
+func (g *Gate) Refuse(s *contract.Start, reason string) (Verdict, string) {
+	t, verdict, known := g.open(s)
+	if t == nil {
+		return verdict, known
+	}
+	g.end(s.Task, t, gateFenced)
+	return VerdictRefuse, reason
+}
+
+// open returns the task of a start that is new here. For any other start the
+// task is nil, and the verdict stands.
+func (g *Gate) open(s *contract.Start) (*gateTask, Verdict, string) {
+	if s.To != g.self {
+		return nil, VerdictRefuse, "the start is addressed to another incarnation"
+	}
+	t := g.task(s.Task)
+	switch {
+	case t == nil:
+		t = g.put(s.Task, &gateTask{})
+	case t.state != gateFenced:
+		return nil, VerdictKnown, ""
+	case s.Attempt <= t.attempt:
+		return nil, VerdictRefuse, "the task is fenced"
+	}
+	t.attempt = s.Attempt
+	return t, 0, ""
+}
+
 func (g *Gate) fits(s *contract.Start) bool {
 	return g.capacity.Fits(g.with(s, 1))
 }
