--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -19,7 +19,6 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/forward"
-	"github.com/carawaylanding/carawaylanding/host"
 	"github.com/carawaylanding/carawaylanding/internal/testbed"
 )
 
@@ -113,32 +112,13 @@
 
 func awaitReady(ctx context.Context, sys *testbed.System) error {
 	for _, h := range sys.Hubs {
-		if err := testbed.Await(ctx, func() error { return ready(h) }); err != nil {
+		if err := testbed.Await(ctx, func() error { return testbed.Knows(h, demoWorker) }); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func ready(h *testbed.Process) error {
-	if err := testbed.Ready(h.HTTP); err != nil {
-		return err
-	}
-	res, err := http.Get("http://" + h.Admin + "/admin/upstreams")
-	if err != nil {
-		return err
-	}
-	defer res.Body.Close()
-	var workers []host.Worker
-	if err := json.NewDecoder(res.Body).Decode(&workers); err != nil {
-		return err
-	}
-	if len(workers) < demoWorker {
-		return fmt.Errorf("%s knows %d of %d workers", h.Name, len(workers), demoWorker)
-	}
-	return nil
-}
-
 func submitJob(ctx context.Context, sys *testbed.System) error {
 	spec := contract.JobSpec{Route: "cards", Team: "thamel-salons"}
 	for i := range demoTasks {
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/host"
 )
 
 // Bed is a set of processes with one folder for their logs and data.
@@ -105,6 +106,22 @@
 // nothing.
 var observer = &http.Client{Timeout: 5 * time.Second}
 
+// Knows checks that a hub is ready and knows at least the given number of
+// workers.
+func Knows(h *Process, workers int) error {
+	if err := Ready(h.HTTP); err != nil {
+		return err
+	}
+	var known []host.Worker
+	if err := GetJSON(h.Admin, "/admin/upstreams", &known); err != nil {
+		return err
+	}
+	if len(known) < workers {
+		return fmt.Errorf("%s knows %d of %d workers", h.Name, len(known), workers)
+	}
+	return nil
+}
+
 // GetJSON reads the JSON that the address answers on path.
 func GetJSON(addr, path string, into any) error {
 	res, err := observer.Get("http://" + addr + path)
--- a/node/resubmit_test.go
+++ b/node/resubmit_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/forward"
-	"github.com/carawaylanding/carawaylanding/host"
 	"github.com/carawaylanding/carawaylanding/internal/standin"
 	"github.com/carawaylanding/carawaylanding/internal/testbed"
 	"github.com/carawaylanding/carawaylanding/node"
@@ -98,24 +97,7 @@
 
 // awaitHub waits until the hub is ready and knows all workers.
 func (s *system) awaitHub(t *testing.T, h *testbed.Process) {
-	must.NoError(t, testbed.Await(s.ctx, func() error {
-		if err := testbed.Ready(h.HTTP); err != nil {
-			return err
-		}
-		res, err := http.Get("http://" + h.Admin + "/admin/upstreams")
-		if err != nil {
-			return err
-		}
-		defer res.Body.Close()
-		var workers []host.Worker
-		if err := json.NewDecoder(res.Body).Decode(&workers); err != nil {
-			return err
-		}
-		if len(workers) < testWorker {
-			return fmt.Errorf("%s knows %d workers", h.Name, len(workers))
-		}
-		return nil
-	}))
+	must.NoError(t, testbed.Await(s.ctx, func() error { return testbed.Knows(h, testWorker) }))
 }
 
 // awaitServing waits until the hub's record holder votes.
