--- a/cmd/carawayd/main.go
+++ b/cmd/carawayd/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"github.com/carawaylanding/carawaylanding/node"
+	"github.com/carawaylanding/carawaylanding/platform"
 	"github.com/carawaylanding/carawaylanding/settings"
 	"github.com/carawaylanding/carawaylanding/version"
 )
@@ -25,7 +26,14 @@
 	os.Exit(run(os.Args[1:]))
 }
 
+// platformWord begins the arguments of a process on the users' platform; the
+// role follows.
+const platformWord = "platform"
+
 func run(args []string) int {
+	if len(args) == 2 && args[0] == platformWord {
+		return runOnPlatform(args[1])
+	}
 	set, err := settings.Parse(args, os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return 0
@@ -51,3 +59,12 @@
 	}
 	return 0
 }
+
+func runOnPlatform(role string) int {
+	log := newLogger(os.Stdout, role)
+	if err := platform.Run(role, log); err != nil {
+		log.Error(err, "stopped by an error")
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/hub/agents.go
@@ -0,0 +1,269 @@
+package hub
+
+import (
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/durable"
+	"github.com/carawaylanding/carawaylanding/link"
+	"github.com/carawaylanding/carawaylanding/schedule"
+)
+
+// agent is an agent as the leader sees it.
+type agent struct {
+	host contract.HostID
+	link *link.Link
+	sess contract.WorkerSession
+	// known says that the log names it: a later leader will wait for it.
+	known    bool
+	attached bool
+	away     bool
+	// over is the session that this leader has given up.
+	over contract.WorkerSession
+	// beat is when it was last heard; echoed is when it was last given
+	// authority.
+	beat, echoed time.Duration
+	// backlog waits until the agent is known.
+	backlog []contract.Message
+	orders  contract.WorkerOrders
+	noted   uint64
+}
+
+// note takes ends that are stored now.
+func (a *agent) note(n noted) {
+	if a.sess == n.sess && n.seq > a.noted {
+		a.noted = n.seq
+		a.orders.Noted = n.seq
+	}
+}
+
+// sessionLife is how long a session may last after its agent was given
+// authority for the last time.
+func (h *Hub) sessionLife() time.Duration {
+	return AgentAuthority + h.cfg.Lease + h.cfg.Lease/clockError + sessionSlack
+}
+
+func (ld *leadership) linkDown(h *Hub, l *link.Link) {
+	a := ld.links[l]
+	if a == nil {
+		return
+	}
+	delete(ld.links, l)
+	if a.link == l {
+		a.link = nil
+		ld.away(h, a, "link down")
+	}
+}
+
+func (ld *leadership) away(h *Hub, a *agent, why string) {
+	if !a.away {
+		a.away = true
+		ld.sched.Away(a.host)
+		h.log.Info("agent away", "worker", a.host, "why", why)
+	}
+}
+
+// agentMessage takes a message of an agent. While this hub does not lead, it
+// is dropped: the agent attaches again to the next leader.
+func (h *Hub) agentMessage(now time.Duration, l *link.Link, m contract.Message) {
+	if !h.leads(now) {
+		return
+	}
+	ld := h.lead
+	a := ld.links[l]
+	if r, ok := m.(*contract.WorkerReport); ok && r.Attach {
+		a = h.attach(l, r)
+	}
+	if a == nil {
+		return
+	}
+	a.beat = now
+	if !a.known {
+		a.backlog = append(a.backlog, m)
+		return
+	}
+	h.handleAgent(now, a, m)
+}
+
+func (h *Hub) attach(l *link.Link, r *contract.WorkerReport) *agent {
+	ld := h.lead
+	a := ld.agents[r.Host]
+	if a == nil {
+		a = &agent{host: r.Host, away: true}
+		ld.agents[r.Host] = a
+	}
+	if a.link != nil && a.link != l {
+		delete(ld.links, a.link)
+	}
+	a.link = l
+	a.orders = contract.WorkerOrders{}
+	a.noted = 0
+	ld.links[l] = a
+	if !a.known {
+		ld.open.batch.AgentsSeen = append(ld.open.batch.AgentsSeen, r.Host)
+	}
+	return a
+}
+
+// agentKnown goes on with an agent that the log names now.
+func (h *Hub) agentKnown(now time.Duration, host contract.HostID) {
+	a := h.lead.agents[host]
+	if a == nil || a.known {
+		return
+	}
+	a.known = true
+	a.echoed = now
+	backlog := a.backlog
+	a.backlog = nil
+	for _, m := range backlog {
+		h.handleAgent(now, a, m)
+	}
+}
+
+func (h *Hub) handleAgent(now time.Duration, a *agent, m contract.Message) {
+	switch m := m.(type) {
+	case *contract.WorkerReport:
+		h.report(now, a, m)
+	case *contract.WorkerEnds:
+		if m.Session == a.sess && m.Session != a.over {
+			h.takeEnds(now, a, m.Ends)
+		}
+	case *contract.AgentBeat:
+		if m.Session == a.sess && m.Session != a.over {
+			h.echo(now, a, m.Stamp)
+			h.back(a)
+		}
+	}
+}
+
+func (h *Hub) back(a *agent) {
+	if a.away && a.attached {
+		a.away = false
+		h.lead.sched.Back(a.host)
+		h.log.Info("agent back", "worker", a.host)
+	}
+}
+
+// echo gives the agent authority from when it sent the stamp.
+func (h *Hub) echo(now time.Duration, a *agent, stamp int64) {
+	if a.link == nil {
+		return
+	}
+	a.echoed = now
+	if err := a.link.Send(&contract.AgentAuthority{Term: h.lead.term, Stamp: stamp}); err != nil {
+		h.log.V(1).Info("authority not sent", "worker", a.host, "err", err)
+	}
+}
+
+func (h *Hub) report(now time.Duration, a *agent, r *contract.WorkerReport) {
+	if r.Session == a.over && r.Session != 0 {
+		a.orders.Over = true
+		a.sess = r.Session
+		return
+	}
+	if a.sess != r.Session {
+		a.noted = 0
+	}
+	a.sess = r.Session
+	if r.Attach {
+		a.attached = true
+		h.log.Info("worker attached", "worker", a.host, "session", r.Session, "pool", r.Pool, "running", len(r.Running), "ends", len(r.Ends), "draining", r.Draining, "gone", r.Gone)
+	}
+	h.takeEnds(now, a, r.Ends)
+	h.lead.sched.Report(now, r)
+	a.away = false
+	h.echo(now, a, r.Stamp)
+}
+
+func (h *Hub) takeEnds(now time.Duration, a *agent, ends []contract.RunEnded) {
+	p := h.lead.open
+	var last uint64
+	for _, e := range ends {
+		last = max(last, e.Seq)
+		c := h.lead.sched.Ended(now, a.host, e)
+		h.log.V(1).Info("run ended", "job", e.Job, "task", e.Task, "run", e.Run, "how", e.How.String(), "worker", a.host, "counts", c != nil)
+		if c != nil {
+			p.batch.Ends = append(p.batch.Ends, durable.TaskEnd{DurableTask: c.DurableTask, Done: c.Done})
+		}
+	}
+	if last > 0 {
+		p.noted = append(p.noted, noted{agent: a, sess: a.sess, seq: last})
+	}
+}
+
+// checkAgents looks for agents that went silent, gives up sessions that are
+// over for certain, and releases held tasks once no earlier run can be alive
+// out of reach.
+func (h *Hub) checkAgents(now time.Duration) {
+	ld := h.lead
+	covered := true
+	for _, a := range ld.agents {
+		if a.known && !a.away && now-a.beat > agentSilent {
+			ld.away(h, a, "silent")
+		}
+		if !a.away || !a.known {
+			continue
+		}
+		if now-a.echoed <= h.sessionLife() {
+			covered = covered && a.attached
+			continue
+		}
+		if a.attached || a.over != a.sess {
+			h.log.Info("session given up", "worker", a.host, "session", a.sess, "silent_ms", (now - a.echoed).Milliseconds())
+			a.over = a.sess
+			a.attached = false
+			ld.sched.SessionOver(a.host)
+		}
+		if now-a.echoed > agentForgotten && a.link == nil {
+			ld.open.batch.AgentsGone = append(ld.open.batch.AgentsGone, a.host)
+			delete(ld.agents, a.host)
+		}
+	}
+	if covered && ld.sched.Holding() {
+		h.log.Info("held tasks released", "after_ms", (now - ld.since).Milliseconds())
+		ld.sched.Release()
+	}
+}
+
+// placeAndOrder places what can be placed and sends each agent its orders.
+func (h *Hub) placeAndOrder(now time.Duration) {
+	if h.lead == nil || !h.leads(now) {
+		return
+	}
+	h.lead.sched.Place(now)
+	for _, o := range h.lead.sched.Orders() {
+		h.addOrder(o)
+	}
+	for _, a := range h.lead.agents {
+		h.sendOrders(a)
+	}
+}
+
+func (h *Hub) addOrder(o schedule.Order) {
+	a := h.lead.agents[o.Host]
+	if a == nil || a.sess != o.Session {
+		return
+	}
+	if o.Start != nil {
+		a.orders.Starts = append(a.orders.Starts, *o.Start)
+		h.log.Info("task placed", "job", o.Start.Job, "task", o.Start.Task, "run", o.Start.Run, "worker", o.Host)
+		return
+	}
+	a.orders.Stops = append(a.orders.Stops, *o.Stop)
+	h.log.Info("run stopped", "job", o.Stop.Job, "task", o.Stop.Task, "run", o.Stop.Run, "worker", o.Host)
+}
+
+func (h *Hub) sendOrders(a *agent) {
+	o := &a.orders
+	if len(o.Starts) == 0 && len(o.Stops) == 0 && o.Noted == 0 && !o.Over {
+		return
+	}
+	if a.link == nil {
+		return
+	}
+	o.Term, o.Session = h.lead.term, a.sess
+	if err := a.link.Send(o); err != nil {
+		h.log.V(1).Info("orders not sent", "worker", a.host, "err", err)
+	}
+	a.orders = contract.WorkerOrders{}
+}
--- /dev/null
+++ b/schedule/schedule_test.go
@@ -0,0 +1,260 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/durable"
+)
+
+const ms = time.Millisecond
+
+// bed drives a scheduler with a replicated state, as a leader does.
+type bed struct {
+	t     *testing.T
+	state *durable.State
+	sch   *Scheduler
+	now   time.Duration
+}
+
+func newBed(t *testing.T) *bed {
+	b := &bed{t: t, state: durable.New(), now: time.Second}
+	b.sch = New(1, b.state, b.now)
+	b.sch.Release()
+	return b
+}
+
+func (b *bed) worker(host string, milliCPU int, running ...contract.RunRef) {
+	b.sch.Report(b.now, &contract.WorkerReport{
+		Host: contract.HostID(host), Session: 1, Pool: "formula", Running: running,
+		Capacity: contract.Capacity{MilliCPU: milliCPU, MemoryMB: 1000},
+	})
+}
+
+func testJob(id string, steps ...contract.DurableStep) contract.DurableJob {
+	return contract.DurableJob{ID: contract.DurableJobID(id), Queue: "q", Pool: "formula", MaxAttempts: 2, Slack: 1.6, Target: 60 * ms, Steps: steps}
+}
+
+func step(count, milliCPU, millis int, after ...int) contract.DurableStep {
+	return contract.DurableStep{Count: count, Need: contract.Demand{MilliCPU: milliCPU, MemoryMB: 1, Millis: millis}, After: after}
+}
+
+func (b *bed) apply(batch durable.Batch) {
+	c := b.state.Apply(&batch)
+	for _, j := range c.Finished {
+		b.sch.Finished(j.ID)
+	}
+	for _, j := range c.Accepted {
+		b.sch.Accepted(j, b.now)
+	}
+	for _, e := range batch.Ends {
+		b.sch.TaskStored(e.DurableTask)
+	}
+}
+
+func (b *bed) submit(j contract.DurableJob) { b.apply(durable.Batch{Submits: []contract.DurableJob{j}}) }
+
+func (b *bed) place() []Order {
+	b.sch.Place(b.now)
+	return b.sch.Orders()
+}
+
+func (b *bed) end(o Order, how contract.RunEnd) {
+	e := contract.RunEnded{RunRef: o.Start.RunRef, Seq: 1, How: how}
+	if c := b.sch.Ended(b.now, o.Host, e); c != nil {
+		b.apply(durable.Batch{Ends: []durable.TaskEnd{{DurableTask: c.DurableTask, Done: c.Done}}})
+	}
+}
+
+func hosts(orders []Order) map[contract.HostID]int {
+	m := map[contract.HostID]int{}
+	for _, o := range orders {
+		if o.Start != nil {
+			m[o.Host]++
+		}
+	}
+	return m
+}
+
+func TestNeverOverCapacity(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", 10)
+	b.worker("b", 10)
+	b.submit(testJob("j", step(5, 6, 100)))
+	first := b.place()
+	must.Eq(t, map[contract.HostID]int{"a": 1, "b": 1}, hosts(first))
+	must.SliceEmpty(t, b.place())
+	b.end(first[0], contract.EndDone)
+	must.Len(t, 1, b.place())
+}
+
+func TestStepsWaitForEarlierOnes(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", 100)
+	b.submit(testJob("j", step(2, 1, 100), step(3, 1, 100, 0)))
+	first := b.place()
+	must.Len(t, 2, first)
+	b.end(first[0], contract.EndDone)
+	must.SliceEmpty(t, b.place())
+	b.end(first[1], contract.EndDone)
+	second := b.place()
+	must.Len(t, 3, second)
+	must.Eq(t, "j.0.1.0", second[0].Start.Name)
+	for _, o := range second {
+		b.end(o, contract.EndDone)
+	}
+	must.Eq(t, contract.DurableCompleted, b.state.Jobs["j"].State)
+}
+
+func TestFailedTaskGoesElsewhereUntilItsAttemptsAreUsed(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", 100)
+	b.worker("b", 100)
+	b.submit(testJob("j", step(1, 1, 100)))
+	first := b.place()
+	b.end(first[0], contract.EndFailed)
+	second := b.place()
+	must.Len(t, 1, second)
+	must.NotEq(t, first[0].Host, second[0].Host)
+	must.Greater(t, first[0].Start.Run, second[0].Start.Run)
+	b.end(second[0], contract.EndFailed)
+	must.Eq(t, contract.DurableFailed, b.state.Jobs["j"].State)
+	must.SliceEmpty(t, b.place())
+}
+
+func TestNewLeaderHoldsTasksThatMayRunOutOfReach(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", 100)
+	b.submit(testJob("old", step(2, 1, 100)))
+	ran := b.place()[0].Start.RunRef
+	b.sch = New(2, b.state, b.now)
+	b.worker("a", 100, ran)
+	must.SliceEmpty(t, b.place(), must.Sprint("a task that may run on another worker was started"))
+	b.submit(testJob("new", step(1, 1, 100)))
+	must.Len(t, 1, b.place(), must.Sprint("a job of the new term waits for no one"))
+	b.sch.Release()
+	orders := b.place()
+	must.Len(t, 1, orders)
+	must.NotEq(t, ran.Task, orders[0].Start.Task)
+	must.Greater(t, ran.Run, orders[0].Start.Run)
+}
+
+func TestNewLeaderTakesEndsOfEarlierRuns(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", 100)
+	b.submit(testJob("old", step(1, 1, 100)))
+	ran := b.place()[0]
+	b.sch = New(2, b.state, b.now)
+	b.worker("a", 100)
+	b.end(ran, contract.EndDone)
+	must.Eq(t, contract.DurableCompleted, b.state.Jobs["old"].State)
+}
+
+func TestRunOfEndedJobIsStoppedAndBlocksItsWorker(t *testing.T) {
+	b := newBed(t)
+	stray := contract.RunRef{Job: "gone", Task: 0, Run: 1}
+	b.worker("a", 100, stray)
+	b.submit(testJob("j", step(1, 1, 100)))
+	orders := b.place()
+	must.Len(t, 1, orders)
+	must.Eq(t, stray, *orders[0].Stop)
+	b.sch.Ended(b.now, "a", contract.RunEnded{RunRef: stray, Seq: 1, How: contract.EndStopped})
+	must.Len(t, 1, b.place())
+}
+
+func TestCancelledJobIsStoppedAndItsRoomFreedByTheEnd(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", 10)
+	b.submit(testJob("j", step(1, 10, 100)))
+	started := b.place()[0]
+	b.apply(durable.Batch{Cancels: []contract.DurableJobID{"j"}})
+	orders := b.place()
+	must.Len(t, 1, orders)
+	must.Eq(t, started.Start.RunRef, *orders[0].Stop)
+	b.submit(testJob("k", step(1, 10, 100)))
+	must.SliceEmpty(t, b.place())
+	b.end(started, contract.EndStopped)
+	must.Len(t, 1, b.place())
+}
+
+func TestSessionOverRequeues(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", 10)
+	b.submit(testJob("j", step(1, 10, 100)))
+	must.Len(t, 1, b.place())
+	b.sch.Away("a")
+	b.worker("b", 10)
+	must.SliceEmpty(t, b.place())
+	b.sch.SessionOver("a")
+	must.Eq(t, map[contract.HostID]int{"b": 1}, hosts(b.place()))
+}
+
+// TestFailingWorkerDrawsNoWork replays a worker that fails all that it starts,
+// at once, beside sound ones.
+func TestFailingWorkerDrawsNoWork(t *testing.T) {
+	b := newBed(t)
+	for _, h := range []string{"a", "b", "c", "d"} {
+		b.worker(h, 100)
+	}
+	toBad := 0
+	for i := range 200 {
+		b.submit(testJob(fmt.Sprint(i), step(1, 1, 10)))
+		for _, o := range b.place() {
+			if o.Host == "a" {
+				toBad++
+				b.end(o, contract.EndFailed)
+			} else {
+				b.now += 10 * ms
+				b.end(o, contract.EndDone)
+			}
+		}
+	}
+	must.Less(t, 12, toBad)
+}
+
+// TestUrgentBeforePatient replays a backlog: what can still meet its objective
+// goes before what can't, the most urgent first.
+func TestUrgentBeforePatient(t *testing.T) {
+	b := newBed(t)
+	b.submit(testJob("hopeless", step(1, 10, 100)))
+	b.now += 2 * time.Second
+	b.submit(testJob("patient", step(1, 10, 900)))
+	b.submit(testJob("urgent", step(1, 10, 60)))
+	b.worker("a", 10)
+	var got []contract.DurableJobID
+	for range 3 {
+		o := b.place()
+		must.Len(t, 1, o)
+		got = append(got, o[0].Start.Job)
+		b.end(o[0], contract.EndDone)
+	}
+	must.Eq(t, []contract.DurableJobID{"urgent", "patient", "hopeless"}, got)
+}
+
+// TestAdmissionRefusesWhatWouldEndTooLate replays a burst on one worker.
+func TestAdmissionRefusesWhatWouldEndTooLate(t *testing.T) {
+	b := newBed(t)
+	j := testJob("first", step(1, 10, 100))
+	must.False(t, b.sch.Admit(b.now, &j).OK, must.Sprint("no worker"))
+	b.worker("a", 10)
+	must.True(t, b.sch.Admit(b.now, &j).OK)
+	refused := false
+	for i := range 20 {
+		j := testJob(fmt.Sprint(i), step(1, 10, 100))
+		a := b.sch.Admit(b.now, &j)
+		if !a.OK {
+			refused = true
+			must.Positive(t, a.RetryAfter)
+			break
+		}
+		b.submit(j)
+		b.place()
+	}
+	must.True(t, refused)
+	large := testJob("large", step(1, 11, 100))
+	must.True(t, b.sch.Admit(b.now, &large).Never)
+}
--- /dev/null
+++ b/steward/life.go
@@ -0,0 +1,454 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/boottime"
+	"github.com/carawaylanding/carawaylanding/contract"
+)
+
+const (
+	// holdWait is how long a call to the worker may wait for an end; it must
+	// leave time for two more calls within a lease.
+	holdWait = 150 * time.Millisecond
+	// callTimeout bounds a call to the worker, which is on this machine.
+	callTimeout = 200 * time.Millisecond
+	// pollEvery is the wait between two looks while ends are not noted yet:
+	// the worker answers at once then.
+	pollEvery = 4 * time.Millisecond
+	// retryEvery is the wait after a call that failed.
+	retryEvery = 20 * time.Millisecond
+	// lapseSlack is added to the end of a lease for late timers and the stop.
+	lapseSlack = 100 * time.Millisecond
+	// clockError is how much slower the worker's clock may run, as 1 in this.
+	clockError = 50
+	// maxRefusals is how many connections must be refused in a row before the
+	// worker counts as ended.
+	maxRefusals = 3
+)
+
+// phase is what is known of a run.
+type phase uint8
+
+const (
+	phaseStarting phase = iota
+	phaseRunning
+	// phaseBarred: a stop was answered; the next list shows whether it ran.
+	phaseBarred
+)
+
+// run is a run that is, or may be, on the worker.
+type run struct {
+	ref   contract.RunRef
+	phase phase
+	// barredAt is the count of calls for lists when the stop was answered.
+	barredAt uint64
+	stopping bool
+}
+
+// life is one life of the worker.
+type life struct {
+	s      *Steward
+	calls  Worker
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// All below is guarded by the steward's lock.
+	worker Announcement
+	live   bool
+	// lapse asks for the lease to run out and the session to end.
+	lapse bool
+	runs  map[NamedRun]*run
+	names map[contract.RunRef]NamedRun
+	// ends are those not yet noted at the worker.
+	ends []contract.RunEnded
+	// listed is the last end that was taken from a list; noted may be noted
+	// at the worker.
+	listed, noted uint64
+	// holds counts the calls that ask for lists.
+	holds uint64
+	// strays are unknown runs that are being stopped.
+	strays map[NamedRun]bool
+	// bars counts stops without an answer.
+	bars int
+	// clock and clockAt give the worker's clock.
+	clock   int64
+	clockAt time.Duration
+	// confirmed is the end of the lease that the worker is known to hold;
+	// attempted is the latest that it may hold.
+	confirmed, attempted int64
+	wake                 chan struct{}
+}
+
+func newLife(s *Steward, a Announcement) *life {
+	l := &life{s: s, worker: a, calls: s.cfg.Connect(a), wake: make(chan struct{}, 1)}
+	l.ctx, l.cancel = context.WithCancel(s.ctx)
+	l.clear()
+	return l
+}
+
+func (l *life) clear() {
+	l.runs = map[NamedRun]*run{}
+	l.names = map[contract.RunRef]NamedRun{}
+	l.strays = map[NamedRun]bool{}
+	l.ends = nil
+	l.lapse = false
+}
+
+// end ends the life. The lock is held.
+func (l *life) end(why string) {
+	l.s.log.Info("worker ended", "worker", l.worker.ID, "why", why, "runs", len(l.runs))
+	l.live = false
+	l.cancel()
+}
+
+// describe fills in a report. The lock is held.
+func (l *life) describe(r *contract.WorkerReport) {
+	r.Gone = false
+	r.Pool, r.Capacity, r.Labels, r.Draining = l.worker.Pool, l.worker.Capacity, l.worker.Labels, l.worker.Draining
+	for _, x := range l.runs {
+		r.Running = append(r.Running, x.ref)
+	}
+	r.Ends = l.ends
+}
+
+// now returns an estimate of the worker's clock that is not ahead of it. The
+// lock is held.
+func (l *life) now() int64 {
+	return l.clock + int64((boottime.Now()-l.clockAt)/time.Millisecond)
+}
+
+func (l *life) setClock(clock int64) {
+	l.clock, l.clockAt = clock, boottime.Now()
+}
+
+// run serves the life until it ends.
+func (l *life) run() error {
+	defer l.calls.Close()
+	for l.ctx.Err() == nil {
+		if !l.recover() {
+			break
+		}
+		l.serve()
+		l.letLapse()
+	}
+	return nil
+}
+
+func (l *life) sleep(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-l.ctx.Done():
+	case <-t.C:
+	case <-l.wake:
+	}
+}
+
+func (l *life) wakeUp() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// recover brings the worker to where nothing runs on it and no end of before
+// counts, then begins a session. It returns false when the life is over.
+func (l *life) recover() bool {
+	for l.ctx.Err() == nil {
+		held, err := l.look(HoldCall{Seen: l.notedSoFar()})
+		if err != nil {
+			l.sleep(retryEvery)
+			continue
+		}
+		for _, r := range held.Running {
+			l.stopStray(r)
+		}
+		if len(held.Running) == 0 && (len(held.Ended) == 0 || l.lapsed(held.Clock)) && l.begin(held) {
+			return true
+		}
+		l.sleep(retryEvery)
+	}
+	return false
+}
+
+// lapsed reports whether the lease has run out for certain. An earlier process
+// may have extended it just before the first look.
+func (l *life) lapsed(clock int64) bool {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	if l.attempted == 0 {
+		l.attempted = clock + l.s.cfg.MaxLease.Milliseconds()
+	}
+	return clock > l.attempted+lapseSlack.Milliseconds()
+}
+
+func (l *life) notedSoFar() uint64 {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	return l.noted
+}
+
+// begin starts a session unless a stop is still without an answer.
+func (l *life) begin(held Held) bool {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	if l.bars > 0 || l.ctx.Err() != nil {
+		return false
+	}
+	l.clear()
+	for _, e := range held.Ended {
+		l.listed = max(l.listed, e.Seq)
+	}
+	l.noted = l.listed
+	l.live = true
+	l.confirmed = 0
+	l.s.log.Info("session begins", "worker", l.worker.ID, "void_ends", len(held.Ended))
+	l.s.newSession()
+	return true
+}
+
+// look calls the worker with the present fencing token.
+func (l *life) look(c HoldCall) (Held, error) {
+	l.s.mu.Lock()
+	c.Token = l.s.term
+	known := l.s.term > 0
+	l.s.mu.Unlock()
+	if !known {
+		return Held{}, ErrFenced
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, c.Wait+callTimeout)
+	defer cancel()
+	held, err := l.calls.Hold(ctx, c)
+	if err == nil {
+		l.s.mu.Lock()
+		l.setClock(held.Clock)
+		l.s.mu.Unlock()
+	} else {
+		l.s.log.V(1).Info("worker not held", "worker", l.worker.ID, "err", err)
+	}
+	return held, err
+}
+
+// serve extends the lease and takes lists until the session is to end.
+func (l *life) serve() {
+	refused := 0
+	for l.ctx.Err() == nil {
+		c, number, ok := l.nextHold()
+		if !ok {
+			return
+		}
+		if number == 0 {
+			l.sleep(retryEvery)
+			continue
+		}
+		held, err := l.look(c)
+		switch {
+		case errors.Is(err, ErrOtherLife):
+			l.over("another life answered")
+			return
+		case errors.Is(err, ErrNotListening):
+			if refused++; refused >= maxRefusals {
+				l.over("no process listens")
+				return
+			}
+		case err == nil:
+			refused = 0
+			l.take(held, c, number)
+			if l.unnoted() {
+				l.sleep(pollEvery)
+			}
+			continue
+		}
+		l.sleep(retryEvery)
+	}
+}
+
+// nextHold returns the next call and its number; false when the session is to
+// end. The number is zero when there is nothing to hold and no authority to.
+func (l *life) nextHold() (HoldCall, uint64, bool) {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	if !l.lapse && l.s.authority <= boottime.Now() {
+		if l.nothingToLose() && l.bars == 0 {
+			return HoldCall{}, 0, true
+		}
+		l.s.log.Info("authority lost: the lease runs out", "worker", l.worker.ID, "runs", len(l.runs))
+		l.lapse = true
+	}
+	if l.lapse {
+		return HoldCall{}, 0, false
+	}
+	l.holds++
+	c := HoldCall{Seen: l.noted, Deadline: l.deadline()}
+	if len(l.ends) == 0 && l.bars == 0 {
+		c.Wait = holdWait
+	}
+	return c, l.holds, true
+}
+
+// nothingToLose reports whether no run and no end would be void without the
+// lease. The lock is held.
+func (l *life) nothingToLose() bool {
+	for _, r := range l.runs {
+		if r.phase != phaseStarting {
+			return false
+		}
+	}
+	return len(l.ends) == 0
+}
+
+// deadline returns the end of a lease given now. The lock is held.
+func (l *life) deadline() int64 {
+	d := l.now() + l.s.cfg.Lease.Milliseconds()
+	l.attempted = max(l.attempted, d)
+	return d
+}
+
+func (l *life) unnoted() bool {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	return len(l.ends) > 0 || l.bars > 0
+}
+
+// over ends the life after the worker has certainly ended.
+func (l *life) over(why string) {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	if l.s.life != l {
+		return
+	}
+	l.end(why)
+	l.s.life = nil
+	l.s.newSession()
+}
+
+// letLapse waits until the lease has run out for certain.
+func (l *life) letLapse() {
+	l.s.mu.Lock()
+	l.live = false
+	left := max(l.attempted-l.now(), 0)
+	l.s.mu.Unlock()
+	wait := time.Duration(left) * time.Millisecond
+	until := boottime.Now() + wait + wait/clockError + lapseSlack
+	for l.ctx.Err() == nil && boottime.Now() < until {
+		l.sleep(until - boottime.Now())
+	}
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	l.noted = l.listed
+	l.clear()
+}
+
+// take takes the worker's lists, which answer the call with the number: a run
+// whose stop was answered before that call is settled by them.
+func (l *life) take(held Held, c HoldCall, number uint64) {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	running := make(map[NamedRun]bool, len(held.Running))
+	for _, r := range held.Running {
+		running[r] = true
+	}
+	if !l.unbroken(held, running) {
+		l.s.log.Info("the lease may have run out: a new session", "worker", l.worker.ID, "clock", held.Clock, "confirmed", l.confirmed)
+		l.lapse = true
+		return
+	}
+	l.confirmed = max(l.confirmed, c.Deadline)
+	fresh := l.takeEnds(held.Ended)
+	fresh = append(fresh, l.settleBarred(running, number)...)
+	l.dropNoted(c.Seen)
+	l.startedOrStray(held.Running)
+	if len(fresh) > 0 {
+		l.s.send(&contract.WorkerEnds{Session: l.s.session, Ends: fresh})
+	}
+}
+
+// unbroken reports whether the lease certainly did not run out since the last
+// list: the worker's clock has not passed its end, something that ran still
+// runs, or there was nothing to lose. The lock is held.
+func (l *life) unbroken(held Held, running map[NamedRun]bool) bool {
+	if held.Clock <= l.confirmed || l.nothingToLose() {
+		return true
+	}
+	for name, r := range l.runs {
+		if r.phase == phaseRunning && running[name] {
+			return true
+		}
+	}
+	return false
+}
+
+// takeEnds takes ends that were not listed before. The lock is held.
+func (l *life) takeEnds(ended []EndedRun) []contract.RunEnded {
+	var fresh []contract.RunEnded
+	for _, e := range ended {
+		if e.Seq <= l.listed {
+			continue
+		}
+		l.listed = e.Seq
+		end := contract.RunEnded{Seq: e.Seq, How: e.How}
+		if r := l.runs[e.NamedRun]; r != nil {
+			end.RunRef = r.ref
+			l.forget(e.NamedRun, r)
+		} else {
+			l.s.log.Info("end of an unknown run", "name", e.Name, "run", e.Run, "how", e.How.String())
+		}
+		fresh = append(fresh, end)
+	}
+	l.ends = append(l.ends, fresh...)
+	return fresh
+}
+
+func (l *life) forget(name NamedRun, r *run) {
+	delete(l.runs, name)
+	delete(l.names, r.ref)
+}
+
+// settleBarred finds the runs that were barred before they could start. The
+// lock is held.
+func (l *life) settleBarred(running map[NamedRun]bool, number uint64) []contract.RunEnded {
+	var out []contract.RunEnded
+	for name, r := range l.runs {
+		if r.phase == phaseBarred && r.barredAt < number && !running[name] {
+			l.forget(name, r)
+			out = append(out, contract.RunEnded{RunRef: r.ref, How: contract.EndNotStarted})
+		}
+	}
+	return out
+}
+
+// startedOrStray marks runs that the worker lists, and stops those that nobody
+// ordered in this session. The lock is held.
+func (l *life) startedOrStray(running []NamedRun) {
+	for _, name := range running {
+		r := l.runs[name]
+		if r == nil {
+			if !l.strays[name] {
+				l.strays[name] = true
+				l.bar(name)
+			}
+		} else if r.phase == phaseStarting {
+			r.phase = phaseRunning
+		}
+	}
+}
+
+// dropNoted forgets ends that the worker has forgotten. The lock is held.
+func (l *life) dropNoted(seen uint64) {
+	n := 0
+	for n < len(l.ends) && l.ends[n].Seq <= seen {
+		n++
+	}
+	l.ends = l.ends[n:]
+}
+
+// note lets ends be noted at the worker. The lock is held.
+func (l *life) note(seq uint64) {
+	if seq > l.noted && seq <= l.listed {
+		l.noted = seq
+		l.wakeUp()
+	}
+}
--- /dev/null
+++ b/steward/runs.go
@@ -0,0 +1,109 @@
+package steward
+
+import (
+	"context"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+)
+
+// start carries out an order to start. The lock is held.
+func (l *life) start(st contract.RunStart) {
+	name := NamedRun{Name: st.Name, Run: st.Run}
+	if l.runs[name] != nil {
+		return
+	}
+	l.runs[name] = &run{ref: st.RunRef}
+	l.names[st.RunRef] = name
+	c := StartCall{Name: st.Name, Run: st.Run, Spec: st.Spec, Deadline: l.deadline(), Token: l.s.term}
+	l.s.group.Go(func() error { l.callStart(name, c); return nil })
+}
+
+func (l *life) callStart(name NamedRun, c StartCall) {
+	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+	defer cancel()
+	refused, err := l.calls.Start(ctx, c)
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	r := l.runs[name]
+	if err != nil {
+		l.s.log.Info("start without an answer", "name", name.Name, "run", name.Run, "worker", l.worker.ID, "err", err)
+		// A list may have shown meanwhile that it runs.
+		if r == nil || r.phase == phaseStarting {
+			l.bar(name)
+		}
+		return
+	}
+	if r == nil {
+		return
+	}
+	if refused == NotRefused {
+		if r.phase == phaseStarting {
+			r.phase = phaseRunning
+		}
+		return
+	}
+	l.s.log.Info("start refused by the worker", "name", name.Name, "run", name.Run, "worker", l.worker.ID, "why", refused.String())
+	l.forget(name, r)
+	l.s.notStarted(r.ref, refused == RefusedUnhealthy)
+}
+
+// stop carries out an order to stop. The lock is held.
+func (l *life) stop(ref contract.RunRef) {
+	name, ok := l.names[ref]
+	if !ok || l.runs[name].stopping {
+		return
+	}
+	l.bar(name)
+}
+
+// bar stops a run for good, also one that has not arrived at the worker yet:
+// until the worker has answered, the order to start may still be carried out.
+// The lock is held.
+func (l *life) bar(name NamedRun) {
+	if r := l.runs[name]; r != nil {
+		if r.stopping {
+			return
+		}
+		r.stopping = true
+	}
+	l.bars++
+	l.s.group.Go(func() error { l.barUntilAnswered(name); return nil })
+}
+
+func (l *life) barUntilAnswered(name NamedRun) {
+	for l.ctx.Err() == nil {
+		if l.callStop(name) == nil {
+			break
+		}
+		l.sleep(retryEvery)
+	}
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	l.bars--
+	if r := l.runs[name]; r != nil {
+		r.phase = phaseBarred
+		r.barredAt = l.holds
+	}
+	l.wakeUp()
+}
+
+func (l *life) callStop(name NamedRun) error {
+	l.s.mu.Lock()
+	token := l.s.term
+	l.s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+	defer cancel()
+	err := l.calls.Stop(ctx, name, token)
+	if err != nil {
+		l.s.log.V(1).Info("stop without an answer", "name", name.Name, "run", name.Run, "err", err)
+	}
+	return err
+}
+
+// stopStray stops a run that nobody ordered in this session.
+func (l *life) stopStray(name NamedRun) {
+	l.s.log.Info("unknown run stopped", "name", name.Name, "run", name.Run, "worker", l.worker.ID)
+	if err := l.callStop(name); err != nil {
+		l.s.log.Info("unknown run not stopped yet", "name", name.Name, "run", name.Run, "err", err)
+	}
+}
