--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -64,6 +64,11 @@
 	Path  string
 	Spec  string
 	Steps []DurableStep
+	// Transient says that the job need not be stored: the reply comes when it
+	// has ended, and after a loss of the leader it may start anew.
+	Transient bool
+	// Again says that an earlier leader was asked before.
+	Again bool
 	// Unsupported names what the job asks for that is not built; empty means
 	// nothing.
 	Unsupported string
@@ -79,6 +84,8 @@
 const (
 	JobRead JobAction = iota + 1
 	JobCancel
+	// JobAbandon says that nobody waits for a transient job any more.
+	JobAbandon
 )
 
 // JobQuery asks for a job's state, for a queue's count of jobs that have not
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -160,29 +160,41 @@
 	if s.Jobs[d.ID] != nil {
 		return nil
 	}
-	n := d.Tasks()
-	j := &Job{DurableJob: *d, State: contract.DurableQueued, At: s.At, Done: make([]bool, n), Failures: make([]uint8, n), Left: n}
+	j := NewJob(d, s.At)
 	s.Jobs[d.ID] = j
 	return j
 }
 
-func (s *State) end(e TaskEnd, c *Changes) {
-	j := s.Jobs[e.Job]
-	if j == nil || j.State.Ended() || int(e.Task) >= len(j.Done) || j.Done[e.Task] {
-		return
+// NewJob returns a job of which nothing has run.
+func NewJob(d *contract.DurableJob, at int64) *Job {
+	n := d.Tasks()
+	return &Job{DurableJob: *d, State: contract.DurableQueued, At: at, Done: make([]bool, n), Failures: make([]uint8, n), Left: n}
+}
+
+// End takes an end that counts. It reports whether the job has ended by it.
+func (j *Job) End(task uint32, done bool) bool {
+	if j.State.Ended() || int(task) >= len(j.Done) || j.Done[task] {
+		return false
 	}
 	j.State = contract.DurableRunning
-	if e.Done {
-		j.Done[e.Task] = true
+	if done {
+		j.Done[task] = true
 		j.Left--
 		if j.Left == 0 {
-			s.finish(j, contract.DurableCompleted, c)
+			j.State = contract.DurableCompleted
+		}
+	} else {
+		j.Failures[task]++
+		if int(j.Failures[task]) >= j.MaxAttempts {
+			j.State = contract.DurableFailed
 		}
-		return
 	}
-	j.Failures[e.Task]++
-	if int(j.Failures[e.Task]) >= j.MaxAttempts {
-		s.finish(j, contract.DurableFailed, c)
+	return j.State.Ended()
+}
+
+func (s *State) end(e TaskEnd, c *Changes) {
+	if j := s.Jobs[e.Job]; j != nil && j.End(e.Task, e.Done) {
+		s.finish(j, j.State, c)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,11 @@
 		changed := g.changed
 		g.mu.Unlock()
 		if l, _ := g.up.Leader(); l != nil {
+			if sub, ok := m.(*contract.JobSubmit); ok && a.Reached && !sub.Again {
+				again := *sub
+				again.Again = true
+				m = &again
+			}
 			a.Reached = true
 			if r := g.askOne(ctx, l, m, changed); r != nil && r.Verdict != contract.VerdictNotLeader {
 				a.JobReply, a.Answered = *r, true
@@ -108,6 +113,15 @@
 	}
 }
 
+// Tell sends the leader a message without waiting for a reply; it may be lost.
+func (g *Gateway) Tell(m contract.Message) {
+	if l, _ := g.up.Leader(); l != nil {
+		if err := l.Send(m); err != nil {
+			g.log.V(1).Info("not sent to the leader", "kind", m.MessageKind(), "err", err)
+		}
+	}
+}
+
 // askAgain is the wait after a hub that does not lead any more.
 const askAgain = 100 * time.Millisecond
 
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -27,6 +27,8 @@
 	backlog []contract.Message
 	orders  contract.WorkerOrders
 	noted   uint64
+	// storing counts the proposals that hold ends of this agent.
+	storing int
 }
 
 // note takes ends that are stored now.
@@ -178,17 +180,27 @@
 func (h *Hub) takeEnds(now time.Duration, a *agent, ends []contract.RunEnded) {
 	p := h.lead.open
 	var last uint64
+	stored := false
 	for _, e := range ends {
 		last = max(last, e.Seq)
 		c := h.lead.sched.Ended(now, a.host, e)
 		h.log.V(1).Info("run ended", "job", e.Job, "task", e.Task, "run", e.Run, "how", e.How.String(), "worker", a.host, "counts", c != nil)
-		if c != nil {
+		if c != nil && !h.endTransient(now, c.DurableTask, c.Done) {
 			p.batch.Ends = append(p.batch.Ends, durable.TaskEnd{DurableTask: c.DurableTask, Done: c.Done})
+			stored = true
 		}
 	}
-	if last > 0 {
-		p.noted = append(p.noted, noted{agent: a, sess: a.sess, seq: last})
+	if last == 0 {
+		return
+	}
+	n := noted{agent: a, sess: a.sess, seq: last}
+	if !stored && a.storing == 0 {
+		a.note(n)
+		return
 	}
+	// Ends are noted in their order: behind one that is being stored.
+	a.storing++
+	p.noted = append(p.noted, n)
 }
 
 // checkAgents looks for agents that went silent, gives up sessions that are
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -127,9 +127,11 @@
 	// proposed are the batches under way, by log index.
 	proposed map[uint64]*proposal
 	// submits are the jobs under way to being stored.
-	submits   map[contract.DurableJobID]*submission
-	agentsAt  time.Duration
-	checkedAt time.Duration
+	submits map[contract.DurableJobID]*submission
+	// transients are the jobs that are not stored.
+	transients *transients
+	agentsAt   time.Duration
+	checkedAt  time.Duration
 }
 
 // Run runs a hub until ctx is done.
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -50,12 +50,13 @@
 	case h.lead == nil && h.node.Established() && h.node.Applied() >= h.node.Commit():
 		h.lead = &leadership{
 			term: h.node.Term(), since: now,
-			sched:    schedule.New(h.node.Term(), h.state, now),
-			agents:   map[contract.HostID]*agent{},
-			links:    map[*link.Link]*agent{},
-			open:     &proposal{},
-			proposed: map[uint64]*proposal{},
-			submits:  map[contract.DurableJobID]*submission{},
+			sched:      schedule.New(h.node.Term(), h.state, now),
+			agents:     map[contract.HostID]*agent{},
+			links:      map[*link.Link]*agent{},
+			open:       &proposal{},
+			proposed:   map[uint64]*proposal{},
+			submits:    map[contract.DurableJobID]*submission{},
+			transients: newTransients(),
 		}
 		for host := range h.state.Agents {
 			h.lead.agents[host] = &agent{host: host, echoed: now, away: true, known: true}
@@ -84,6 +85,7 @@
 		h.lead.checkedAt = now
 		h.checkAgents(now)
 		h.lead.sched.Check(now)
+		h.lead.transients.forget(now)
 	}
 }
 
@@ -132,6 +134,7 @@
 		s.TaskStored(e.DurableTask)
 	}
 	for _, n := range p.noted {
+		n.agent.storing--
 		n.agent.note(n)
 	}
 	for _, r := range p.cancels {
@@ -192,6 +195,9 @@
 		sub.waiters = append(sub.waiters, to)
 		return nil
 	}
+	if t := h.lead.transients.jobs[id]; t != nil {
+		return t.join(to)
+	}
 	if m.Unsupported != "" || q.NeedsAdvice {
 		return &contract.JobReply{Verdict: contract.VerdictUnsupported, Reason: "not built: " + m.Unsupported}
 	}
@@ -206,6 +212,10 @@
 		}
 		return &contract.JobReply{Verdict: verdict, RetryAfter: a.RetryAfter, Reason: a.Reason}
 	}
+	if m.Transient {
+		h.startTransient(now, to, &job, m.Again)
+		return nil
+	}
 	h.lead.submits[id] = &submission{arrived: now, waiters: []replyTo{to}}
 	h.lead.open.batch.Submits = append(h.lead.open.batch.Submits, job)
 	return nil
@@ -213,7 +223,7 @@
 
 // query answers a read or a cancel.
 func (h *Hub) query(now time.Duration, to replyTo, m *contract.JobQuery) {
-	if r := h.answer(now, to, m); r != nil {
+	if r := h.answer(now, to, m); r != nil && to.seq != 0 {
 		h.reply(to.link, to.seq, r)
 	}
 }
@@ -233,6 +243,10 @@
 		return &contract.JobReply{Verdict: contract.VerdictWaiting, Waiting: h.lead.sched.Waiting(q.Name)}
 	}
 	id := contract.DurableJobID(rest)
+	if m.Action == contract.JobAbandon {
+		h.abandon(now, id)
+		return nil
+	}
 	j := h.state.Jobs[id]
 	switch {
 	case m.Action == contract.JobCancel && (j != nil && !j.State.Ended() || h.lead.submits[id] != nil):
--- /dev/null
+++ b/hub/transient.go
@@ -0,0 +1,90 @@
+package hub
+
+import (
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/durable"
+)
+
+// transientKept is how long the end of a transient job is kept: a caller whose
+// answer was lost asks again within seconds, and nothing runs again for it.
+const transientKept = 20 * time.Second
+
+// transient is a job that is not stored. It lives with the leadership.
+type transient struct {
+	job     *durable.Job
+	waiters []replyTo
+	ended   time.Duration
+}
+
+// join lets one more caller wait; it returns the answer where there is one.
+func (t *transient) join(to replyTo) *contract.JobReply {
+	if t.ended != 0 {
+		return &contract.JobReply{Verdict: contract.VerdictState, State: t.job.State}
+	}
+	t.waiters = append(t.waiters, to)
+	return nil
+}
+
+// transients are the transient jobs of one leadership.
+type transients struct {
+	jobs map[contract.DurableJobID]*transient
+	// ended are those that have ended, oldest first.
+	ended []contract.DurableJobID
+}
+
+func newTransients() *transients {
+	return &transients{jobs: map[contract.DurableJobID]*transient{}}
+}
+
+func (t *transients) forget(now time.Duration) {
+	n := 0
+	for n < len(t.ended) && now-t.jobs[t.ended[n]].ended > transientKept {
+		delete(t.jobs, t.ended[n])
+		n++
+	}
+	t.ended = t.ended[n:]
+}
+
+// startTransient takes a job that need not be stored. One that an earlier
+// leader may have started waits until none of its runs can be alive.
+func (h *Hub) startTransient(now time.Duration, to replyTo, d *contract.DurableJob, again bool) {
+	t := &transient{job: durable.NewJob(d, h.logClock.now(now)), waiters: []replyTo{to}}
+	h.lead.transients.jobs[d.ID] = t
+	h.lead.sched.Transient(t.job, now, again)
+}
+
+// endTransient takes an end of a transient job's task; false when the job is
+// not transient.
+func (h *Hub) endTransient(now time.Duration, ref contract.DurableTask, done bool) bool {
+	t := h.lead.transients.jobs[ref.Job]
+	if t == nil {
+		return false
+	}
+	if t.ended == 0 && t.job.End(ref.Task, done) {
+		h.finishTransient(now, t)
+	}
+	h.lead.sched.TaskStored(ref)
+	return true
+}
+
+func (h *Hub) finishTransient(now time.Duration, t *transient) {
+	t.ended = now
+	h.lead.transients.ended = append(h.lead.transients.ended, t.job.ID)
+	h.lead.sched.Finished(t.job.ID)
+	h.log.Info("job ended", "job", t.job.ID, "state", t.job.State.String(), "ms", h.logClock.now(now)-t.job.At)
+	for _, r := range t.waiters {
+		h.reply(r.link, r.seq, &contract.JobReply{Verdict: contract.VerdictState, State: t.job.State})
+	}
+	t.waiters = nil
+	t.job.Spec, t.job.Steps = "", nil
+}
+
+// abandon ends a transient job that nobody waits for.
+func (h *Hub) abandon(now time.Duration, id contract.DurableJobID) {
+	if t := h.lead.transients.jobs[id]; t != nil && t.ended == 0 {
+		t.job.State = contract.DurableCancelled
+		h.finishTransient(now, t)
+	}
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -104,6 +104,16 @@
 	s.add(j, arrived, phaseWaiting)
 }
 
+// Transient takes a job that is not stored. One that an earlier leader may have
+// started waits until Release.
+func (s *Scheduler) Transient(j *durable.Job, arrived time.Duration, again bool) {
+	if again && s.holding {
+		s.add(j, arrived, phaseUnknown)
+	} else {
+		s.add(j, arrived, phaseWaiting)
+	}
+}
+
 func (s *Scheduler) add(d *durable.Job, arrived time.Duration, ready phase) {
 	if s.jobs[d.ID] != nil {
 		return
