--- a/hub/lead.go
+++ b/hub/lead.go
@@ -205,7 +205,9 @@
 		ID: id, Queue: q.Name, Pool: q.Pool, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 		Slack: q.Slack, Target: q.Target, Spec: m.Spec, Steps: m.Steps,
 	}
-	if a := h.lead.sched.Admit(now, &job); !a.OK {
+	// An earlier leader may have started the job: a refusal, which says that
+	// it has not run, could be untrue.
+	if a := h.lead.sched.Admit(now, &job); !a.OK && !m.Again {
 		verdict := contract.VerdictOverload
 		if a.Never {
 			verdict = contract.VerdictUnsupported
