--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -67,6 +67,8 @@
 	// Transient says that the job need not be stored: the reply comes when it
 	// has ended, and after a loss of the leader it may start anew.
 	Transient bool
+	// Age is how long ago the caller sent the job.
+	Age time.Duration
 	// Again says that an earlier leader was asked before.
 	Again bool
 	// Unsupported names what the job asks for that is not built; empty means
@@ -124,6 +126,8 @@
 	VerdictWaiting
 	// VerdictCancelled: the job is cancelled, or had ended.
 	VerdictCancelled
+	// VerdictUnknown: given up; whether something has run is not known.
+	VerdictUnknown
 	// VerdictNotLeader: ask another control host; nothing was done.
 	VerdictNotLeader
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,14 +88,16 @@
 // answer or ctx is done.
 func (g *Gateway) Ask(ctx context.Context, m contract.Message) Answer {
 	var a Answer
+	began := boottime.Now()
 	for {
 		g.mu.Lock()
 		changed := g.changed
 		g.mu.Unlock()
 		if l, _ := g.up.Leader(); l != nil {
-			if sub, ok := m.(*contract.JobSubmit); ok && a.Reached && !sub.Again {
+			if sub, ok := m.(*contract.JobSubmit); ok && a.Reached {
 				again := *sub
 				again.Again = true
+				again.Age = boottime.Now() - began
 				m = &again
 			}
 			a.Reached = true
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -40,10 +40,8 @@
 }
 
 // sessionLife is how long a session may last after its agent was given
-// authority for the last time.
-func (h *Hub) sessionLife() time.Duration {
-	return AgentAuthority + h.cfg.Lease + h.cfg.Lease/clockError + sessionSlack
-}
+// authority for the last time: no lease is longer than the authority.
+const sessionLife = AgentAuthority + AgentAuthority/clockError + sessionSlack
 
 func (ld *leadership) linkDown(h *Hub, l *link.Link) {
 	a := ld.links[l]
@@ -216,7 +214,7 @@
 		if !a.away || !a.known {
 			continue
 		}
-		if now-a.echoed <= h.sessionLife() {
+		if now-a.echoed <= sessionLife {
 			covered = covered && a.attached
 			continue
 		}
@@ -226,7 +224,7 @@
 			a.attached = false
 			ld.sched.SessionOver(a.host)
 		}
-		if now-a.echoed > agentForgotten && a.link == nil {
+		if a.link == nil {
 			ld.open.batch.AgentsGone = append(ld.open.batch.AgentsGone, a.host)
 			delete(ld.agents, a.host)
 		}
@@ -243,6 +241,7 @@
 		return
 	}
 	h.lead.sched.Place(now)
+	h.giveUpHopeless(now)
 	for _, o := range h.lead.sched.Orders() {
 		h.addOrder(o)
 	}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -36,9 +36,7 @@
 	Tolerance int
 	// Retain is how long an ended job can be asked for.
 	Retain time.Duration
-	// Lease bounds how long an agent's worker runs on without its agent.
-	Lease time.Duration
-	Log   logr.Logger
+	Log    logr.Logger
 }
 
 // Time-outs of the hubs. A change of leader must be over before the authority
@@ -49,16 +47,14 @@
 	tickEvery      = 20 * time.Millisecond
 	// AgentAuthority is how long an agent may act after the leader's echo of
 	// a beat, from when it sent the beat.
-	AgentAuthority = 1200 * time.Millisecond
+	AgentAuthority = 1100 * time.Millisecond
 	// agentSilent is when an agent gets no new work: its beats come every
-	// 150 ms.
-	agentSilent = 600 * time.Millisecond
+	// 100 ms.
+	agentSilent = 320 * time.Millisecond
 	// sessionSlack covers the stop of what a lease held and late timers.
-	sessionSlack = 200 * time.Millisecond
+	sessionSlack = 150 * time.Millisecond
 	// clockError is how much slower a worker's clock may run, as 1 in this.
 	clockError = 50
-	// agentForgotten is when a silent agent is struck off.
-	agentForgotten = 10 * time.Second
 	// stateEvery is how often a leader says so on each link.
 	stateEvery = 200 * time.Millisecond
 	// compactBytes is the size of the log file at which it is compacted.
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -215,7 +215,7 @@
 		return &contract.JobReply{Verdict: verdict, RetryAfter: a.RetryAfter, Reason: a.Reason}
 	}
 	if m.Transient {
-		h.startTransient(now, to, &job, m.Again)
+		h.startTransient(now, to, &job, m)
 		return nil
 	}
 	h.lead.submits[id] = &submission{arrived: now, waiters: []replyTo{to}}
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -16,6 +16,8 @@
 	job     *durable.Job
 	waiters []replyTo
 	ended   time.Duration
+	// again says that an earlier leader may have started the job.
+	again bool
 }
 
 // join lets one more caller wait; it returns the answer where there is one.
@@ -49,12 +51,37 @@
 
 // startTransient takes a job that need not be stored. One that an earlier
 // leader may have started waits until none of its runs can be alive.
-func (h *Hub) startTransient(now time.Duration, to replyTo, d *contract.DurableJob, again bool) {
-	t := &transient{job: durable.NewJob(d, h.logClock.now(now)), waiters: []replyTo{to}}
+func (h *Hub) startTransient(now time.Duration, to replyTo, d *contract.DurableJob, m *contract.JobSubmit) {
+	t := &transient{job: durable.NewJob(d, h.logClock.now(now)), waiters: []replyTo{to}, again: m.Again}
 	h.lead.transients.jobs[d.ID] = t
-	h.lead.sched.Transient(t.job, now, again)
+	h.lead.sched.Transient(t.job, now-m.Age, m.Again)
 }
 
+// giveUpHopeless answers at once for jobs that have not begun and can't end
+// while their callers still have a use for them.
+func (h *Hub) giveUpHopeless(now time.Duration) {
+	for _, id := range h.lead.sched.Hopeless(now) {
+		t := h.lead.transients.jobs[id]
+		if t == nil || t.ended != 0 {
+			continue
+		}
+		reply := contract.JobReply{Verdict: contract.VerdictOverload, RetryAfter: hopelessRetry, Reason: "no room within the objective"}
+		if t.again {
+			reply.Verdict = contract.VerdictUnknown
+		}
+		h.log.Info("job given up", "job", id, "verdict", reply.Verdict, "ms", h.logClock.now(now)-t.job.At)
+		for _, r := range t.waiters {
+			h.reply(r.link, r.seq, &reply)
+		}
+		h.lead.sched.Finished(id)
+		delete(h.lead.transients.jobs, id)
+	}
+}
+
+// hopelessRetry is when to come back after the work ahead took too long: a
+// second is the shortest that the header can say.
+const hopelessRetry = time.Second
+
 // endTransient takes an end of a transient job's task; false when the job is
 // not transient.
 func (h *Hub) endTransient(now time.Duration, ref contract.DurableTask, done bool) bool {
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -23,7 +23,7 @@
 const (
 	// lateFactor times the objective is how late a job may be predicted to
 	// end and still be taken.
-	lateFactor = 1.5
+	lateFactor = 1.0
 	// noWorkerRetry is when to come back while the pool has no worker: their
 	// heartbeats come every second or two.
 	noWorkerRetry = 2 * time.Second
@@ -89,12 +89,38 @@
 			ahead += s.waitingWork(o)
 		}
 	}
-	if ahead == 0 {
+	if ahead == 0 && s.hasRoomFor(j) {
 		return 0
 	}
+	ahead += s.ownWork(j)
 	return time.Duration(ahead / float64(room))
 }
 
+// hasRoomFor reports whether the pool's free processors cover the job's first
+// steps.
+func (s *Scheduler) hasRoomFor(j *job) bool {
+	free, need := 0, 0
+	for _, w := range s.order {
+		if w.Pool == j.Pool && w.usable && !w.away && !w.suspect() {
+			free += w.cap.MilliCPU - w.used.MilliCPU
+		}
+	}
+	for _, st := range j.Steps {
+		if len(st.After) == 0 {
+			need += st.Count * st.Need.MilliCPU
+		}
+	}
+	return need <= free
+}
+
+func (s *Scheduler) ownWork(j *job) float64 {
+	work := 0.0
+	for step, st := range j.Steps {
+		work += float64(s.expected(j, step)) * float64(st.Count*st.Need.MilliCPU)
+	}
+	return work
+}
+
 // waitingWork returns the work of the job's waiting tasks, in nanoseconds of a
 // thousandth of a processor.
 func (s *Scheduler) waitingWork(j *job) float64 {
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -12,9 +12,9 @@
 	ratioWeight = 0.02
 	// ratioLimit bounds the correction either way.
 	ratioLimit = 5
-	// orderOverhead is the time that a job spends outside its tasks: two
-	// syncs by a majority and the hops between.
-	orderOverhead = 40 * time.Millisecond
+	// orderOverhead is the time that a job spends outside its tasks: the hops
+	// from the caller to the worker and back.
+	orderOverhead = 15 * time.Millisecond
 )
 
 func (s *Scheduler) stats(queue string) *queueStats {
@@ -55,5 +55,5 @@
 		j.estimate = max(j.estimate, ends[i])
 	}
 	j.objective = time.Duration(float64(j.estimate)*j.Slack) + j.Target
-	j.latestStart = j.arrived + j.objective - j.estimate - orderOverhead/2
+	j.latestStart = j.arrived + j.objective - j.estimate - orderOverhead
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -47,6 +47,8 @@
 	// waiting counts the tasks that wait for a worker.
 	waiting int
 	begun   bool
+	// transient jobs are not stored: one that has not begun can be given up.
+	transient bool
 	// estimate is the expected time of its longest chain of tasks.
 	estimate time.Duration
 	// objective is the time from arrival in which the job should complete.
@@ -112,8 +114,24 @@
 	} else {
 		s.add(j, arrived, phaseWaiting)
 	}
+	s.jobs[j.ID].transient = true
 }
 
+// Hopeless returns the transient jobs that have not begun and would end too
+// late to be of use.
+func (s *Scheduler) Hopeless(now time.Duration) []contract.DurableJobID {
+	var out []contract.DurableJobID
+	for _, j := range s.late {
+		if j.transient && !j.begun && now+j.estimate > j.arrived+time.Duration(uselessFactor*float64(j.objective)) {
+			out = append(out, j.ID)
+		}
+	}
+	return out
+}
+
+// uselessFactor times the objective is when an answer is of no use any more.
+const uselessFactor = 3
+
 func (s *Scheduler) add(d *durable.Job, arrived time.Duration, ready phase) {
 	if s.jobs[d.ID] != nil {
 		return
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -56,7 +56,9 @@
 	}
 }
 
-func (b *bed) submit(j contract.DurableJob) { b.apply(durable.Batch{Submits: []contract.DurableJob{j}}) }
+func (b *bed) submit(j contract.DurableJob) {
+	b.apply(durable.Batch{Submits: []contract.DurableJob{j}})
+}
 
 func (b *bed) place() []Order {
 	b.sch.Place(b.now)
--- a/steward/life.go
+++ b/steward/life.go
@@ -300,9 +300,12 @@
 	return len(l.ends) == 0
 }
 
-// deadline returns the end of a lease given now. The lock is held.
+// deadline returns the end of a lease given now: it never outlives the
+// leader's authority, so that a leader knows when nothing runs on a worker out
+// of reach. The lock is held.
 func (l *life) deadline() int64 {
-	d := l.now() + l.s.cfg.Lease.Milliseconds()
+	ahead := min(l.s.cfg.Lease, l.s.authority-boottime.Now())
+	d := l.now() + ahead.Milliseconds()
 	l.attempted = max(l.attempted, d)
 	return d
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -34,7 +34,7 @@
 }
 
 // beatEvery is how often the leader is asked for authority.
-const beatEvery = 150 * time.Millisecond
+const beatEvery = 100 * time.Millisecond
 
 // Steward serves the worker beside it.
 type Steward struct {
