--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -167,6 +167,12 @@
 	Unhealthy bool
 }
 
+// HeldRun is a run that is, or may be, on a worker, with what it takes there.
+type HeldRun struct {
+	RunRef
+	Need Demand
+}
+
 // WorkerReport is all that an agent knows of its worker: it comes first on a
 // link to a leader, and whenever the session or the worker's own report
 // changes.
@@ -186,7 +192,7 @@
 	Gone bool
 	// Unhealthy says that the worker's own health check fails.
 	Unhealthy bool
-	Running   []RunRef
+	Running   []HeldRun
 	Ends      []RunEnded
 	// Stamp is as in AgentBeat.
 	Stamp int64
@@ -226,7 +232,7 @@
 
 // RunStart orders a task to be started.
 type RunStart struct {
-	RunRef
+	HeldRun
 	// Name is the task's name towards the worker.
 	Name string
 	Spec string
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -54,7 +54,9 @@
 func (h *Hub) startTransient(now time.Duration, to replyTo, d *contract.DurableJob, m *contract.JobSubmit) {
 	t := &transient{job: durable.NewJob(d, h.logClock.now(now)), waiters: []replyTo{to}, again: m.Again}
 	h.lead.transients.jobs[d.ID] = t
-	h.lead.sched.Transient(t.job, now-m.Age, m.Again)
+	for _, c := range h.lead.sched.Transient(t.job, now-m.Age, m.Again) {
+		h.endTransient(now, c.DurableTask, c.Done)
+	}
 }
 
 // giveUpHopeless answers at once for jobs that have not begun and can't end
@@ -98,7 +100,9 @@
 
 func (h *Hub) finishTransient(now time.Duration, t *transient) {
 	t.ended = now
-	h.lead.transients.ended = append(h.lead.transients.ended, t.job.ID)
+	if t.job.State != contract.DurableCancelled {
+		h.lead.transients.ended = append(h.lead.transients.ended, t.job.ID)
+	}
 	h.lead.sched.Finished(t.job.ID)
 	h.log.Info("job ended", "job", t.job.ID, "state", t.job.State.String(), "ms", h.logClock.now(now)-t.job.At)
 	for _, r := range t.waiters {
@@ -106,6 +110,9 @@
 	}
 	t.waiters = nil
 	t.job.Spec, t.job.Steps = "", nil
+	if t.job.State == contract.DurableCancelled {
+		delete(h.lead.transients.jobs, t.job.ID)
+	}
 }
 
 // abandon ends a transient job that nobody waits for.
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -98,6 +98,7 @@
 // Check looks for runs that are overdue. Those of a suspected worker are
 // stopped, to start elsewhere.
 func (s *Scheduler) Check(now time.Duration) {
+	s.tendOrphans(now)
 	for _, w := range s.order {
 		w.overdue = 0
 		for _, r := range w.runs {
@@ -122,5 +123,5 @@
 
 func (s *Scheduler) mayMove(ref contract.RunRef) bool {
 	j := s.jobs[ref.Job]
-	return j != nil && j.tasks[ref.Task].runs < maxMoves
+	return j != nil && int(ref.Task) < len(j.tasks) && j.tasks[ref.Task].runs < maxMoves
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -57,20 +57,23 @@
 func (s *Scheduler) start(now time.Duration, w *Worker, j *job, step, index, t int) {
 	tk := &j.tasks[t]
 	tk.runs++
-	tk.run = (s.term-1)*runsPerTerm + uint64(tk.runs)
+	s.lastRun++
+	tk.run = s.term<<runBits | s.lastRun
 	tk.worker = w
 	s.setPhase(j, t, phasePlaced)
 	j.begun = true
 	ref := contract.RunRef{Job: j.ID, Task: uint32(t), Run: tk.run}
-	s.hold(now, w, j, ref)
+	need := j.Steps[step].Need
+	s.hold(w, ref, &run{need: need, placed: now, expected: s.expected(j, step), queue: j.Queue})
 	w.started(now)
 	s.orders = append(s.orders, Order{Host: w.Host, Session: w.Session, Start: &contract.RunStart{
-		RunRef: ref, Name: fmt.Sprintf("%s.0.%d.%d", j.ID, step, index), Spec: j.Spec,
+		HeldRun: contract.HeldRun{RunRef: ref, Need: need}, Name: fmt.Sprintf("%s.0.%d.%d", j.ID, step, index), Spec: j.Spec,
 	}})
 }
 
-// runsPerTerm keeps the runs of a later leader above those of an earlier one.
-const runsPerTerm = 1 << 16
+// runBits is the width of the count of runs; the term above it keeps the runs
+// of a later leader above those of an earlier one.
+const runBits = 30
 
 // pick returns the worker that should finish the task first, or nil.
 func (s *Scheduler) pick(now time.Duration, j *job, step int, t *task) *Worker {
@@ -114,7 +117,7 @@
 
 func (s *Scheduler) fits(now time.Duration, w *Worker, j *job, step int) bool {
 	st := &j.Steps[step]
-	if w.Pool != j.Pool || !w.usable || w.away || w.strays > 0 || !w.hasRoom(st.Need) {
+	if w.Pool != j.Pool || !w.usable || w.away || !w.hasRoom(st.Need) {
 		return false
 	}
 	if st.Label != "" && !slices.Contains(w.labels, st.Label) {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -77,6 +77,9 @@
 	late    jobList
 	queues  map[string]*queueStats
 	orders  []Order
+	// orphans are ends of jobs that are not known, oldest first.
+	orphans []orphan
+	lastRun uint64
 	// holding says that tasks of earlier leaders may run out of reach.
 	holding bool
 }
@@ -107,14 +110,18 @@
 }
 
 // Transient takes a job that is not stored. One that an earlier leader may have
-// started waits until Release.
-func (s *Scheduler) Transient(j *durable.Job, arrived time.Duration, again bool) {
+// started waits until Release. What is left of a former submission counts: its
+// runs go on, and its ends are returned.
+func (s *Scheduler) Transient(j *durable.Job, arrived time.Duration, again bool) []Counted {
+	ready := phaseWaiting
 	if again && s.holding {
-		s.add(j, arrived, phaseUnknown)
-	} else {
-		s.add(j, arrived, phaseWaiting)
+		ready = phaseUnknown
 	}
-	s.jobs[j.ID].transient = true
+	s.add(j, arrived, ready)
+	added := s.jobs[j.ID]
+	added.transient = true
+	s.linkAll(added)
+	return s.claim(added)
 }
 
 // Hopeless returns the transient jobs that have not begun and would end too
@@ -201,7 +208,11 @@
 	s.late.remove(j)
 	for i := range j.tasks {
 		if t := &j.tasks[i]; t.phase == phasePlaced {
-			s.stop(t.worker, contract.RunRef{Job: id, Task: uint32(i), Run: t.run})
+			ref := contract.RunRef{Job: id, Task: uint32(i), Run: t.run}
+			if r := t.worker.runs[ref]; r != nil {
+				r.stray = true
+			}
+			s.stop(t.worker, ref)
 		}
 	}
 }
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -16,7 +16,7 @@
 	expected time.Duration
 	queue    string
 	stopping bool
-	// stray runs belong to no job under way; their demand is not known.
+	// stray runs belong to no job under way, as far as this leader knows yet.
 	stray bool
 }
 
@@ -34,7 +34,6 @@
 	away   bool
 	runs   map[contract.RunRef]*run
 	used   contract.Demand
-	strays int
 	health
 }
 
@@ -69,12 +68,15 @@
 }
 
 // adopt brings the runs of a worker in line with its agent's list.
-func (s *Scheduler) adopt(now time.Duration, w *Worker, running []contract.RunRef) {
+func (s *Scheduler) adopt(now time.Duration, w *Worker, running []contract.HeldRun) {
 	listed := make(map[contract.RunRef]bool, len(running))
-	for _, ref := range running {
-		listed[ref] = true
-		if w.runs[ref] == nil {
-			s.adoptRun(now, w, ref)
+	for _, h := range running {
+		listed[h.RunRef] = true
+		if w.runs[h.RunRef] == nil {
+			s.hold(w, h.RunRef, &run{need: h.Need, placed: now, stray: true})
+			if j := s.jobs[h.Job]; j != nil {
+				s.link(j, w, h.RunRef)
+			}
 		}
 	}
 	for ref, r := range w.runs {
@@ -85,30 +87,41 @@
 	}
 }
 
-// adoptRun takes a run that an earlier leader ordered.
-func (s *Scheduler) adoptRun(now time.Duration, w *Worker, ref contract.RunRef) {
-	j := s.jobs[ref.Job]
-	if j == nil || int(ref.Task) >= len(j.tasks) || j.tasks[ref.Task].phase != phaseUnknown {
-		w.runs[ref] = &run{placed: now, stray: true}
-		w.strays++
-		s.stop(w, ref)
+// link gives a run that an earlier leader ordered, or that a former
+// submission of the job left behind, to its task.
+func (s *Scheduler) link(j *job, w *Worker, ref contract.RunRef) {
+	if int(ref.Task) >= len(j.tasks) {
 		return
 	}
 	t := &j.tasks[ref.Task]
+	if t.phase != phaseUnknown && t.phase != phaseWaiting {
+		return
+	}
+	r := w.runs[ref]
+	step, _ := j.StepOf(ref.Task)
+	r.stray, r.queue, r.expected = false, j.Queue, s.expected(j, step)
 	s.setPhase(j, int(ref.Task), phasePlaced)
 	t.worker, t.run = w, ref.Run
 	j.begun = true
-	s.hold(now, w, j, ref)
+}
+
+// linkAll gives a job that was submitted again the runs that are left of it.
+func (s *Scheduler) linkAll(j *job) {
+	for _, w := range s.order {
+		for ref, r := range w.runs {
+			if r.stray && ref.Job == j.ID {
+				s.link(j, w, ref)
+			}
+		}
+	}
 }
 
 // hold counts a run against its worker.
-func (s *Scheduler) hold(now time.Duration, w *Worker, j *job, ref contract.RunRef) {
-	step, _ := j.StepOf(ref.Task)
-	need := j.Steps[step].Need
-	w.runs[ref] = &run{need: need, placed: now, expected: s.expected(j, step), queue: j.Queue}
-	w.used.MilliCPU += need.MilliCPU
-	w.used.MemoryMB += need.MemoryMB
-	w.used.Accelerators += need.Accelerators
+func (s *Scheduler) hold(w *Worker, ref contract.RunRef, r *run) {
+	w.runs[ref] = r
+	w.used.MilliCPU += r.need.MilliCPU
+	w.used.MemoryMB += r.need.MemoryMB
+	w.used.Accelerators += r.need.Accelerators
 }
 
 func (s *Scheduler) drop(w *Worker, ref contract.RunRef, r *run) {
@@ -116,9 +129,6 @@
 	w.used.MilliCPU -= r.need.MilliCPU
 	w.used.MemoryMB -= r.need.MemoryMB
 	w.used.Accelerators -= r.need.Accelerators
-	if r.stray {
-		w.strays--
-	}
 }
 
 // requeue lets a task whose run has certainly ended, and does not count, wait
@@ -179,7 +189,11 @@
 		s.observe(now, w, r, e)
 	}
 	j := s.jobs[e.Job]
-	if j == nil || int(e.Task) >= len(j.tasks) {
+	if j == nil {
+		s.orphaned(now, e)
+		return nil
+	}
+	if int(e.Task) >= len(j.tasks) {
 		return nil
 	}
 	t := &j.tasks[e.Task]
--- a/steward/life.go
+++ b/steward/life.go
@@ -42,6 +42,7 @@
 // run is a run that is, or may be, on the worker.
 type run struct {
 	ref   contract.RunRef
+	need  contract.Demand
 	phase phase
 	// barredAt is the count of calls for lists when the stop was answered.
 	barredAt uint64
@@ -109,7 +110,7 @@
 	r.Gone = false
 	r.Pool, r.Capacity, r.Labels, r.Draining = l.worker.Pool, l.worker.Capacity, l.worker.Labels, l.worker.Draining
 	for _, x := range l.runs {
-		r.Running = append(r.Running, x.ref)
+		r.Running = append(r.Running, contract.HeldRun{RunRef: x.ref, Need: x.need})
 	}
 	r.Ends = l.ends
 }
--- a/steward/runs.go
+++ b/steward/runs.go
@@ -12,7 +12,7 @@
 	if l.runs[name] != nil {
 		return
 	}
-	l.runs[name] = &run{ref: st.RunRef}
+	l.runs[name] = &run{ref: st.RunRef, need: st.Need}
 	l.names[st.RunRef] = name
 	c := StartCall{Name: st.Name, Run: st.Run, Spec: st.Spec, Deadline: l.deadline(), Token: l.s.term}
 	l.s.group.Go(func() error { l.callStart(name, c); return nil })
