--- a/hub/hub.go
+++ b/hub/hub.go
@@ -126,7 +126,7 @@
 	submits map[contract.DurableJobID]*submission
 	// transients are the jobs that are not stored.
 	transients *transients
-	agentsAt   time.Duration
+	summaryAt  time.Duration
 	checkedAt  time.Duration
 }
 
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -87,6 +87,20 @@
 		h.lead.sched.Check(now)
 		h.lead.transients.forget(now)
 	}
+	if now-h.lead.summaryAt >= summaryEvery {
+		h.lead.summaryAt = now
+		h.logSummaries()
+	}
+}
+
+// summaryEvery is how often the log says how the pools stand.
+const summaryEvery = time.Second
+
+func (h *Hub) logSummaries() {
+	for _, p := range h.lead.sched.Summaries() {
+		h.log.Info("pool", "pool", p.Pool, "workers", p.Workers, "suspects", p.Suspects, "away", p.Away,
+			"room", p.Room, "used", p.Used, "viable", p.Viable, "late", p.Late, "jobs", p.Jobs)
+	}
 }
 
 // checkEvery is how often agents and runs are looked at.
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -21,17 +21,17 @@
 }
 
 const (
-	// lateFactor times the objective is how late a job may be predicted to
-	// end and still be taken.
-	lateFactor = 1.0
 	// noWorkerRetry is when to come back while the pool has no worker: their
 	// heartbeats come every second or two.
 	noWorkerRetry = 2 * time.Second
+	// usableShare of the pool's processors does work: the rest waits for the
+	// next start or is too small for a task.
+	usableShare = 0.92
 )
 
 // Admit decides whether to take a job. Load pattern: more work comes than the
-// workers can do. A job that is predicted to end too late is refused at once,
-// before it is stored.
+// workers can do. A job that is predicted to miss its objective, or that would
+// make a job that was taken before miss its own, is refused at once.
 func (s *Scheduler) Admit(now time.Duration, d *contract.DurableJob) Admission {
 	room := s.room(d.Pool)
 	if room == 0 {
@@ -42,18 +42,58 @@
 	}
 	j := &job{Job: &durable.Job{DurableJob: *d}, arrived: now}
 	s.estimateJob(j)
-	wait := s.wait(now, j, room)
-	if wait+j.estimate+orderOverhead <= time.Duration(lateFactor*float64(j.objective)) {
+	if len(s.viable) == 0 && s.hasRoomFor(j) {
+		return Admission{OK: true}
+	}
+	wait, reason := s.predict(now, j, usableShare*float64(room))
+	if reason == "" {
 		return Admission{OK: true, Wait: wait}
 	}
-	return Admission{RetryAfter: wait, Wait: wait, Reason: "the work ahead takes too long"}
+	return Admission{RetryAfter: wait, Wait: wait, Reason: reason}
+}
+
+// marginShare of the time that a job may wait is kept for the error of its
+// declared times.
+const marginShare = 0.4
+
+func (j *job) margin() time.Duration {
+	return time.Duration(marginShare * float64(j.latestStart-j.arrived))
+}
+
+// predict walks the jobs in the order in which they start, with the new one
+// among them, and adds up their work at the rate of the pool. It returns how
+// long the new one would wait, and why it has to be refused.
+func (s *Scheduler) predict(now time.Duration, j *job, rate float64) (time.Duration, string) {
+	var ahead float64
+	var wait time.Duration
+	at, _ := s.viable.search(j)
+	for i := 0; i <= len(s.viable); i++ {
+		if i == at {
+			ahead += s.ownWork(j)
+			if wait = time.Duration(ahead / rate); now+wait > j.latestStart-j.margin() {
+				return wait, "the work ahead takes too long"
+			}
+		}
+		if i == len(s.viable) {
+			break
+		}
+		o := s.viable[i]
+		if o.Pool != j.Pool {
+			continue
+		}
+		ahead += s.waitingWork(o)
+		if i >= at && !o.begun && now+time.Duration(ahead/rate) > o.latestStart-o.margin() && o.latestStart-o.margin() > now {
+			return time.Duration(ahead / rate), "a job taken before would end too late"
+		}
+	}
+	return wait, ""
 }
 
 // room returns the processors of the pool that take new work.
 func (s *Scheduler) room(pool string) int {
 	room := 0
 	for _, w := range s.order {
-		if w.Pool == pool && w.usable && !w.away && !w.suspect() {
+		if w.Pool == pool && w.sound() {
 			room += w.cap.MilliCPU
 		}
 	}
@@ -72,36 +112,12 @@
 	return true
 }
 
-// wait predicts how long until the job's tasks start: the work that waits
-// ahead of it, at the rate of the pool.
-func (s *Scheduler) wait(now time.Duration, j *job, room int) time.Duration {
-	var ahead float64
-	for _, o := range s.viable {
-		if o.latestStart > j.latestStart {
-			break
-		}
-		if o.Pool == j.Pool {
-			ahead += s.waitingWork(o)
-		}
-	}
-	if j.latestStart < now {
-		for _, o := range s.late {
-			ahead += s.waitingWork(o)
-		}
-	}
-	if ahead == 0 && s.hasRoomFor(j) {
-		return 0
-	}
-	ahead += s.ownWork(j)
-	return time.Duration(ahead / float64(room))
-}
-
 // hasRoomFor reports whether the pool's free processors cover the job's first
 // steps.
 func (s *Scheduler) hasRoomFor(j *job) bool {
 	free, need := 0, 0
 	for _, w := range s.order {
-		if w.Pool == j.Pool && w.usable && !w.away && !w.suspect() {
+		if w.Pool == j.Pool && w.sound() {
 			free += w.cap.MilliCPU - w.used.MilliCPU
 		}
 	}
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -8,14 +8,16 @@
 
 // health is what the ends of a worker's runs say of it. Load pattern: a worker
 // that fails fast looks idle and draws work; one that is slow or stands still
-// keeps what it got.
+// keeps what it got. Declared times say little, since all tasks of a job share
+// the error of one estimate; the other tasks of the job say much.
 type health struct {
-	// slowness is the worker's time for a task against the expected one.
+	// slowness is the worker's time for a task against the best of the job's
+	// other tasks on other workers.
 	slowness float64
 	samples  int
 	// failures counts failed ends since the last one that was done.
 	failures int
-	// overdue counts runs that take far longer than expected.
+	// overdue counts runs that take far longer than they should.
 	overdue int
 	// nextProbe is when a suspected worker may be tried again.
 	nextProbe time.Duration
@@ -26,30 +28,37 @@
 	// suspectFailures is how many ends in a row must fail: one may be the
 	// task's own fault.
 	suspectFailures = 2
-	// suspectSlowness is how much slower than expected a worker may be;
-	// declared times are off by 40%.
-	suspectSlowness = 2.2
+	// suspectSlowness is how much slower than its peers a worker may be: the
+	// slowest kinds differ by a third, the tasks of a job by a seventh.
+	suspectSlowness = 2
+	// soundSlowness is what a probe of a suspected worker must show.
+	soundSlowness = 1.6
 	// slownessWeight is the weight of a new sample.
-	slownessWeight = 0.15
+	slownessWeight = 0.2
 	// slownessSamples must be there before the speed counts.
-	slownessSamples = 6
-	// overdueFactor and overdueSlack say when a run is overdue.
-	overdueFactor = 3
-	overdueSlack  = 100 * time.Millisecond
-	// suspectOverdue is how many runs of a worker must be overdue.
-	suspectOverdue = 2
+	slownessSamples = 4
+	// overdueFactor and overdueSlack say when a run is overdue against the
+	// best task of its job.
+	overdueFactor = 2
+	overdueSlack  = 60 * time.Millisecond
+	// blindFactor and blindSlack say so where no task of the job has ended on
+	// another worker: declared times are off by 40%, at times threefold.
+	blindFactor = 5
+	blindSlack  = 300 * time.Millisecond
 	// minProbe and maxProbe bound the wait between two probes.
 	minProbe = 200 * time.Millisecond
 	maxProbe = 2 * time.Second
 	// maxMoves bounds the runs of one task that are stopped for being overdue.
 	maxMoves = 3
+	// maxSample bounds one sample of slowness.
+	maxSample = 8
 )
 
 func newHealth() health { return health{slowness: 1, backoff: minProbe} }
 
 // suspect reports whether the worker gets one task at a time.
 func (h *health) suspect() bool {
-	return h.failures >= suspectFailures || h.overdue >= suspectOverdue ||
+	return h.failures >= suspectFailures || h.overdue > 0 ||
 		h.samples >= slownessSamples && h.slowness > suspectSlowness
 }
 
@@ -86,42 +95,59 @@
 	case e.How == contract.EndDone:
 		w.failures = 0
 		w.backoff = minProbe
+		s.compare(now-r.placed, w, s.jobs[e.Job])
 		if r.expected > 0 {
-			took := float64(now-r.placed) / float64(r.expected)
-			w.slowness += slownessWeight * (min(took, 10) - w.slowness)
-			w.samples++
-			s.learn(r.queue, took, w)
+			s.learn(r.queue, float64(now-r.placed)/float64(r.expected), w)
 		}
 	}
 }
 
-// Check looks for runs that are overdue. Those of a suspected worker are
-// stopped, to start elsewhere.
+// compare takes how long a task took against the others of its job.
+func (s *Scheduler) compare(took time.Duration, w *Worker, j *job) {
+	if j == nil || took <= 0 {
+		return
+	}
+	switch {
+	case j.best == 0:
+		j.best, j.bestWorker = took, w.Host
+	case took <= j.best:
+		j.best, j.bestWorker = took, w.Host
+		w.sample(1)
+	case j.bestWorker != w.Host:
+		w.sample(min(float64(took)/float64(j.best), maxSample))
+	}
+}
+
+// sample takes one comparison; a sound one clears a suspected worker.
+func (h *health) sample(x float64) {
+	if x <= soundSlowness && h.slowness > suspectSlowness {
+		h.slowness = x
+	}
+	h.slowness += slownessWeight * (x - h.slowness)
+	h.samples++
+}
+
+// Check looks for runs that are overdue, and stops them, to start elsewhere.
 func (s *Scheduler) Check(now time.Duration) {
 	s.tendOrphans(now)
 	for _, w := range s.order {
 		w.overdue = 0
-		for _, r := range w.runs {
-			if s.isOverdue(now, r) {
-				w.overdue++
-			}
-		}
-		if w.overdue < suspectOverdue {
-			continue
-		}
 		for ref, r := range w.runs {
-			if !r.stray && s.isOverdue(now, r) && s.mayMove(ref) {
+			j := s.jobs[ref.Job]
+			if r.stray || j == nil || !s.isOverdue(now, w, j, r) {
+				continue
+			}
+			w.overdue++
+			if int(ref.Task) < len(j.tasks) && j.tasks[ref.Task].runs < maxMoves {
 				s.stop(w, ref)
 			}
 		}
 	}
 }
 
-func (s *Scheduler) isOverdue(now time.Duration, r *run) bool {
-	return r.expected > 0 && now-r.placed > overdueFactor*r.expected+overdueSlack
-}
-
-func (s *Scheduler) mayMove(ref contract.RunRef) bool {
-	j := s.jobs[ref.Job]
-	return j != nil && int(ref.Task) < len(j.tasks) && j.tasks[ref.Task].runs < maxMoves
+func (s *Scheduler) isOverdue(now time.Duration, w *Worker, j *job, r *run) bool {
+	if j.best > 0 && j.bestWorker != w.Host {
+		return now-r.placed > overdueFactor*j.best+overdueSlack
+	}
+	return r.expected > 0 && now-r.placed > blindFactor*r.expected+blindSlack
 }
--- a/schedule/joblist.go
+++ b/schedule/joblist.go
@@ -43,13 +43,15 @@
 	}
 }
 
-// demote moves jobs that can no longer meet their objective behind those that
-// can: they fill what is left.
+// demote moves jobs that have not begun and can no longer meet their objective
+// behind those that can: they fill what is left. A job that has begun stays:
+// what it has done would be wasted.
 func (s *Scheduler) demote(now time.Duration) {
-	n := 0
-	for n < len(s.viable) && s.viable[n].latestStart < now {
-		s.late.add(s.viable[n])
-		n++
-	}
-	s.viable = slices.Delete(s.viable, 0, n)
+	s.viable = slices.DeleteFunc(s.viable, func(j *job) bool {
+		if j.latestStart >= now || j.begun {
+			return false
+		}
+		s.late.add(j)
+		return true
+	})
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -17,25 +17,50 @@
 // start soonest; jobs that are past help fill what is left.
 func (s *Scheduler) Place(now time.Duration) {
 	s.demote(now)
-	misses := 0
-	for _, list := range []*jobList{&s.viable, &s.late} {
-		placed := 0
-		for _, j := range *list {
-			if misses >= maxMisses {
-				break
-			}
-			if s.placeJob(now, j) {
-				placed++
-			} else {
-				misses++
-			}
+	misses := s.placeList(now, &s.viable, 0)
+	if len(s.late) > 0 && misses == 0 && s.spare() {
+		s.placeList(now, &s.late, misses)
+	}
+}
+
+// placeList places the jobs of one list in their order; it returns how many
+// were tried in vain.
+func (s *Scheduler) placeList(now time.Duration, list *jobList, misses int) int {
+	placed := 0
+	for _, j := range *list {
+		if misses >= maxMisses {
+			break
 		}
-		if placed > 0 {
-			*list = slices.DeleteFunc(*list, func(j *job) bool { return j.waiting == 0 })
+		if s.placeJob(now, j) {
+			placed++
+		} else {
+			misses++
 		}
 	}
+	if placed > 0 {
+		*list = slices.DeleteFunc(*list, func(j *job) bool { return j.waiting == 0 })
+	}
+	return misses
 }
 
+// spareShare is the share of the processors that must be free before a job
+// that is late may begin: it would take the room of those that come next.
+const spareShare = 0.08
+
+func (s *Scheduler) spare() bool {
+	room, used := 0, 0
+	for _, w := range s.order {
+		if w.sound() {
+			room += w.cap.MilliCPU
+			used += w.used.MilliCPU
+		}
+	}
+	return float64(room-used) > spareShare*float64(room)
+}
+
+// sound reports whether the worker takes new work without reserve.
+func (w *Worker) sound() bool { return w.usable && !w.away && !w.suspect() }
+
 // placeJob places the job's waiting tasks; it reports whether none is left.
 func (s *Scheduler) placeJob(now time.Duration, j *job) bool {
 	t := 0
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -49,6 +49,9 @@
 	begun   bool
 	// transient jobs are not stored: one that has not begun can be given up.
 	transient bool
+	// best is the shortest time that one of its tasks took, on bestWorker.
+	best       time.Duration
+	bestWorker contract.HostID
 	// estimate is the expected time of its longest chain of tasks.
 	estimate time.Duration
 	// objective is the time from arrival in which the job should complete.
