--- a/contract/durable.go
+++ b/contract/durable.go
@@ -127,3 +127,22 @@
 	}
 	return names[e]
 }
+
+// WorkerAnnouncement is what a worker says of itself.
+type WorkerAnnouncement struct {
+	ID HostID
+	// Born is when this life of the worker began, in milliseconds since 1970;
+	// a worker may start again under its ID.
+	Born     int64
+	Seq      uint64
+	Addr     string
+	Pool     string
+	Capacity Capacity
+	Labels   []string
+	Draining bool
+}
+
+// SameLife reports whether both come from one life of a worker.
+func (a WorkerAnnouncement) SameLife(b WorkerAnnouncement) bool {
+	return a.ID == b.ID && a.Born == b.Born
+}
--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -16,6 +16,8 @@
 	KindWorkerOrders   MessageKind = 110
 	KindDiskQuery      MessageKind = 111
 	KindDiskReply      MessageKind = 112
+	KindKnownWorker    MessageKind = 113
+	KindOrdersTaken    MessageKind = 114
 )
 
 // HubState is what a control host says of itself on each link: at once, on
@@ -179,15 +181,10 @@
 type WorkerReport struct {
 	// Attach marks the first report on a link: an order that is not in it
 	// never arrived.
-	Attach   bool
-	Host     HostID
-	Zone     string
-	Session  WorkerSession
-	Pool     string
-	Capacity Capacity
-	Labels   []string
-	// Draining says that the worker takes no new work.
-	Draining bool
+	Attach  bool
+	Host    HostID
+	Session WorkerSession
+	Worker  WorkerAnnouncement
 	// Gone says that there is no worker at present: nothing runs.
 	Gone bool
 	// Unhealthy says that the worker's own health check fails.
@@ -240,6 +237,8 @@
 
 // WorkerOrders are a leader's orders to one agent.
 type WorkerOrders struct {
+	// Number counts the orders on one link.
+	Number  uint64
 	Term    uint64
 	Session WorkerSession
 	Starts  []RunStart
@@ -251,6 +250,23 @@
 	Over bool
 }
 
+// KnownWorker tells an agent that has just started which worker it had: it
+// need not wait for the worker's next heartbeat.
+type KnownWorker struct {
+	Worker WorkerAnnouncement
+}
+
+// MessageKind returns KindKnownWorker.
+func (*KnownWorker) MessageKind() MessageKind { return KindKnownWorker }
+
+// OrdersTaken acknowledges orders: an agent that does not is out of reach.
+type OrdersTaken struct {
+	Number uint64
+}
+
+// MessageKind returns KindOrdersTaken.
+func (*OrdersTaken) MessageKind() MessageKind { return KindOrdersTaken }
+
 // MessageKind returns KindWorkerOrders.
 func (*WorkerOrders) MessageKind() MessageKind { return KindWorkerOrders }
 
@@ -268,5 +284,7 @@
 		func() Message { return new(AgentBeat) },
 		func() Message { return new(AgentAuthority) },
 		func() Message { return new(WorkerOrders) },
+		func() Message { return new(KnownWorker) },
+		func() Message { return new(OrdersTaken) },
 	)
 }
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -21,7 +21,7 @@
 	Cancels      []contract.DurableJobID
 	Ends         []TaskEnd
 	// AgentsSeen may hold runs from now on; AgentsGone hold none.
-	AgentsSeen []contract.HostID
+	AgentsSeen []AgentSeen
 	AgentsGone []contract.HostID
 }
 
@@ -31,6 +31,12 @@
 		len(b.AgentsSeen) == 0 && len(b.AgentsGone) == 0
 }
 
+// AgentSeen is an agent with its worker.
+type AgentSeen struct {
+	Host   contract.HostID
+	Worker contract.WorkerAnnouncement
+}
+
 // TaskEnd is an end that counts: the task is done, or has failed once more.
 type TaskEnd struct {
 	contract.DurableTask
@@ -76,13 +82,14 @@
 	Tables contract.QueueTables
 	Jobs   map[contract.DurableJobID]*Job
 	// Ended are the jobs that have ended, oldest first.
-	Ended  []contract.DurableJobID
-	Agents map[contract.HostID]bool
+	Ended []contract.DurableJobID
+	// Agents are those that may hold runs, each with its worker.
+	Agents map[contract.HostID]contract.WorkerAnnouncement
 }
 
 // New returns an empty state.
 func New() *State {
-	return &State{Jobs: map[contract.DurableJobID]*Job{}, Agents: map[contract.HostID]bool{}}
+	return &State{Jobs: map[contract.DurableJobID]*Job{}, Agents: map[contract.HostID]contract.WorkerAnnouncement{}}
 }
 
 // Restore reads a state that Encode returned.
@@ -145,8 +152,8 @@
 	for _, e := range b.Ends {
 		s.end(e, &c)
 	}
-	for _, h := range b.AgentsSeen {
-		s.Agents[h] = true
+	for _, a := range b.AgentsSeen {
+		s.Agents[a.Host] = a.Worker
 	}
 	for _, h := range b.AgentsGone {
 		delete(s.Agents, h)
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -26,7 +26,11 @@
 	// backlog waits until the agent is known.
 	backlog []contract.Message
 	orders  contract.WorkerOrders
-	noted   uint64
+	// number counts the orders sent on the link; taken is the last that the
+	// agent acknowledged. waitSince is when the oldest of the rest was sent.
+	number, taken uint64
+	waitSince     time.Duration
+	noted         uint64
 	// storing counts the proposals that hold ends of this agent.
 	storing int
 }
@@ -78,6 +82,9 @@
 		return
 	}
 	a.beat = now
+	if r, ok := m.(*contract.WorkerReport); ok {
+		h.rememberWorker(a, r)
+	}
 	if !a.known {
 		a.backlog = append(a.backlog, m)
 		return
@@ -85,6 +92,16 @@
 	h.handleAgent(now, a, m)
 }
 
+// rememberWorker has the agent and its worker logged: a later leader waits for
+// the agent, and the agent's next process finds its worker at once.
+func (h *Hub) rememberWorker(a *agent, r *contract.WorkerReport) {
+	stored := h.state.Agents[r.Host]
+	if a.known && (r.Gone || stored.SameLife(r.Worker) && stored.Draining == r.Worker.Draining) {
+		return
+	}
+	h.lead.open.batch.AgentsSeen = append(h.lead.open.batch.AgentsSeen, durable.AgentSeen{Host: r.Host, Worker: r.Worker})
+}
+
 func (h *Hub) attach(l *link.Link, r *contract.WorkerReport) *agent {
 	ld := h.lead
 	a := ld.agents[r.Host]
@@ -98,10 +115,8 @@
 	a.link = l
 	a.orders = contract.WorkerOrders{}
 	a.noted = 0
+	a.number, a.taken = 0, 0
 	ld.links[l] = a
-	if !a.known {
-		ld.open.batch.AgentsSeen = append(ld.open.batch.AgentsSeen, r.Host)
-	}
 	return a
 }
 
@@ -128,10 +143,15 @@
 		if m.Session == a.sess && m.Session != a.over {
 			h.takeEnds(now, a, m.Ends)
 		}
+	case *contract.OrdersTaken:
+		a.taken = max(a.taken, m.Number)
+		a.waitSince = now
 	case *contract.AgentBeat:
 		if m.Session == a.sess && m.Session != a.over {
 			h.echo(now, a, m.Stamp)
-			h.back(a)
+			if a.taken == a.number {
+				h.back(a)
+			}
 		}
 	}
 }
@@ -167,7 +187,7 @@
 	a.sess = r.Session
 	if r.Attach {
 		a.attached = true
-		h.log.Info("worker attached", "worker", a.host, "session", r.Session, "pool", r.Pool, "running", len(r.Running), "ends", len(r.Ends), "draining", r.Draining, "gone", r.Gone)
+		h.log.Info("worker attached", "worker", a.host, "session", r.Session, "pool", r.Worker.Pool, "running", len(r.Running), "ends", len(r.Ends), "draining", r.Worker.Draining, "gone", r.Gone)
 	}
 	h.takeEnds(now, a, r.Ends)
 	h.lead.sched.Report(now, r)
@@ -211,6 +231,9 @@
 		if a.known && !a.away && now-a.beat > agentSilent {
 			ld.away(h, a, "silent")
 		}
+		if a.known && !a.away && a.taken < a.number && now-a.waitSince > ordersSilent {
+			ld.away(h, a, "orders not taken")
+		}
 		if !a.away || !a.known {
 			continue
 		}
@@ -246,7 +269,7 @@
 		h.addOrder(o)
 	}
 	for _, a := range h.lead.agents {
-		h.sendOrders(a)
+		h.sendOrders(now, a)
 	}
 }
 
@@ -264,7 +287,7 @@
 	h.log.Info("run stopped", "job", o.Stop.Job, "task", o.Stop.Task, "run", o.Stop.Run, "worker", o.Host)
 }
 
-func (h *Hub) sendOrders(a *agent) {
+func (h *Hub) sendOrders(now time.Duration, a *agent) {
 	o := &a.orders
 	if len(o.Starts) == 0 && len(o.Stops) == 0 && o.Noted == 0 && !o.Over {
 		return
@@ -272,6 +295,11 @@
 	if a.link == nil {
 		return
 	}
+	if a.taken == a.number {
+		a.waitSince = now
+	}
+	a.number++
+	o.Number = a.number
 	o.Term, o.Session = h.lead.term, a.sess
 	if err := a.link.Send(o); err != nil {
 		h.log.V(1).Info("orders not sent", "worker", a.host, "err", err)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -42,15 +42,18 @@
 // Time-outs of the hubs. A change of leader must be over before the authority
 // of an agent ends, so that it stops no work.
 const (
-	heartbeatEvery = 80 * time.Millisecond
-	electionAfter  = 400 * time.Millisecond
+	heartbeatEvery = 60 * time.Millisecond
+	electionAfter  = 300 * time.Millisecond
 	tickEvery      = 20 * time.Millisecond
 	// AgentAuthority is how long an agent may act after the leader's echo of
 	// a beat, from when it sent the beat.
-	AgentAuthority = 1100 * time.Millisecond
+	AgentAuthority = 850 * time.Millisecond
 	// agentSilent is when an agent gets no new work: its beats come every
 	// 100 ms.
 	agentSilent = 320 * time.Millisecond
+	// ordersSilent is when an agent that does not acknowledge orders gets no
+	// new work: a round trip takes a few milliseconds.
+	ordersSilent = 80 * time.Millisecond
 	// sessionSlack covers the stop of what a lease held and late timers.
 	sessionSlack = 150 * time.Millisecond
 	// clockError is how much slower a worker's clock may run, as 1 in this.
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -104,7 +104,7 @@
 }
 
 // checkEvery is how often agents and runs are looked at.
-const checkEvery = 40 * time.Millisecond
+const checkEvery = 20 * time.Millisecond
 
 // propose puts what came since the last turn into the log.
 func (h *Hub) propose(now time.Duration) {
@@ -160,8 +160,8 @@
 	if c.TablesChanged {
 		h.log.Info("tables in force", "version", h.state.Tables.Version, "queues", len(h.state.Tables.Queues))
 	}
-	for _, host := range p.batch.AgentsSeen {
-		h.agentKnown(now, host)
+	for _, seen := range p.batch.AgentsSeen {
+		h.agentKnown(now, seen.Host)
 	}
 }
 
@@ -221,7 +221,7 @@
 	}
 	// An earlier leader may have started the job: a refusal, which says that
 	// it has not run, could be untrue.
-	if a := h.lead.sched.Admit(now, &job); !a.OK && !m.Again {
+	if a := h.lead.sched.Admit(now, now-m.Age, &job); !a.OK && !m.Again {
 		verdict := contract.VerdictOverload
 		if a.Never {
 			verdict = contract.VerdictUnsupported
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -263,9 +263,21 @@
 		if err := l.Send(&s); err != nil {
 			h.log.V(1).Info("state not sent", "peer", l.Remote().Host, "err", err)
 		}
+		h.tellWorker(l)
 	})
 }
 
+// tellWorker tells an agent which worker it had.
+func (h *Hub) tellWorker(l *link.Link) {
+	w, ok := h.state.Agents[l.Remote().Host]
+	if !ok || w.ID == "" {
+		return
+	}
+	if err := l.Send(&contract.KnownWorker{Worker: w}); err != nil {
+		h.log.V(1).Info("worker not told", "peer", l.Remote().Host, "err", err)
+	}
+}
+
 func (i *inboundHandler) LinkDown(l *link.Link, err error) {
 	h := (*Hub)(i)
 	h.post(func() {
@@ -293,7 +305,7 @@
 		h.submit(now, replyTo{l, seq}, m)
 	case *contract.JobQuery:
 		h.query(now, replyTo{l, seq}, m)
-	case *contract.WorkerReport, *contract.WorkerEnds, *contract.AgentBeat:
+	case *contract.WorkerReport, *contract.WorkerEnds, *contract.AgentBeat, *contract.OrdersTaken:
 		h.agentMessage(now, l, m)
 	}
 }
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -5,6 +5,7 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/durable"
+	"github.com/carawaylanding/carawaylanding/schedule"
 )
 
 // transientKept is how long the end of a transient job is kept: a caller whose
@@ -67,7 +68,7 @@
 		if t == nil || t.ended != 0 {
 			continue
 		}
-		reply := contract.JobReply{Verdict: contract.VerdictOverload, RetryAfter: hopelessRetry, Reason: "no room within the objective"}
+		reply := contract.JobReply{Verdict: contract.VerdictOverload, RetryAfter: schedule.HopelessRetry, Reason: "no room within the objective"}
 		if t.again {
 			reply.Verdict = contract.VerdictUnknown
 		}
@@ -80,10 +81,6 @@
 	}
 }
 
-// hopelessRetry is when to come back after the work ahead took too long: a
-// second is the shortest that the header can say.
-const hopelessRetry = time.Second
-
 // endTransient takes an end of a transient job's task; false when the job is
 // not transient.
 func (h *Hub) endTransient(now time.Duration, ref contract.DurableTask, done bool) bool {
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -24,6 +24,9 @@
 	// noWorkerRetry is when to come back while the pool has no worker: their
 	// heartbeats come every second or two.
 	noWorkerRetry = 2 * time.Second
+	// attachTime is how long the agents may take to attach to a new leader:
+	// until then, no workers means that none is known yet.
+	attachTime = time.Second
 	// usableShare of the pool's processors does work: the rest waits for the
 	// next start or is too small for a task.
 	usableShare = 0.92
@@ -32,16 +35,22 @@
 // Admit decides whether to take a job. Load pattern: more work comes than the
 // workers can do. A job that is predicted to miss its objective, or that would
 // make a job that was taken before miss its own, is refused at once.
-func (s *Scheduler) Admit(now time.Duration, d *contract.DurableJob) Admission {
+func (s *Scheduler) Admit(now, arrived time.Duration, d *contract.DurableJob) Admission {
 	room := s.room(d.Pool)
+	if room == 0 && now-s.since < attachTime {
+		return Admission{OK: true}
+	}
 	if room == 0 {
 		return Admission{RetryAfter: noWorkerRetry, Reason: "no worker of the pool takes work"}
 	}
 	if !s.everFits(d) {
 		return Admission{Never: true, Reason: "no worker of the pool is large enough for a task, or has its label"}
 	}
-	j := &job{Job: &durable.Job{DurableJob: *d}, arrived: now}
+	j := &job{Job: &durable.Job{DurableJob: *d}, arrived: arrived}
 	s.estimateJob(j)
+	if j.latestStart < now {
+		return s.admitLate(now, j)
+	}
 	if len(s.viable) == 0 && s.hasRoomFor(j) {
 		return Admission{OK: true}
 	}
@@ -60,6 +69,18 @@
 	return time.Duration(marginShare * float64(j.latestStart-j.arrived))
 }
 
+// admitLate decides on a job that waited for a leader too long to meet its
+// objective: it is taken where it is still of use and takes no one's room.
+func (s *Scheduler) admitLate(now time.Duration, j *job) Admission {
+	if len(s.viable) == 0 && s.spare() && !j.useless(now) {
+		return Admission{OK: true}
+	}
+	return Admission{RetryAfter: HopelessRetry, Reason: "the objective has passed"}
+}
+
+// HopelessRetry is when to come back after the work ahead took too long.
+const HopelessRetry = time.Second
+
 // predict walks the jobs in the order in which they start, with the new one
 // among them, and adds up their work at the rate of the pool. It returns how
 // long the new one would wait, and why it has to be refused.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -73,6 +73,7 @@
 // concurrent use.
 type Scheduler struct {
 	term    uint64
+	since   time.Duration
 	jobs    map[contract.DurableJobID]*job
 	workers map[contract.HostID]*Worker
 	order   []*Worker
@@ -92,6 +93,7 @@
 func New(term uint64, s *durable.State, now time.Duration) *Scheduler {
 	sch := &Scheduler{
 		term:    term,
+		since:   now,
 		jobs:    map[contract.DurableJobID]*job{},
 		workers: map[contract.HostID]*Worker{},
 		queues:  map[string]*queueStats{},
@@ -132,13 +134,19 @@
 func (s *Scheduler) Hopeless(now time.Duration) []contract.DurableJobID {
 	var out []contract.DurableJobID
 	for _, j := range s.late {
-		if j.transient && !j.begun && now+j.estimate > j.arrived+time.Duration(uselessFactor*float64(j.objective)) {
+		if j.transient && !j.begun && j.useless(now) {
 			out = append(out, j.ID)
 		}
 	}
 	return out
 }
 
+// useless reports whether the job, if it began now, would end too late to be
+// of use.
+func (j *job) useless(now time.Duration) bool {
+	return now+j.estimate > j.arrived+time.Duration(uselessFactor*float64(j.objective))
+}
+
 // uselessFactor times the objective is when an answer is of no use any more.
 const uselessFactor = 3
 
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -52,9 +52,9 @@
 		w.Session = r.Session
 		w.health = newHealth()
 	}
-	w.Pool, w.cap, w.labels, w.zone = r.Pool, r.Capacity, r.Labels, r.Zone
+	w.Pool, w.cap, w.labels = r.Worker.Pool, r.Worker.Capacity, r.Worker.Labels
 	w.away = false
-	w.usable = !r.Draining && !r.Gone && !r.Unhealthy
+	w.usable = !r.Worker.Draining && !r.Gone && !r.Unhealthy
 	if attach {
 		s.adopt(now, w, r.Running)
 	}
--- a/steward/life.go
+++ b/steward/life.go
@@ -57,7 +57,7 @@
 	cancel context.CancelFunc
 
 	// All below is guarded by the steward's lock.
-	worker Announcement
+	worker contract.WorkerAnnouncement
 	live   bool
 	// lapse asks for the lease to run out and the session to end.
 	lapse bool
@@ -83,7 +83,7 @@
 	wake                 chan struct{}
 }
 
-func newLife(s *Steward, a Announcement) *life {
+func newLife(s *Steward, a contract.WorkerAnnouncement) *life {
 	l := &life{s: s, worker: a, calls: s.cfg.Connect(a), wake: make(chan struct{}, 1)}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	l.clear()
@@ -108,7 +108,7 @@
 // describe fills in a report. The lock is held.
 func (l *life) describe(r *contract.WorkerReport) {
 	r.Gone = false
-	r.Pool, r.Capacity, r.Labels, r.Draining = l.worker.Pool, l.worker.Capacity, l.worker.Labels, l.worker.Draining
+	r.Worker = l.worker
 	for _, x := range l.runs {
 		r.Running = append(r.Running, contract.HeldRun{RunRef: x.ref, Need: x.need})
 	}
@@ -164,10 +164,7 @@
 			l.sleep(retryEvery)
 			continue
 		}
-		for _, r := range held.Running {
-			l.stopStray(r)
-		}
-		if len(held.Running) == 0 && (len(held.Ended) == 0 || l.lapsed(held.Clock)) && l.begin(held) {
+		if len(held.Running) == 0 && (len(held.Ended) == 0 || l.lapsed(held)) && l.begin(held) {
 			return true
 		}
 		l.sleep(retryEvery)
@@ -175,15 +172,19 @@
 	return false
 }
 
-// lapsed reports whether the lease has run out for certain. An earlier process
-// may have extended it just before the first look.
-func (l *life) lapsed(clock int64) bool {
+// lapsed reports whether the lease has run out for certain since the last end.
+// An earlier process may have extended it just before the first look; runs
+// that it left are not stopped, since their lapse is the proof.
+func (l *life) lapsed(held Held) bool {
+	if held.Ended[len(held.Ended)-1].How == contract.EndLapsed {
+		return true
+	}
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
 	if l.attempted == 0 {
-		l.attempted = clock + l.s.cfg.MaxLease.Milliseconds()
+		l.attempted = held.Clock + l.s.cfg.MaxLease.Milliseconds()
 	}
-	return clock > l.attempted+lapseSlack.Milliseconds()
+	return held.Clock > l.attempted+lapseSlack.Milliseconds()
 }
 
 func (l *life) notedSoFar() uint64 {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -30,7 +30,7 @@
 	// Authority is how long the leader's echo of a beat holds.
 	Authority time.Duration
 	// Connect returns the calls to a worker.
-	Connect func(Announcement) Worker
+	Connect func(contract.WorkerAnnouncement) Worker
 }
 
 // beatEvery is how often the leader is asked for authority.
@@ -83,7 +83,7 @@
 
 // Announce takes a worker's news of itself. News of an earlier life, or older
 // news of the present one, change nothing.
-func (s *Steward) Announce(a Announcement) {
+func (s *Steward) Announce(a contract.WorkerAnnouncement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx == nil {
@@ -91,7 +91,7 @@
 	}
 	a.Draining = a.Draining || s.draining
 	l := s.life
-	if l != nil && l.worker.sameLife(a) {
+	if l != nil && l.worker.SameLife(a) {
 		if a.Seq < l.worker.Seq {
 			return
 		}
@@ -152,7 +152,7 @@
 	}
 	r := &contract.WorkerReport{
 		Attach: attach, Host: s.cfg.Uplink.Hello.Host, Session: s.session, Gone: true,
-		Zone: s.cfg.Uplink.Hello.FailureDomain, Stamp: int64(boottime.Now()),
+		Stamp: int64(boottime.Now()),
 	}
 	if l := s.life; l != nil && l.live {
 		l.describe(r)
@@ -191,6 +191,10 @@
 
 // Received takes the leader's messages; those of another link are dropped.
 func (s *Steward) Received(l *link.Link, m contract.Message) {
+	if k, ok := m.(*contract.KnownWorker); ok {
+		s.recall(k.Worker)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l != s.link {
@@ -202,10 +206,23 @@
 			s.authority = max(s.authority, time.Duration(m.Stamp)+s.cfg.Authority)
 		}
 	case *contract.WorkerOrders:
+		s.send(&contract.OrdersTaken{Number: m.Number})
 		s.obey(m)
 	}
 }
 
+// recall takes up the worker of an earlier process, unless a worker has been
+// heard of since. Any heartbeat is newer.
+func (s *Steward) recall(a contract.WorkerAnnouncement) {
+	s.mu.Lock()
+	heard := s.life != nil || s.session != 0
+	s.mu.Unlock()
+	if !heard {
+		a.Seq = 0
+		s.Announce(a)
+	}
+}
+
 // obey carries out the leader's orders. The lock is held.
 func (s *Steward) obey(o *contract.WorkerOrders) {
 	if o.Term != s.term || o.Session != s.session {
--- a/steward/worker.go
+++ b/steward/worker.go
@@ -8,24 +8,6 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 )
 
-// Announcement is what a worker says of itself.
-type Announcement struct {
-	ID contract.HostID
-	// Born is when this life of the worker began, in milliseconds since 1970;
-	// a worker may start again under its ID.
-	Born     int64
-	Seq      uint64
-	Addr     string
-	Pool     string
-	Zone     string
-	Capacity contract.Capacity
-	Labels   []string
-	Draining bool
-}
-
-// sameLife reports whether both come from one life of a worker.
-func (a Announcement) sameLife(b Announcement) bool { return a.ID == b.ID && a.Born == b.Born }
-
 // Refusal is why a worker did not start a run.
 type Refusal uint8
 
