Keep the ends that a worker reports to a new leader; hold a lease before the first start

A run that ended within the first call of a session looked like a lease that had run out (TestTransientJobIsAnsweredAtItsEnd, 1 in 3).

--- a/hub/agents.go
+++ b/hub/agents.go
@@ -189,25 +189,38 @@
 		a.attached = true
 		h.log.Info("worker attached", "worker", a.host, "session", r.Session, "pool", r.Worker.Pool, "running", len(r.Running), "ends", len(r.Ends), "draining", r.Worker.Draining, "gone", r.Gone)
 	}
-	h.takeEnds(now, a, r.Ends)
-	h.lead.sched.Report(now, r)
+	h.storeEnds(now, a, r.Ends, h.lead.sched.Report(now, r))
 	a.away = false
 	h.echo(now, a, r.Stamp)
 }
 
 func (h *Hub) takeEnds(now time.Duration, a *agent, ends []contract.RunEnded) {
-	p := h.lead.open
-	var last uint64
-	stored := false
+	var counted []schedule.Counted
 	for _, e := range ends {
-		last = max(last, e.Seq)
 		c := h.lead.sched.Ended(now, a.host, e)
 		h.log.V(1).Info("run ended", "job", e.Job, "task", e.Task, "run", e.Run, "how", e.How.String(), "worker", a.host, "counts", c != nil)
-		if c != nil && !h.endTransient(now, c.DurableTask, c.Done) {
+		if c != nil {
+			counted = append(counted, *c)
+		}
+	}
+	h.storeEnds(now, a, ends, counted)
+}
+
+// storeEnds puts the ends that count into the log, and has the worker note them
+// once they are stored. Those of transient jobs count at once.
+func (h *Hub) storeEnds(now time.Duration, a *agent, ends []contract.RunEnded, counted []schedule.Counted) {
+	p := h.lead.open
+	stored := false
+	for _, c := range counted {
+		if !h.endTransient(now, c.DurableTask, c.Done) {
 			p.batch.Ends = append(p.batch.Ends, durable.TaskEnd{DurableTask: c.DurableTask, Done: c.Done})
 			stored = true
 		}
 	}
+	var last uint64
+	for _, e := range ends {
+		last = max(last, e.Seq)
+	}
 	if last == 0 {
 		return
 	}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -149,11 +149,12 @@
 	b := newBed(t)
 	b.worker("a", 100)
 	b.submit(testJob("old", step(1, 1, 100)))
-	ran := b.place()[0]
+	ran := b.place()[0].Start.RunRef
 	b.sch = New(2, b.state, b.now)
-	b.worker("a", 100)
-	b.end(ran, contract.EndDone)
-	must.Eq(t, contract.DurableCompleted, b.state.Jobs["old"].State)
+	counted := b.sch.Report(b.now, &contract.WorkerReport{
+		Attach: true, Host: "a", Session: 1, Ends: []contract.RunEnded{{RunRef: ran, Seq: 1, How: contract.EndDone}},
+	})
+	must.Eq(t, []Counted{{contract.DurableTask{Job: "old"}, true}}, counted)
 }
 
 func TestUnclaimedRunHoldsItsRoomAndIsStopped(t *testing.T) {
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -37,9 +37,9 @@
 	health
 }
 
-// Report takes all that an agent knows of its worker. The driver hands the
-// report's ends to Ended before.
-func (s *Scheduler) Report(now time.Duration, r *contract.WorkerReport) {
+// Report takes all that an agent knows of its worker. It returns the ends that
+// are to be stored.
+func (s *Scheduler) Report(now time.Duration, r *contract.WorkerReport) []Counted {
 	w := s.workers[r.Host]
 	if w == nil {
 		w = &Worker{Host: r.Host, runs: map[contract.RunRef]*run{}, health: newHealth()}
@@ -55,9 +55,18 @@
 	w.Pool, w.cap, w.labels = r.Worker.Pool, r.Worker.Capacity, r.Worker.Labels
 	w.away = false
 	w.usable = !r.Worker.Draining && !r.Gone && !r.Unhealthy
+	// The ends come first: a run that has ended is not among those that run,
+	// and must not be taken for one that never arrived.
+	var out []Counted
+	for _, e := range r.Ends {
+		if c := s.Ended(now, r.Host, e); c != nil {
+			out = append(out, *c)
+		}
+	}
 	if attach {
 		s.adopt(now, w, r.Running)
 	}
+	return out
 }
 
 // Back says that a silent agent, whose session goes on, was heard again.
--- a/steward/life.go
+++ b/steward/life.go
@@ -80,7 +80,9 @@
 	// confirmed is the end of the lease that the worker is known to hold;
 	// attempted is the latest that it may hold.
 	confirmed, attempted int64
-	wake                 chan struct{}
+	// pending are orders that wait until the lease is known to be held.
+	pending []contract.RunStart
+	wake    chan struct{}
 }
 
 func newLife(s *Steward, a contract.WorkerAnnouncement) *life {
@@ -95,6 +97,7 @@
 	l.names = map[contract.RunRef]NamedRun{}
 	l.strays = map[NamedRun]bool{}
 	l.ends = nil
+	l.pending = nil
 	l.lapse = false
 }
 
@@ -109,6 +112,9 @@
 func (l *life) describe(r *contract.WorkerReport) {
 	r.Gone = false
 	r.Worker = l.worker
+	for _, st := range l.pending {
+		r.Running = append(r.Running, st.HeldRun)
+	}
 	for _, x := range l.runs {
 		r.Running = append(r.Running, contract.HeldRun{RunRef: x.ref, Need: x.need})
 	}
@@ -285,12 +291,19 @@
 	}
 	l.holds++
 	c := HoldCall{Seen: l.noted, Deadline: l.deadline()}
-	if len(l.ends) == 0 && l.bars == 0 {
+	if len(l.ends) == 0 && l.bars == 0 && l.leaseHeld() {
 		c.Wait = holdWait
 	}
 	return c, l.holds, true
 }
 
+// leaseHeld reports whether the worker is known to hold a lease that outlasts
+// the next calls. Without, a start could end before a list shows whether the
+// lease held all the time. The lock is held.
+func (l *life) leaseHeld() bool {
+	return l.confirmed-l.now() > (callTimeout+holdWait).Milliseconds()/2
+}
+
 // nothingToLose reports whether no run and no end would be void without the
 // lease. The lock is held.
 func (l *life) nothingToLose() bool {
@@ -369,6 +382,11 @@
 	if len(fresh) > 0 {
 		l.s.send(&contract.WorkerEnds{Session: l.s.session, Ends: fresh})
 	}
+	pending := l.pending
+	l.pending = nil
+	for _, st := range pending {
+		l.start(st)
+	}
 }
 
 // unbroken reports whether the lease certainly did not run out since the last
--- a/steward/runs.go
+++ b/steward/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/carawaylanding/carawaylanding/contract"
 )
@@ -49,6 +50,13 @@
 
 // stop carries out an order to stop. The lock is held.
 func (l *life) stop(ref contract.RunRef) {
+	for i, st := range l.pending {
+		if st.RunRef == ref {
+			l.pending = slices.Delete(l.pending, i, i+1)
+			l.s.notStarted(ref, false)
+			return
+		}
+	}
 	name, ok := l.names[ref]
 	if !ok || l.runs[name].stopping {
 		return
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -250,6 +250,11 @@
 			s.notStarted(st.RunRef, false)
 			continue
 		}
+		if !l.leaseHeld() {
+			l.pending = append(l.pending, st)
+			l.wakeUp()
+			continue
+		}
 		l.start(st)
 	}
 }
