--- a/steward/life.go
+++ b/steward/life.go
@@ -52,6 +52,7 @@
 // life is one life of the worker.
 type life struct {
 	s      *Steward
+	id     contract.HostID
 	calls  Worker
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -86,7 +87,7 @@
 }
 
 func newLife(s *Steward, a contract.WorkerAnnouncement) *life {
-	l := &life{s: s, worker: a, calls: s.cfg.Connect(a), wake: make(chan struct{}, 1)}
+	l := &life{s: s, id: a.ID, worker: a, calls: s.cfg.Connect(a), wake: make(chan struct{}, 1)}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	l.clear()
 	return l
@@ -103,7 +104,7 @@
 
 // end ends the life. The lock is held.
 func (l *life) end(why string) {
-	l.s.log.Info("worker ended", "worker", l.worker.ID, "why", why, "runs", len(l.runs))
+	l.s.log.Info("worker ended", "worker", l.id, "why", why, "runs", len(l.runs))
 	l.live = false
 	l.cancel()
 }
@@ -213,7 +214,7 @@
 	l.noted = l.listed
 	l.live = true
 	l.confirmed = 0
-	l.s.log.Info("session begins", "worker", l.worker.ID, "void_ends", len(held.Ended))
+	l.s.log.Info("session begins", "worker", l.id, "void_ends", len(held.Ended))
 	l.s.newSession()
 	return true
 }
@@ -235,7 +236,7 @@
 		l.setClock(held.Clock)
 		l.s.mu.Unlock()
 	} else {
-		l.s.log.V(1).Info("worker not held", "worker", l.worker.ID, "err", err)
+		l.s.log.V(1).Info("worker not held", "worker", l.id, "err", err)
 	}
 	return held, err
 }
@@ -283,7 +284,7 @@
 		if l.nothingToLose() && l.bars == 0 {
 			return HoldCall{}, 0, true
 		}
-		l.s.log.Info("authority lost: the lease runs out", "worker", l.worker.ID, "runs", len(l.runs))
+		l.s.log.Info("authority lost: the lease runs out", "worker", l.id, "runs", len(l.runs))
 		l.lapse = true
 	}
 	if l.lapse {
@@ -370,7 +371,7 @@
 		running[r] = true
 	}
 	if !l.unbroken(held, running) {
-		l.s.log.Info("the lease may have run out: a new session", "worker", l.worker.ID, "clock", held.Clock, "confirmed", l.confirmed)
+		l.s.log.Info("the lease may have run out: a new session", "worker", l.id, "clock", held.Clock, "confirmed", l.confirmed)
 		l.lapse = true
 		return
 	}
--- a/steward/runs.go
+++ b/steward/runs.go
@@ -27,7 +27,7 @@
 	defer l.s.mu.Unlock()
 	r := l.runs[name]
 	if err != nil {
-		l.s.log.Info("start without an answer", "name", name.Name, "run", name.Run, "worker", l.worker.ID, "err", err)
+		l.s.log.Info("start without an answer", "name", name.Name, "run", name.Run, "worker", l.id, "err", err)
 		// A list may have shown meanwhile that it runs.
 		if r == nil || r.phase == phaseStarting {
 			l.bar(name)
@@ -43,7 +43,7 @@
 		}
 		return
 	}
-	l.s.log.Info("start refused by the worker", "name", name.Name, "run", name.Run, "worker", l.worker.ID, "why", refused.String())
+	l.s.log.Info("start refused by the worker", "name", name.Name, "run", name.Run, "worker", l.id, "why", refused.String())
 	l.forget(name, r)
 	l.s.notStarted(r.ref, refused == RefusedUnhealthy)
 }
@@ -110,7 +110,7 @@
 
 // stopStray stops a run that nobody ordered in this session.
 func (l *life) stopStray(name NamedRun) {
-	l.s.log.Info("unknown run stopped", "name", name.Name, "run", name.Run, "worker", l.worker.ID)
+	l.s.log.Info("unknown run stopped", "name", name.Name, "run", name.Run, "worker", l.id)
 	if err := l.callStop(name); err != nil {
 		l.s.log.Info("unknown run not stopped yet", "name", name.Name, "run", name.Run, "err", err)
 	}
