--- a/cmd/carawayd/main.go
+++ b/cmd/carawayd/main.go
@@ -10,9 +10,11 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/carawaylanding/carawaylanding/internal/ringlog"
 	"github.com/carawaylanding/carawaylanding/node"
 	"github.com/carawaylanding/carawaylanding/platform"
 	"github.com/carawaylanding/carawaylanding/settings"
+	"github.com/carawaylanding/carawaylanding/telemetry"
 	"github.com/carawaylanding/carawaylanding/version"
 )
 
@@ -61,7 +63,9 @@
 }
 
 func runOnPlatform(role string) int {
-	log := newLogger(os.Stdout, role)
+	out := ringlog.New(os.Stdout, telemetry.LogLinesDropped.Inc)
+	defer out.Close()
+	log := newLogger(out, role)
 	if err := platform.Run(role, log); err != nil {
 		log.Error(err, "stopped by an error")
 		return exitFailed
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -7,6 +7,7 @@
 	"github.com/carawaylanding/carawaylanding/durable"
 	"github.com/carawaylanding/carawaylanding/link"
 	"github.com/carawaylanding/carawaylanding/schedule"
+	"github.com/carawaylanding/carawaylanding/telemetry"
 )
 
 // agent is an agent as the leader sees it.
@@ -278,24 +279,33 @@
 	}
 	h.lead.sched.Place(now)
 	h.giveUpHopeless(now)
+	placed := placements{}
 	for _, o := range h.lead.sched.Orders() {
-		h.addOrder(o)
+		h.addOrder(o, placed)
+	}
+	for id, workers := range placed {
+		h.log.Info("job placed", "job", id, "workers", workers)
 	}
 	for _, a := range h.lead.agents {
 		h.sendOrders(now, a)
 	}
 }
 
-func (h *Hub) addOrder(o schedule.Order) {
+// placements are the workers that got tasks of a job in one turn.
+type placements map[contract.DurableJobID][]contract.HostID
+
+func (h *Hub) addOrder(o schedule.Order, placed placements) {
 	a := h.lead.agents[o.Host]
 	if a == nil || a.sess != o.Session {
 		return
 	}
 	if o.Start != nil {
 		a.orders.Starts = append(a.orders.Starts, *o.Start)
-		h.log.Info("task placed", "job", o.Start.Job, "task", o.Start.Task, "run", o.Start.Run, "worker", o.Host)
+		telemetry.Placed.Inc()
+		placed[o.Start.Job] = append(placed[o.Start.Job], o.Host)
 		return
 	}
+	telemetry.Stopped.Inc()
 	a.orders.Stops = append(a.orders.Stops, *o.Stop)
 	h.log.Info("run stopped", "job", o.Stop.Job, "task", o.Stop.Task, "run", o.Stop.Run, "worker", o.Host)
 }
--- a/hub/disk.go
+++ b/hub/disk.go
@@ -8,6 +8,7 @@
 
 	"github.com/carawaylanding/carawaylanding/consensus"
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/telemetry"
 )
 
 // diskRetry is the wait after a write that the disk refused.
@@ -100,5 +101,7 @@
 	if all.Hard == nil && len(all.Entries) == 0 {
 		return nil
 	}
+	began := time.Now()
+	defer func() { telemetry.SyncSeconds.Observe(time.Since(began).Seconds()) }()
 	return d.store.write(&all)
 }
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -8,6 +8,7 @@
 	"github.com/carawaylanding/carawaylanding/durable"
 	"github.com/carawaylanding/carawaylanding/link"
 	"github.com/carawaylanding/carawaylanding/schedule"
+	"github.com/carawaylanding/carawaylanding/telemetry"
 )
 
 // replyTo is where an answer goes.
@@ -138,7 +139,7 @@
 	h.logClock.set(p.batch.At, now)
 	s := h.lead.sched
 	for _, j := range c.Finished {
-		h.log.Info("job ended", "job", j.ID, "state", j.State.String(), "ms", j.EndedAt-j.At)
+		h.countEnd(j, j.EndedAt-j.At)
 		s.Finished(j.ID)
 	}
 	for _, j := range c.Accepted {
@@ -177,13 +178,21 @@
 	h.lead.sched.Accepted(j, arrived)
 }
 
+// countEnd tells of a job's end; ms is how long it took.
+func (h *Hub) countEnd(j *durable.Job, ms int64) {
+	telemetry.JobsEnded.WithLabelValues(j.State.String()).Inc()
+	telemetry.JobSeconds.Observe((time.Duration(ms) * time.Millisecond).Seconds())
+	h.log.Info("job ended", "job", j.ID, "state", j.State.String(), "ms", ms)
+}
+
 // submit decides on a job of a caller.
 func (h *Hub) submit(now time.Duration, to replyTo, m *contract.JobSubmit) {
 	r := h.decide(now, to, m)
 	if r == nil {
 		return
 	}
-	if r.Verdict != contract.VerdictAccepted {
+	if r.Verdict != contract.VerdictAccepted && r.Verdict != contract.VerdictState {
+		telemetry.Refused.WithLabelValues(r.Reason).Inc()
 		h.log.Info("job refused", "path", m.Path, "verdict", r.Verdict, "reason", r.Reason, "retry_ms", r.RetryAfter.Milliseconds())
 	}
 	h.reply(to.link, to.seq, r)
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -9,6 +9,7 @@
 	"github.com/carawaylanding/carawaylanding/consensus"
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/link"
+	"github.com/carawaylanding/carawaylanding/telemetry"
 )
 
 const (
@@ -329,6 +330,11 @@
 		return
 	}
 	if changed {
+		telemetry.Term.Set(float64(s.Term))
+		telemetry.Leads.Set(0)
+		if s.Leads {
+			telemetry.Leads.Set(1)
+		}
 		h.log.Info("leadership", "term", s.Term, "leads", s.Leads, "leader", s.Leader, "role", h.node.Role().String())
 	}
 	h.said, h.saidAt = s, now
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -101,7 +101,7 @@
 		h.lead.transients.ended = append(h.lead.transients.ended, t.job.ID)
 	}
 	h.lead.sched.Finished(t.job.ID)
-	h.log.Info("job ended", "job", t.job.ID, "state", t.job.State.String(), "ms", h.logClock.now(now)-t.job.At)
+	h.countEnd(t.job, h.logClock.now(now)-t.job.At)
 	for _, r := range t.waiters {
 		h.reply(r.link, r.seq, &contract.JobReply{Verdict: contract.VerdictState, State: t.job.State})
 	}
--- a/steward/life.go
+++ b/steward/life.go
@@ -7,6 +7,7 @@
 
 	"github.com/carawaylanding/carawaylanding/boottime"
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/telemetry"
 )
 
 const (
@@ -214,6 +215,7 @@
 	l.noted = l.listed
 	l.live = true
 	l.confirmed = 0
+	telemetry.Sessions.Inc()
 	l.s.log.Info("session begins", "worker", l.id, "void_ends", len(held.Ended))
 	l.s.newSession()
 	return true
@@ -413,6 +415,7 @@
 			continue
 		}
 		l.listed = e.Seq
+		telemetry.RunsEnded.WithLabelValues(e.How.String()).Inc()
 		end := contract.RunEnded{Seq: e.Seq, How: e.How}
 		if r := l.runs[e.NamedRun]; r != nil {
 			end.RunRef = r.ref
--- a/steward/runs.go
+++ b/steward/runs.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/telemetry"
 )
 
 // start carries out an order to start. The lock is held.
@@ -27,6 +28,7 @@
 	defer l.s.mu.Unlock()
 	r := l.runs[name]
 	if err != nil {
+		telemetry.StartsUnanswered.Inc()
 		l.s.log.Info("start without an answer", "name", name.Name, "run", name.Run, "worker", l.id, "err", err)
 		// A list may have shown meanwhile that it runs.
 		if r == nil || r.phase == phaseStarting {
@@ -43,6 +45,7 @@
 		}
 		return
 	}
+	telemetry.StartsRefused.WithLabelValues(refused.String()).Inc()
 	l.s.log.Info("start refused by the worker", "name", name.Name, "run", name.Run, "worker", l.id, "why", refused.String())
 	l.forget(name, r)
 	l.s.notStarted(r.ref, refused == RefusedUnhealthy)
