--- a/consensus/step.go
+++ b/consensus/step.go
@@ -52,7 +52,9 @@
 func (n *Node) stand(now time.Duration) {
 	n.role = PreCandidate
 	n.leader = contract.LogMember{}
-	n.resetDeadline(now)
+	// Asking again disturbs no one: members that have just started, or heard
+	// from a leader, may grant their vote soon.
+	n.deadline = now + n.timing.Heartbeat + n.jitter(2*n.timing.Heartbeat)
 	n.votes = map[contract.LogMember]bool{n.self: true}
 	n.askVotes(contract.LogPreVote, n.hard.Term+1)
 	n.countVotes(now)
@@ -85,6 +87,7 @@
 	switch n.role {
 	case PreCandidate:
 		n.role = Candidate
+		n.resetDeadline(now)
 		n.setHard(HardState{Term: n.hard.Term + 1, Vote: n.self})
 		n.votes = map[contract.LogMember]bool{n.self: true}
 		n.askVotes(contract.LogVote, n.hard.Term)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -65,8 +65,12 @@
 )
 
 // LinkConfig is that of all links to hubs: a connection that went silent is
-// found within Silence, and heartbeats on idle ones are few.
-var LinkConfig = link.Config{Idle: 700 * time.Millisecond, Silence: 2 * time.Second}
+// found within Silence, heartbeats on idle ones are few, and a host that comes
+// back is reached within a few hundred milliseconds.
+var LinkConfig = link.Config{
+	Idle: 700 * time.Millisecond, Silence: 2 * time.Second,
+	Dial: 250 * time.Millisecond, MaxRedial: 150 * time.Millisecond,
+}
 
 // Hub is a control host.
 type Hub struct {
--- a/link/dial.go
+++ b/link/dial.go
@@ -10,11 +10,8 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 )
 
-// Bounds of the wait between two attempts to connect.
-const (
-	minRedial = 50 * time.Millisecond
-	maxRedial = time.Second
-)
+// minRedial is the first wait between two attempts to connect; it doubles.
+const minRedial = 50 * time.Millisecond
 
 // Dialer keeps one link to an address, and opens a new one when it goes down.
 type Dialer struct {
@@ -29,13 +26,14 @@
 
 // Run dials until ctx is done.
 func (d *Dialer) Run(ctx context.Context) error {
+	longest := d.Config.withDefaults().MaxRedial
 	wait := minRedial
 	for ctx.Err() == nil {
 		if d.once(ctx) {
 			wait = minRedial
 		}
 		sleep(ctx, wait/2+rand.N(wait))
-		wait = min(2*wait, maxRedial)
+		wait = min(2*wait, longest)
 	}
 	return nil
 }
@@ -43,7 +41,7 @@
 // once opens one link and runs it; it reports whether the link came up.
 func (d *Dialer) once(ctx context.Context) bool {
 	cfg := d.Config.withDefaults()
-	nd := net.Dialer{Timeout: cfg.Silence}
+	nd := net.Dialer{Timeout: cfg.Dial}
 	conn, err := nd.DialContext(ctx, "tcp", d.Addr)
 	if err != nil {
 		return false
--- a/link/link.go
+++ b/link/link.go
@@ -32,6 +32,11 @@
 	Silence time.Duration
 	// MaxBacklog bounds the bytes that wait to be written.
 	MaxBacklog int
+	// Dial bounds one attempt to connect; zero means Silence. The first packet
+	// to a host without power is lost, and is sent again only after a second.
+	Dial time.Duration
+	// MaxRedial bounds the wait between two attempts to connect.
+	MaxRedial time.Duration
 	// Heartbeat returns the heartbeat to send; nil sends an empty one.
 	Heartbeat func() *contract.Heartbeat
 }
@@ -41,6 +46,7 @@
 	DefaultIdle       = 800 * time.Millisecond
 	DefaultSilence    = 2 * time.Second
 	DefaultMaxBacklog = 64 << 20
+	DefaultMaxRedial  = time.Second
 )
 
 func (c Config) withDefaults() Config {
@@ -53,6 +59,12 @@
 	if c.MaxBacklog == 0 {
 		c.MaxBacklog = DefaultMaxBacklog
 	}
+	if c.Dial == 0 {
+		c.Dial = c.Silence
+	}
+	if c.MaxRedial == 0 {
+		c.MaxRedial = DefaultMaxRedial
+	}
 	if c.Heartbeat == nil {
 		c.Heartbeat = func() *contract.Heartbeat { return &contract.Heartbeat{} }
 	}
