Give up a worker that is silent; let a leaving worker end before its tasks start elsewhere

Found beside it: the session of a worker that went dark never ended while its agent lived, so that its tasks waited for the worker's next life. Tests TestLeavingWorkerRunsUntilItEnds and TestWorkerThatGoesDark failed before, pass after.

--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -50,14 +50,16 @@
 	mu      sync.Mutex // guards running
 	running map[int]*Hub
 	agents  map[string]*part
-	workers map[string]*leasedworker.Worker
-	ledger  *leasedworker.Ledger
-	gw      *gateway.Gateway
+	// stewards are those of the agents, by worker; guarded by mu.
+	stewards map[string]*steward.Steward
+	workers  map[string]*leasedworker.Worker
+	ledger   *leasedworker.Ledger
+	gw       *gateway.Gateway
 }
 
 func newSystem(t *testing.T, hubs int, workers ...string) *system {
 	s := &system{
-		t: t, running: map[int]*Hub{}, agents: map[string]*part{}, ledger: leasedworker.NewLedger(),
+		t: t, running: map[int]*Hub{}, stewards: map[string]*steward.Steward{}, agents: map[string]*part{}, ledger: leasedworker.NewLedger(),
 		workers: map[string]*leasedworker.Worker{},
 	}
 	var listeners []net.Listener
@@ -149,9 +151,12 @@
 		Uplink: s.uplink(name, contract.RoleAgent), Lease: leasedworker.MaxLease * 9 / 10, MaxLease: leasedworker.MaxLease,
 		Authority: AgentAuthority, Connect: func(contract.WorkerAnnouncement) steward.Worker { return w },
 	})
+	s.mu.Lock()
+	s.stewards[name] = st
+	s.mu.Unlock()
 	s.agents[name] = s.start(func(ctx context.Context) error {
 		go func() {
-			for ctx.Err() == nil {
+			for ctx.Err() == nil && w.Announcing() {
 				st.Announce(w.Announcement(testPool, 1000))
 				time.Sleep(100 * time.Millisecond)
 			}
@@ -392,6 +397,38 @@
 	}
 }
 
+// TestWorkerThatGoesDark: its runs go on until the lease has run out, and only
+// then start elsewhere.
+func TestWorkerThatGoesDark(t *testing.T) {
+	s := newSystem(t, 3, "w1")
+	s.putTables(1)
+	s.accept(testJob("a", 4, 2000))
+	s.eventually("the tasks run", func() bool { return s.workers["w1"].Running() == 4 })
+	s.workers["w1"].SetMode(leasedworker.Mode{Dark: true})
+	s.workers["w2"] = leasedworker.New("w2", s.ledger)
+	s.startAgent("w2")
+	s.completes("a")
+	must.Eq(t, nil, s.ledger.Faults())
+}
+
+// TestLeavingWorkerRunsUntilItEnds: a worker's last word is not its end.
+func TestLeavingWorkerRunsUntilItEnds(t *testing.T) {
+	s := newSystem(t, 3, "w1")
+	s.putTables(1)
+	s.accept(testJob("a", 2, 400))
+	s.eventually("the tasks run", func() bool { return s.workers["w1"].Running() == 2 })
+	s.workers["w2"] = leasedworker.New("w2", s.ledger)
+	s.startAgent("w2")
+	s.workers["w1"].Leave()
+	s.mu.Lock()
+	st := s.stewards["w1"]
+	s.mu.Unlock()
+	st.Leave("w1")
+	time.AfterFunc(100*time.Millisecond, s.workers["w1"].End)
+	s.completes("a")
+	must.Eq(t, nil, s.ledger.Faults())
+}
+
 func TestFailingWorkerFailsNoJob(t *testing.T) {
 	s := newSystem(t, 3, "w1", "w2", "w3")
 	s.putTables(1)
--- a/internal/leasedworker/leasedworker.go
+++ b/internal/leasedworker/leasedworker.go
@@ -85,6 +85,10 @@
 	LateStarts time.Duration
 	// FailAll ends each run as failed at once.
 	FailAll bool
+	// Dark answers nothing; what runs goes on.
+	Dark bool
+	// Ended refuses connections, as after the end of the process.
+	Ended bool
 }
 
 type live struct {
@@ -110,6 +114,7 @@
 	endedIn map[uint64]int
 	seq     uint64
 	changed chan struct{}
+	left    bool
 }
 
 // New returns a worker that runs nothing.
@@ -142,13 +147,57 @@
 	return len(w.runs)
 }
 
+// Leave makes the worker announce itself no more.
+func (w *Worker) Leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.left = true
+}
+
+// Announcing reports whether the worker still announces itself.
+func (w *Worker) Announcing() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.left
+}
+
+// End ends the worker's process with all that runs.
+func (w *Worker) End() {
+	w.SetMode(Mode{Ended: true})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name, r := range w.runs {
+		r.timer.Stop()
+		w.Ledger.ended(name.Name)
+	}
+	clear(w.runs)
+}
+
+// reach fails where the worker can't be reached.
+func (w *Worker) reach(ctx context.Context) error {
+	w.mu.Lock()
+	mode := w.mode
+	w.mu.Unlock()
+	switch {
+	case mode.Dark:
+		<-ctx.Done()
+		return ctx.Err()
+	case mode.Ended:
+		return steward.ErrNotListening
+	}
+	return nil
+}
+
 func (w *Worker) clock() int64 { return time.Since(w.born).Milliseconds() }
 
 // Close does nothing.
 func (w *Worker) Close() {}
 
 // Start starts a run for as many milliseconds as its spec says.
-func (w *Worker) Start(_ context.Context, c steward.StartCall) (steward.Refusal, error) {
+func (w *Worker) Start(ctx context.Context, c steward.StartCall) (steward.Refusal, error) {
+	if err := w.reach(ctx); err != nil {
+		return 0, err
+	}
 	w.mu.Lock()
 	mode := w.mode
 	w.mu.Unlock()
@@ -240,7 +289,10 @@
 }
 
 // Stop ends a run, and bars it where it is not there yet.
-func (w *Worker) Stop(_ context.Context, r steward.NamedRun, token uint64) error {
+func (w *Worker) Stop(ctx context.Context, r steward.NamedRun, token uint64) error {
+	if err := w.reach(ctx); err != nil {
+		return err
+	}
 	w.mu.Lock()
 	if token < w.token {
 		w.mu.Unlock()
@@ -255,6 +307,9 @@
 
 // Hold extends the lease, notes ends, and lists what runs.
 func (w *Worker) Hold(ctx context.Context, c steward.HoldCall) (steward.Held, error) {
+	if err := w.reach(ctx); err != nil {
+		return steward.Held{}, err
+	}
 	w.mu.Lock()
 	if c.Token < w.token {
 		w.mu.Unlock()
--- a/steward/life.go
+++ b/steward/life.go
@@ -246,8 +246,9 @@
 // serve extends the lease and takes lists until the session is to end.
 func (l *life) serve() {
 	refused := 0
+	answered := true
 	for l.ctx.Err() == nil {
-		c, number, ok := l.nextHold()
+		c, number, ok := l.nextHold(answered)
 		if !ok {
 			return
 		}
@@ -256,6 +257,7 @@
 			continue
 		}
 		held, err := l.look(c)
+		answered = err == nil
 		switch {
 		case errors.Is(err, ErrOtherLife):
 			l.over("another life answered")
@@ -279,7 +281,9 @@
 
 // nextHold returns the next call and its number; false when the session is to
 // end. The number is zero when there is nothing to hold and no authority to.
-func (l *life) nextHold() (HoldCall, uint64, bool) {
+// While the worker does not answer, its lease is not extended, and the session
+// ends with it.
+func (l *life) nextHold(answered bool) (HoldCall, uint64, bool) {
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
 	if !l.lapse && l.s.authority <= boottime.Now() {
@@ -289,10 +293,17 @@
 		l.s.log.Info("authority lost: the lease runs out", "worker", l.id, "runs", len(l.runs))
 		l.lapse = true
 	}
+	if !answered && l.now() > l.confirmed && !l.nothingToLose() {
+		l.s.log.Info("worker silent: the lease runs out", "worker", l.id, "runs", len(l.runs))
+		l.lapse = true
+	}
 	if l.lapse {
 		return HoldCall{}, 0, false
 	}
 	l.holds++
+	if !answered {
+		return HoldCall{Seen: l.noted}, l.holds, true
+	}
 	c := HoldCall{Seen: l.noted, Deadline: l.deadline()}
 	if len(l.ends) == 0 && l.bars == 0 && l.leaseHeld() {
 		c.Wait = holdWait
@@ -361,6 +372,10 @@
 	defer l.s.mu.Unlock()
 	l.noted = l.listed
 	l.clear()
+	if l.s.life == l {
+		// Nothing runs any more: the leader need not wait for the worker.
+		l.s.newSession()
+	}
 }
 
 // take takes the worker's lists, which answer the call with the number: a run
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -115,16 +116,20 @@
 	s.group.Go(s.life.run)
 }
 
-// Leave takes a worker's last word: all that ran on it has ended.
+// Leave takes a worker's last word. What runs on it goes on until the worker
+// has ended, which shows when nothing listens at its address any more.
 func (s *Steward) Leave(id contract.HostID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.life == nil || s.life.worker.ID != id {
+	if s.life == nil || s.life.id != id {
 		return
 	}
-	s.life.end("left")
-	s.life = nil
-	s.newSession()
+	s.log.Info("worker leaves", "worker", id)
+	s.life.worker.Draining = true
+	s.life.worker.Seq = math.MaxUint64
+	if s.life.live {
+		s.report(false)
+	}
 }
 
 // newSession begins a session in which nothing runs yet. The lock is held.
