Take no order back at a second report on the same link

Reports now also name the term that they are for. Test TestSecondReportOnALinkTakesNoOrderBack fails before (0 instead of 100) and passes after. Ruled out: a lost link (its orders are still taken back).

--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -181,7 +181,9 @@
 type WorkerReport struct {
 	// Attach marks the first report on a link: an order that is not in it
 	// never arrived.
-	Attach  bool
+	Attach bool
+	// Term is that of the leader that the report is for.
+	Term    uint64
 	Host    HostID
 	Session WorkerSession
 	Worker  WorkerAnnouncement
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -76,8 +76,13 @@
 	}
 	ld := h.lead
 	a := ld.links[l]
-	if r, ok := m.(*contract.WorkerReport); ok && r.Attach {
-		a = h.attach(l, r)
+	if r, ok := m.(*contract.WorkerReport); ok {
+		if r.Term != ld.term {
+			return
+		}
+		if r.Attach {
+			a = h.attach(l, r)
+		}
 	}
 	if a == nil {
 		return
@@ -110,6 +115,11 @@
 		a = &agent{host: r.Host, away: true}
 		ld.agents[r.Host] = a
 	}
+	if a.link == l {
+		// Nothing is lost on a link that is up: an order may be on its way.
+		r.Attach = false
+		return a
+	}
 	if a.link != nil && a.link != l {
 		delete(ld.links, a.link)
 	}
--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -16,9 +16,11 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/carawaylanding/carawaylanding/boottime"
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/gateway"
 	"github.com/carawaylanding/carawaylanding/internal/leasedworker"
+	"github.com/carawaylanding/carawaylanding/link"
 	"github.com/carawaylanding/carawaylanding/steward"
 	"github.com/carawaylanding/carawaylanding/uplink"
 )
@@ -429,6 +431,47 @@
 	must.Eq(t, nil, s.ledger.Faults())
 }
 
+// TestSecondReportOnALinkTakesNoOrderBack replays a leader that loses and
+// regains its lease: the agent attaches again on the same link while an order
+// is on its way to it.
+func TestSecondReportOnALinkTakesNoOrderBack(t *testing.T) {
+	s := newSystem(t, 1)
+	s.putTables(1)
+	h := s.running[s.waitLeader()]
+	l := new(link.Link)
+	report := func() *contract.WorkerReport {
+		return &contract.WorkerReport{
+			Attach: true, Term: h.lead.term, Host: "w1", Session: 7,
+			Worker: contract.WorkerAnnouncement{ID: "w1", Pool: testPool, Capacity: contract.Capacity{MilliCPU: 1000, MemoryMB: 1000}},
+		}
+	}
+	onLoop := func(f func()) {
+		done := make(chan struct{})
+		h.post(func() { f(); close(done) })
+		<-done
+	}
+	onLoop(func() { h.agentMessage(boottime.Now(), l, report()) })
+	s.accept(testJob("a", 1, 1000))
+	placed := func() int { return h.lead.sched.Summaries()[0].Used }
+	s.eventually("the task is placed", func() bool {
+		used := 0
+		onLoop(func() {
+			h.agentMessage(boottime.Now(), l, &contract.AgentBeat{Session: 7})
+			used = placed()
+		})
+		return used == 100
+	})
+	var same, other int
+	onLoop(func() {
+		h.agentMessage(boottime.Now(), l, report())
+		same = placed()
+		h.agentMessage(boottime.Now(), new(link.Link), report())
+		other = placed()
+	})
+	must.Eq(t, 100, same, must.Sprint("the order was taken back, and the task would start twice"))
+	must.Eq(t, 0, other, must.Sprint("an order on a link that is gone never arrived"))
+}
+
 func TestFailingWorkerFailsNoJob(t *testing.T) {
 	s := newSystem(t, 3, "w1", "w2", "w3")
 	s.putTables(1)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -156,7 +156,7 @@
 		return
 	}
 	r := &contract.WorkerReport{
-		Attach: attach, Host: s.cfg.Uplink.Hello.Host, Session: s.session, Gone: true,
+		Attach: attach, Term: s.term, Host: s.cfg.Uplink.Hello.Host, Session: s.session, Gone: true,
 		Stamp: int64(boottime.Now()),
 	}
 	if l := s.life; l != nil && l.live {
