--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -27,7 +27,6 @@
 	Pool    string
 	cap     contract.Capacity
 	labels  []string
-	zone    string
 	// usable says that it takes new work: neither draining, gone, unhealthy
 	// nor out of reach.
 	usable bool
--- a/steward/runs.go
+++ b/steward/runs.go
@@ -110,11 +110,3 @@
 	}
 	return err
 }
-
-// stopStray stops a run that nobody ordered in this session.
-func (l *life) stopStray(name NamedRun) {
-	l.s.log.Info("unknown run stopped", "name", name.Name, "run", name.Run, "worker", l.id)
-	if err := l.callStop(name); err != nil {
-		l.s.log.Info("unknown run not stopped yet", "name", name.Name, "run", name.Run, "err", err)
-	}
-}
