--- a/hub/hub.go
+++ b/hub/hub.go
@@ -95,7 +95,7 @@
 	said      contract.HubState
 	saidAt    time.Duration
 	groupAt   time.Duration
-	heardAt   time.Duration
+	joinAsked time.Duration
 	logClock  logClock
 	formAsked time.Duration
 	formed    map[string]contract.DiskReply
@@ -173,7 +173,7 @@
 		inbound: map[*link.Link]bool{},
 		formed:  map[string]contract.DiskReply{},
 	}
-	h.heardAt = now
+	h.joinAsked = now
 	h.logClock.set(state.At, now)
 	timing := consensus.Timing{Heartbeat: heartbeatEvery, Election: electionAfter}
 	h.node = consensus.New(h.self, timing, stored, now, func(d time.Duration) time.Duration { return rand.N(d) })
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -198,17 +198,27 @@
 	h.reply(to.link, to.seq, r)
 }
 
-// decide returns the answer, or nil when it is to come once the job is stored.
-func (h *Hub) decide(now time.Duration, to replyTo, m *contract.JobSubmit) *contract.JobReply {
+// match returns the queue that takes the path and what follows its prefix, or
+// the answer where this hub can't tell or there is none.
+func (h *Hub) match(now time.Duration, host, path string) (*contract.Queue, string, *contract.JobReply) {
 	if !h.leads(now) {
-		return &contract.JobReply{Verdict: contract.VerdictNotLeader}
+		return nil, "", &contract.JobReply{Verdict: contract.VerdictNotLeader}
 	}
 	if h.state.Tables.Version == 0 {
-		return &contract.JobReply{Verdict: contract.VerdictUnready, Reason: "no tables yet"}
+		return nil, "", &contract.JobReply{Verdict: contract.VerdictUnready, Reason: "no tables yet"}
 	}
-	q, rest := h.state.Match(m.Host, m.Path)
+	q, rest := h.state.Match(host, path)
 	if q == nil {
-		return &contract.JobReply{Verdict: contract.VerdictNoQueue}
+		return nil, "", &contract.JobReply{Verdict: contract.VerdictNoQueue}
+	}
+	return q, rest, nil
+}
+
+// decide returns the answer, or nil when it is to come once the job is stored.
+func (h *Hub) decide(now time.Duration, to replyTo, m *contract.JobSubmit) *contract.JobReply {
+	q, rest, refusal := h.match(now, m.Host, m.Path)
+	if refusal != nil {
+		return refusal
 	}
 	id := contract.DurableJobID(rest)
 	if h.state.Jobs[id] != nil {
@@ -254,15 +264,9 @@
 }
 
 func (h *Hub) answer(now time.Duration, to replyTo, m *contract.JobQuery) *contract.JobReply {
-	if !h.leads(now) {
-		return &contract.JobReply{Verdict: contract.VerdictNotLeader}
-	}
-	if h.state.Tables.Version == 0 {
-		return &contract.JobReply{Verdict: contract.VerdictUnready, Reason: "no tables yet"}
-	}
-	q, rest := h.state.Match(m.Host, m.Path)
-	if q == nil {
-		return &contract.JobReply{Verdict: contract.VerdictNoQueue}
+	q, rest, refusal := h.match(now, m.Host, m.Path)
+	if refusal != nil {
+		return refusal
 	}
 	if rest == "" && m.Action == contract.JobRead {
 		return &contract.JobReply{Verdict: contract.VerdictWaiting, Waiting: h.lead.sched.Waiting(q.Name)}
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -169,10 +169,10 @@
 // join asks to be let into the group while no leader is heard: a hub that is
 // new, lost its disk, or was replaced while it was away.
 func (h *Hub) join(now time.Duration) {
-	if h.node.Role() == consensus.Leader || h.node.HeardAt()+joinAfter > now || now-h.heardAt < askEvery {
+	if h.node.Role() == consensus.Leader || h.node.HeardAt()+joinAfter > now || now-h.joinAsked < askEvery {
 		return
 	}
-	h.heardAt = now
+	h.joinAsked = now
 	for _, p := range h.peers {
 		if l := p.dialer.Link(); l != nil {
 			if err := l.Send(&contract.JoinLog{Member: h.self}); err != nil {
--- a/internal/ringlog/ringlog.go
+++ b/internal/ringlog/ringlog.go
@@ -19,7 +19,7 @@
 // Writer is an io.Writer that never blocks on its output.
 type Writer struct {
 	out io.Writer
-	// dropped is called for each line dropped; it may be nil.
+	// onDrop is called for each line dropped; it may be nil.
 	onDrop func()
 
 	mu      sync.Mutex // guards all below
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -17,16 +17,16 @@
 // start soonest; jobs that are past help fill what is left.
 func (s *Scheduler) Place(now time.Duration) {
 	s.demote(now)
-	misses := s.placeList(now, &s.viable, 0)
+	misses := s.placeList(now, &s.viable)
 	if len(s.late) > 0 && misses == 0 && s.spare() {
-		s.placeList(now, &s.late, misses)
+		s.placeList(now, &s.late)
 	}
 }
 
 // placeList places the jobs of one list in their order; it returns how many
 // were tried in vain.
-func (s *Scheduler) placeList(now time.Duration, list *jobList, misses int) int {
-	placed := 0
+func (s *Scheduler) placeList(now time.Duration, list *jobList) int {
+	placed, misses := 0, 0
 	for _, j := range *list {
 		if misses >= maxMisses {
 			break
