Learn of a worker and its clock at once after a restart of all processes

Two waits stood behind that: a restarted hub told no agent of its worker until a leader had committed, so agents waited for the next heartbeat (up to 1.5 s); and the lease that the earlier agent may have left was counted from the first call with a fencing token, and at its longest length.

Change: a hub that starts tells agents the workers that its stored entries name, committed or not (the worker's answers show whether it is still that one), and a new leader tells all. An agent reads the worker's clock before a leader is known, from the refusal of a call without a token, and counts the lease from there, at the longest that an agent of this system asks for.

Ruled out: noting the ends of before without waiting for the lapse (they would count for good, and a job that its caller sends again would run twice).

--- a/hub/hub.go
+++ b/hub/hub.go
@@ -83,6 +83,9 @@
 	store  *store
 	disk   *diskWriter
 	state  *durable.State
+	// stored are the workers that entries on the disk name which are not known
+	// to be committed: good enough to tell an agent where to look.
+	stored map[contract.HostID]contract.WorkerAnnouncement
 	self   contract.LogMember
 	// syncing counts work that the disk has not done yet.
 	syncing    int
@@ -172,6 +175,7 @@
 	h := &Hub{
 		cfg: cfg, log: cfg.Log, events: make(chan func(), 4096), store: store, state: state,
 		self:    contract.LogMember{Addr: cfg.Addr, Disk: store.disk},
+		stored:  storedWorkers(cfg.Log, stored.Entries),
 		peers:   map[string]*peer{},
 		inbound: map[*link.Link]bool{},
 		formed:  map[string]contract.DiskReply{},
@@ -184,6 +188,25 @@
 	return h, nil
 }
 
+// storedWorkers returns the workers that the entries name.
+func storedWorkers(log logr.Logger, entries []contract.LogEntry) map[contract.HostID]contract.WorkerAnnouncement {
+	out := map[contract.HostID]contract.WorkerAnnouncement{}
+	for _, e := range entries {
+		if len(e.Data) == 0 {
+			continue
+		}
+		b, err := durable.DecodeBatch(e.Data)
+		if err != nil {
+			log.Error(err, "a stored log entry can't be read: run one version on all hubs", "index", e.Index)
+			continue
+		}
+		for _, seen := range b.AgentsSeen {
+			out[seen.Host] = seen.Worker
+		}
+	}
+	return out
+}
+
 func (h *Hub) hello() contract.Hello {
 	return contract.Hello{Host: h.cfg.Host, Incarnation: contract.NewIncarnation(), Roles: []contract.Role{contract.RoleControl}}
 }
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -62,6 +62,9 @@
 		for host := range h.state.Agents {
 			h.lead.agents[host] = &agent{host: host, echoed: now, away: true, known: true}
 		}
+		for l := range h.inbound {
+			h.tellWorker(l)
+		}
 		h.log.Info("leadership taken", "term", h.node.Term(), "jobs", len(h.state.Jobs), "agents", len(h.state.Agents))
 	}
 }
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -268,9 +268,14 @@
 	})
 }
 
-// tellWorker tells an agent which worker it had.
+// tellWorker tells an agent which worker it had. A hub that has just started
+// does so before it knows what is committed: the worker's own answers show
+// whether that is still true.
 func (h *Hub) tellWorker(l *link.Link) {
 	w, ok := h.state.Agents[l.Remote().Host]
+	if !ok {
+		w, ok = h.stored[l.Remote().Host]
+	}
 	if !ok || w.ID == "" {
 		return
 	}
--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -517,3 +518,89 @@
 	}
 	return logr.FromSlogHandler(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: slog.LevelDebug})).WithValues("host", name)
 }
+
+// idleWorker runs nothing. It refuses calls without a fencing token, lists one
+// end of before, and its clock stands still but for what the test says.
+type idleWorker struct {
+	clock  atomic.Int64
+	fenced atomic.Bool
+}
+
+func (w *idleWorker) Start(context.Context, steward.StartCall) (steward.Refusal, error) {
+	return steward.RefusedRoom, nil
+}
+
+func (w *idleWorker) Stop(context.Context, steward.NamedRun, uint64) error { return nil }
+
+func (w *idleWorker) Hold(_ context.Context, c steward.HoldCall) (steward.Held, error) {
+	held := steward.Held{Clock: w.clock.Load()}
+	if c.Token == 0 {
+		w.fenced.Store(true)
+		return held, steward.ErrFenced
+	}
+	if c.Seen == 0 {
+		held.Ended = []steward.EndedRun{{NamedRun: steward.NamedRun{Name: "old.0.0.0", Run: 1}, Seq: 1, How: contract.EndDone}}
+	}
+	return held, nil
+}
+
+func (w *idleWorker) Close() {}
+
+// TestAgentWaitsOutALeaseBeforeALeaderIsKnown replays a restart of all
+// processes: the lease that an earlier agent left is waited out by the worker's
+// clock while the hubs elect their leader, not after that.
+func TestAgentWaitsOutALeaseBeforeALeaderIsKnown(t *testing.T) {
+	s := newSystem(t, 3)
+	s.putTables(1)
+	w := &idleWorker{}
+	w.clock.Store(1000)
+	var reachable atomic.Bool
+	up := s.uplink("w1", contract.RoleAgent)
+	up.Seeds = func() []string {
+		if reachable.Load() {
+			return s.addrs
+		}
+		return nil
+	}
+	st := steward.New(steward.Config{
+		Uplink: up, Lease: leasedworker.MaxLease * 9 / 10, MaxLease: leasedworker.MaxLease,
+		Authority: AgentAuthority, Connect: func(contract.WorkerAnnouncement) steward.Worker { return w },
+	})
+	s.agents["w1"] = s.start(st.Run)
+	s.eventually("the worker's clock is read without a leader", func() bool {
+		st.Announce(contract.WorkerAnnouncement{ID: "w1", Born: 1, Seq: 1, Addr: "w1", Pool: testPool, Capacity: contract.Capacity{MilliCPU: 1000, MemoryMB: 1000}})
+		return w.fenced.Load()
+	})
+	w.clock.Store(1000 + AgentAuthority.Milliseconds() + 100)
+	reachable.Store(true)
+	s.eventually("the worker takes work", func() bool {
+		m := testJob("fits", 1, 1)
+		m.Transient = true
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		a := s.gw.Ask(ctx, m)
+		return a.Reached && !a.Answered
+	})
+}
+
+// TestRestartedHubTellsAgentsTheirWorkers replays a restart of all processes
+// right after the hubs: an agent learns of its worker from what is stored,
+// without waiting for a heartbeat.
+func TestRestartedHubTellsAgentsTheirWorkers(t *testing.T) {
+	s := newSystem(t, 3, "w1")
+	s.putTables(1)
+	s.accept(testJob("a", 1, 1))
+	s.completes("a")
+	s.workers["w1"].Leave()
+	s.agents["w1"].stop()
+	delete(s.agents, "w1")
+	for i := range s.hubs {
+		s.stopHub(i)
+	}
+	s.startAgent("w1")
+	// Two of three: the third's log can't have been needed.
+	s.restartHub(0)
+	s.restartHub(1)
+	s.accept(testJob("b", 1, 1))
+	s.completes("b")
+}
--- a/internal/leasedworker/leasedworker.go
+++ b/internal/leasedworker/leasedworker.go
@@ -313,7 +313,7 @@
 	w.mu.Lock()
 	if c.Token < w.token {
 		w.mu.Unlock()
-		return steward.Held{}, steward.ErrFenced
+		return steward.Held{Clock: w.clock()}, steward.ErrFenced
 	}
 	w.token = c.Token
 	if c.Deadline > 0 {
--- a/steward/life.go
+++ b/steward/life.go
@@ -21,6 +21,9 @@
 	pollEvery = 4 * time.Millisecond
 	// retryEvery is the wait after a call that failed.
 	retryEvery = 20 * time.Millisecond
+	// clockSlack is added to the end of a lease by the worker's own clock, of
+	// which an estimate may be a few milliseconds behind.
+	clockSlack = 20 * time.Millisecond
 	// lapseSlack is added to the end of a lease for late timers and the stop.
 	lapseSlack = 100 * time.Millisecond
 	// clockError is how much slower the worker's clock may run, as 1 in this.
@@ -189,12 +192,13 @@
 	}
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
-	if l.attempted == 0 {
-		l.attempted = held.Clock + l.s.cfg.MaxLease.Milliseconds()
-	}
-	return held.Clock > l.attempted+lapseSlack.Milliseconds()
+	return held.Clock > l.attempted+clockSlack.Milliseconds()
 }
 
+// longestLease is the latest end of a lease that an earlier process may have
+// left behind, after its own end.
+func (l *life) longestLease() time.Duration { return min(l.s.cfg.Lease, l.s.cfg.Authority) }
+
 func (l *life) notedSoFar() uint64 {
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
@@ -221,23 +225,28 @@
 	return true
 }
 
-// look calls the worker with the present fencing token.
+// look calls the worker with the present fencing token. Before a leader is
+// known there is none: the refusal of such a call still tells the worker's
+// clock.
 func (l *life) look(c HoldCall) (Held, error) {
 	l.s.mu.Lock()
 	c.Token = l.s.term
-	known := l.s.term > 0
 	l.s.mu.Unlock()
-	if !known {
-		return Held{}, ErrFenced
-	}
 	ctx, cancel := context.WithTimeout(l.ctx, c.Wait+callTimeout)
 	defer cancel()
 	held, err := l.calls.Hold(ctx, c)
-	if err == nil {
+	if err == nil || errors.Is(err, ErrFenced) && held.Clock > 0 {
 		l.s.mu.Lock()
 		l.setClock(held.Clock)
+		if l.attempted == 0 {
+			l.attempted = held.Clock + l.longestLease().Milliseconds()
+		}
 		l.s.mu.Unlock()
-	} else {
+	}
+	if err == nil && c.Token == 0 {
+		err = ErrNoLeader
+	}
+	if err != nil {
 		l.s.log.V(1).Info("worker not held", "worker", l.id, "err", err)
 	}
 	return held, err
--- a/steward/worker.go
+++ b/steward/worker.go
@@ -41,6 +41,8 @@
 	ErrOtherLife = errors.New("another life of the worker answered: wait for its announcement")
 	// ErrFenced says that the worker has seen a higher fencing token.
 	ErrFenced = errors.New("the worker has seen a higher fencing token: wait for the next leader")
+	// ErrNoLeader says that no leader is known, so that nothing may be ordered.
+	ErrNoLeader = errors.New("no leader is known: check that a majority of the control hosts can be reached")
 	// ErrNotListening says that no process listens at the worker's address.
 	ErrNotListening = errors.New("no worker listens at the address: it has ended")
 )
@@ -94,6 +96,7 @@
 	Start(context.Context, StartCall) (Refusal, error)
 	// Stop ends a run, and bars it where it is not there yet.
 	Stop(ctx context.Context, r NamedRun, token uint64) error
+	// Hold returns the worker's clock with ErrFenced too.
 	Hold(context.Context, HoldCall) (Held, error)
 	// Close drops the connections.
 	Close()
