Admit by a forecast of starts; let runs taken over say nothing of speed

Changes: a forecast plays forward what running tasks will free and starts the waiting jobs in their order (slots of 5 ms), with the jobs of the first priority that will come meanwhile. A job is refused that would start too late, or make one of its own rank late that would not be late without it. Ranks: the first priority goes before all others; these share by their latest start. Runs taken over count neither as best time nor as slow; at most a third of a pool is suspected for being slow.

Tests: TestTakenOverRunsSayNothingOfSpeed, TestMostOfAPoolIsNotSlow, both failed before.

--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -27,9 +27,6 @@
 	// attachTime is how long the agents may take to attach to a new leader:
 	// until then, no workers means that none is known yet.
 	attachTime = time.Second
-	// usableShare of the pool's processors does work: the rest waits for the
-	// next start or is too small for a task.
-	usableShare = 0.92
 )
 
 // Admit decides whether to take a job. Load pattern: more work comes than the
@@ -52,10 +49,12 @@
 		return s.admitLate(now, j)
 	}
 	if len(s.viable) == 0 && s.hasRoomFor(j) {
+		s.took(now, j)
 		return Admission{OK: true}
 	}
-	wait, reason := s.predict(now, j, usableShare*float64(room))
+	wait, reason := s.predict(now, j)
 	if reason == "" {
+		s.took(now, j)
 		return Admission{OK: true, Wait: wait}
 	}
 	return Admission{RetryAfter: wait, Wait: wait, Reason: reason}
@@ -63,7 +62,7 @@
 
 // marginShare of the time that a job may wait is kept for the error of its
 // declared times.
-const marginShare = 0.4
+const marginShare = 0.1
 
 func (j *job) margin() time.Duration {
 	return time.Duration(marginShare * float64(j.latestStart-j.arrived))
@@ -81,30 +80,28 @@
 // HopelessRetry is when to come back after the work ahead took too long.
 const HopelessRetry = time.Second
 
-// predict walks the jobs in the order in which they start, with the new one
-// among them, and adds up their work at the rate of the pool. It returns how
-// long the new one would wait, and why it has to be refused.
-func (s *Scheduler) predict(now time.Duration, j *job, rate float64) (time.Duration, string) {
-	var ahead float64
-	var wait time.Duration
+// predict starts the waiting jobs in their order, with the new one among them.
+// It returns how long the new one would wait, and why it has to be refused.
+func (s *Scheduler) predict(now time.Duration, j *job) (time.Duration, string) {
+	f := s.forecast(now, j.Pool, j.rank)
 	at, _ := s.viable.search(j)
-	for i := 0; i <= len(s.viable); i++ {
-		if i == at {
-			ahead += s.ownWork(j)
-			if wait = time.Duration(ahead / rate); now+wait > j.latestStart-j.margin() {
-				return wait, "the work ahead takes too long"
-			}
+	for _, o := range s.viable[:at] {
+		if o.Pool == j.Pool {
+			s.startJob(&f, o)
 		}
-		if i == len(s.viable) {
-			break
-		}
-		o := s.viable[i]
+	}
+	without := f
+	wait := s.startJob(&f, j)
+	if now+wait > j.latestStart-j.margin() {
+		return wait, "the work ahead takes too long"
+	}
+	for _, o := range s.viable[at:] {
 		if o.Pool != j.Pool {
 			continue
 		}
-		ahead += s.waitingWork(o)
-		if i >= at && !o.begun && now+time.Duration(ahead/rate) > o.latestStart-o.margin() && o.latestStart-o.margin() > now {
-			return time.Duration(ahead / rate), "a job taken before would end too late"
+		before, after := s.startJob(&without, o), s.startJob(&f, o)
+		if o.rank == j.rank && !o.begun && now+after > o.latestStart && now+before <= o.latestStart {
+			return after, "a job taken before would end too late"
 		}
 	}
 	return wait, ""
@@ -149,27 +146,3 @@
 	}
 	return need <= free
 }
-
-func (s *Scheduler) ownWork(j *job) float64 {
-	work := 0.0
-	for step, st := range j.Steps {
-		work += float64(s.expected(j, step)) * float64(st.Count*st.Need.MilliCPU)
-	}
-	return work
-}
-
-// waitingWork returns the work of the job's waiting tasks, in nanoseconds of a
-// thousandth of a processor.
-func (s *Scheduler) waitingWork(j *job) float64 {
-	work, t := 0.0, 0
-	for step := range j.Steps {
-		each := float64(s.expected(j, step)) * float64(j.Steps[step].Need.MilliCPU)
-		for range j.Steps[step].Count {
-			if j.tasks[t].phase == phaseWaiting {
-				work += each
-			}
-			t++
-		}
-	}
-	return work
-}
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -56,4 +56,5 @@
 	}
 	j.objective = time.Duration(float64(j.estimate)*j.Slack) + j.Target
 	j.latestStart = j.arrived + j.objective - j.estimate - orderOverhead
+	j.rank = rankOf(&j.DurableJob)
 }
--- /dev/null
+++ b/schedule/forecast.go
@@ -0,0 +1,140 @@
+package schedule
+
+import (
+	"time"
+)
+
+const (
+	// slotTime is the resolution of a forecast: a short task takes ten slots.
+	slotTime = 5 * time.Millisecond
+	// forecastSlots bound a forecast: no job waits longer than this for an
+	// answer that is of use.
+	forecastSlots = 400
+	// forecastKept is how long what running tasks will free is not counted
+	// anew.
+	forecastKept = 5 * time.Millisecond
+	// overdueShare of a task's expected time is what one is given that has
+	// taken longer already.
+	overdueShare = 0.25
+	// packedShare of a worker's processors can be used: the rest is too small
+	// for the next task.
+	packedShare = 0.96
+)
+
+// forecast is what processors of a pool are free, now and as running tasks end,
+// in thousandths. Load pattern: more work waits than fits. Whether a job can
+// still start in time depends on when the tasks that run now end, and on what
+// goes before it; the amount of work alone says little, since a few long tasks
+// hold as much work as many short ones.
+type forecast struct {
+	free  float64
+	freed [forecastSlots]float64
+	// above is the rate in each slot at which jobs come that go first, and for
+	// how many slots their tasks run.
+	above      float64
+	aboveSlots int
+	slot       int
+}
+
+// running caches what the running tasks of a pool will free.
+type running struct {
+	at    time.Duration
+	freed [forecastSlots]float64
+}
+
+// forecast returns the forecast for jobs of the pool with the rank.
+func (s *Scheduler) forecast(now time.Duration, pool string, rank int) forecast {
+	f := forecast{freed: s.runningOf(now, pool).freed}
+	for _, w := range s.order {
+		if w.Pool == pool && w.sound() {
+			f.free += packedShare*float64(w.cap.MilliCPU) - float64(w.used.MilliCPU)
+		}
+	}
+	cpu, work := s.demandAbove(now, pool, rank)
+	if cpu > 0 {
+		f.above = cpu * slotTime.Seconds()
+		f.aboveSlots = slots(time.Duration(work / cpu * float64(time.Second)))
+	}
+	return f
+}
+
+func (s *Scheduler) runningOf(now time.Duration, pool string) *running {
+	r := s.running[pool]
+	if r == nil {
+		r = &running{at: now - 2*forecastKept}
+		s.running[pool] = r
+	}
+	if now-r.at < forecastKept {
+		return r
+	}
+	*r = running{at: now}
+	for _, w := range s.order {
+		if w.Pool != pool || !w.sound() {
+			continue
+		}
+		for _, x := range w.runs {
+			left := max(x.placed+x.expected-now, time.Duration(overdueShare*float64(x.expected)))
+			if at := slots(left); at < forecastSlots {
+				r.freed[at] += float64(x.need.MilliCPU)
+			}
+		}
+	}
+	return r
+}
+
+func slots(d time.Duration) int { return max(1, int(d/slotTime)) }
+
+// advance lets a slot pass; false at the end of the forecast.
+func (f *forecast) advance() bool {
+	if f.slot++; f.slot >= forecastSlots {
+		return false
+	}
+	f.free += f.freed[f.slot]
+	if f.above > 0 {
+		f.take(f.above, f.aboveSlots)
+	}
+	return true
+}
+
+func (f *forecast) take(need float64, slots int) {
+	f.free -= need
+	if end := f.slot + slots; end < forecastSlots {
+		f.freed[end] += need
+	}
+}
+
+// start starts count equal tasks as room comes; false when the forecast ends
+// before.
+func (f *forecast) start(count int, need float64, slots int) bool {
+	for count > 0 {
+		if n := min(count, int(f.free/max(need, 1))); n > 0 {
+			f.take(float64(n)*need, slots)
+			count -= n
+			continue
+		}
+		if !f.advance() {
+			return false
+		}
+	}
+	return true
+}
+
+// startJob starts the waiting tasks of a job and returns when the last of them
+// starts, from now.
+func (s *Scheduler) startJob(f *forecast, j *job) time.Duration {
+	t := 0
+	for step := range j.Steps {
+		st := &j.Steps[step]
+		count := 0
+		for range st.Count {
+			if len(j.tasks) == 0 && len(st.After) == 0 || len(j.tasks) > 0 && j.tasks[t].phase == phaseWaiting {
+				count++
+			}
+			t++
+		}
+		if !f.start(count, float64(st.Need.MilliCPU), slots(s.expected(j, step))) {
+			return forecastSlots * slotTime
+		}
+	}
+	return time.Duration(f.slot) * slotTime
+}
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -19,6 +21,8 @@
 	failures int
 	// overdue counts runs that take far longer than they should.
 	overdue int
+	// tolerated says that the worker is not suspected for being slow.
+	tolerated bool
 	// nextProbe is when a suspected worker may be tried again.
 	nextProbe time.Duration
 	backoff   time.Duration
@@ -58,8 +62,41 @@
 
 // suspect reports whether the worker gets one task at a time.
 func (h *health) suspect() bool {
-	return h.failures >= suspectFailures || h.overdue > 0 ||
-		h.samples >= slownessSamples && h.slowness > suspectSlowness
+	return h.failures >= suspectFailures || h.slow() && !h.tolerated
+}
+
+func (h *health) slow() bool {
+	return h.overdue > 0 || h.samples >= slownessSamples && h.slowness > suspectSlowness
+}
+
+// maxSlowShare of a pool's workers may be suspected for being slow. Where more
+// look so, something that all feel is behind it, and a pool of suspects would
+// stand still.
+const maxSlowShare = 1.0 / 3
+
+// tolerate finds the workers of each pool that are suspected for being slow:
+// the worst ones, up to their share.
+func (s *Scheduler) tolerate() {
+	slow := map[string][]*Worker{}
+	all := map[string]int{}
+	for _, w := range s.order {
+		w.tolerated = false
+		if !w.usable || w.away {
+			continue
+		}
+		all[w.Pool]++
+		if w.slow() {
+			slow[w.Pool] = append(slow[w.Pool], w)
+		}
+	}
+	for pool, ws := range slow {
+		slices.SortStableFunc(ws, func(a, b *Worker) int {
+			return cmp.Or(cmp.Compare(b.overdue, a.overdue), cmp.Compare(b.slowness, a.slowness))
+		})
+		for _, w := range ws[min(len(ws), max(1, int(maxSlowShare*float64(all[pool])))):] {
+			w.tolerated = true
+		}
+	}
 }
 
 // pace is the learned slowness, in steps of a tenth.
@@ -95,6 +132,9 @@
 	case e.How == contract.EndDone:
 		w.failures = 0
 		w.backoff = minProbe
+		if r.takenOver {
+			break
+		}
 		s.compare(now-r.placed, w, s.jobs[e.Job])
 		if r.expected > 0 {
 			s.learn(r.queue, float64(now-r.placed)/float64(r.expected), w)
@@ -143,10 +183,11 @@
 			}
 		}
 	}
+	s.tolerate()
 }
 
 func (s *Scheduler) isOverdue(now time.Duration, w *Worker, j *job, r *run) bool {
-	if j.best > 0 && j.bestWorker != w.Host {
+	if j.best > 0 && j.bestWorker != w.Host && !r.takenOver {
 		return now-r.placed > overdueFactor*j.best+overdueSlack
 	}
 	return r.expected > 0 && now-r.placed > blindFactor*r.expected+blindSlack
--- a/schedule/joblist.go
+++ b/schedule/joblist.go
@@ -5,12 +5,15 @@
 	"time"
 )
 
-// jobList holds jobs with waiting tasks by the time at which they must start.
+// jobList holds jobs with waiting tasks by rank, and by the time at which they
+// must start.
 type jobList []*job
 
 func (l *jobList) search(j *job) (int, bool) {
 	return slices.BinarySearchFunc(*l, j, func(a, b *job) int {
 		switch {
+		case a.rank != b.rank:
+			return a.rank - b.rank
 		case a.latestStart != b.latestStart:
 			return int(min(max(a.latestStart-b.latestStart, -1), 1))
 		case a.ID < b.ID:
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -58,6 +58,8 @@
 	objective time.Duration
 	// latestStart is when the job must start to meet its objective.
 	latestStart time.Duration
+	// rank orders the jobs before their latest start does; 0 goes first.
+	rank int
 }
 
 // Order is one decision for a worker.
@@ -80,6 +82,9 @@
 	viable  jobList
 	late    jobList
 	queues  map[string]*queueStats
+	// demands are how much work of each rank came and was taken lately.
+	demands map[demandKey]*demand
+	running map[string]*running
 	orders  []Order
 	// orphans are ends of jobs that are not known, oldest first.
 	orphans []orphan
@@ -97,6 +102,8 @@
 		jobs:    map[contract.DurableJobID]*job{},
 		workers: map[contract.HostID]*Worker{},
 		queues:  map[string]*queueStats{},
+		demands: map[demandKey]*demand{},
+		running: map[string]*running{},
 		holding: true,
 	}
 	for _, j := range s.Jobs {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -305,3 +305,53 @@
 	large := testJob("large", step(1, 11, 100))
 	must.True(t, b.sch.Admit(b.now, b.now, &large).Never)
 }
+
+// TestTakenOverRunsSayNothingOfSpeed replays a change of leader: it is not known
+// how long the runs that agents report have run, so that a short rest of one
+// must not make its siblings on other workers look slow or overdue.
+func TestTakenOverRunsSayNothingOfSpeed(t *testing.T) {
+	b := newBed(t)
+	d := testJob("old", step(6, 10, 200))
+	for n, host := range []string{"a", "b", "c"} {
+		var running []contract.HeldRun
+		for i := range 2 {
+			ref := contract.RunRef{Job: "old", Task: uint32(2*n + i), Run: uint64(2*n + i + 1)}
+			running = append(running, contract.HeldRun{RunRef: ref, Need: contract.Demand{MilliCPU: 10}})
+		}
+		b.worker(host, 100, running...)
+	}
+	b.sch.Transient(durable.NewJob(&d, 0), b.now, true)
+	for n, host := range []contract.HostID{"a", "b", "c"} {
+		b.now += 80 * ms
+		b.sch.Check(b.now)
+		for i := range 2 {
+			ref := contract.RunRef{Job: "old", Task: uint32(2*n + i), Run: uint64(2*n + i + 1)}
+			b.sch.Ended(b.now, host, contract.RunEnded{RunRef: ref, Seq: uint64(i + 1), How: contract.EndDone})
+		}
+	}
+	must.SliceEmpty(t, b.place(), must.Sprint("a run was stopped"))
+	for _, w := range b.sch.order {
+		must.Zero(t, w.samples, must.Sprint(w.Host))
+	}
+}
+
+// TestMostOfAPoolIsNotSlow replays a disturbance that all workers feel: where
+// more than a third look slow, the comparison is at fault, and the pool would
+// stand still. Workers that fail what they start are another matter.
+func TestMostOfAPoolIsNotSlow(t *testing.T) {
+	b := newBed(t)
+	for i := range 6 {
+		b.worker(fmt.Sprint("w", i), 100)
+	}
+	for _, w := range b.sch.order[:5] {
+		w.samples, w.slowness = 2*slownessSamples, 3
+	}
+	b.sch.Check(b.now)
+	b.submit(testJob("j", step(40, 10, 100)))
+	must.Len(t, 40, b.place())
+	for _, w := range b.sch.order {
+		w.failures = suspectFailures
+	}
+	b.sch.Check(b.now)
+	must.Eq(t, 6, b.sch.Summaries()[0].Suspects)
+}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -16,6 +16,9 @@
 	expected time.Duration
 	queue    string
 	stopping bool
+	// takenOver runs were ordered by an earlier leader, at a time that is not
+	// known: placed is when the agent reported them.
+	takenOver bool
 	// stray runs belong to no job under way, as far as this leader knows yet.
 	stray bool
 }
@@ -81,7 +84,7 @@
 	for _, h := range running {
 		listed[h.RunRef] = true
 		if w.runs[h.RunRef] == nil {
-			s.hold(w, h.RunRef, &run{need: h.Need, placed: now, stray: true})
+			s.hold(w, h.RunRef, &run{need: h.Need, placed: now, takenOver: true, stray: true})
 			if j := s.jobs[h.Job]; j != nil {
 				s.link(j, w, h.RunRef)
 			}
