Look up a start without an answer before it is stopped; shorter waits for lists

A lost answer to a call for lists hid all ends for up to 350 ms.

Change: the agent asks the worker for its list first; a run that is listed goes on, any other is barred as before. Calls for lists wait 100 ms and are given up 100 ms later.

--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -400,6 +400,17 @@
 	}
 }
 
+// TestLostAnswerCostsNoRun: a run that started is found in the worker's list,
+// and goes on.
+func TestLostAnswerCostsNoRun(t *testing.T) {
+	s := newSystem(t, 3, "w1")
+	s.putTables(1)
+	s.workers["w1"].SetMode(leasedworker.Mode{LoseAnswers: true})
+	s.accept(testJob("a", 6, 300))
+	s.completes("a")
+	must.Eq(t, 6, s.ledger.Starts())
+}
+
 // TestWorkerThatGoesDark: its runs go on until the lease has run out, and only
 // then start elsewhere.
 func TestWorkerThatGoesDark(t *testing.T) {
--- a/internal/leasedworker/leasedworker.go
+++ b/internal/leasedworker/leasedworker.go
@@ -31,6 +31,7 @@
 	mu      sync.Mutex // guards all below
 	running map[string]string
 	done    map[string]int
+	starts  int
 	faults  []string
 }
 
@@ -49,6 +50,14 @@
 		l.faults = append(l.faults, task+" was started again after it was noted as done")
 	}
 	l.running[task] = worker
+	l.starts++
+}
+
+// Starts returns how many runs were started.
+func (l *Ledger) Starts() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.starts
 }
 
 func (l *Ledger) ended(task string) {
--- a/steward/life.go
+++ b/steward/life.go
@@ -13,8 +13,11 @@
 const (
 	// holdWait is how long a call to the worker may wait for an end; it must
 	// leave time for two more calls within a lease.
-	holdWait = 150 * time.Millisecond
-	// callTimeout bounds a call to the worker, which is on this machine.
+	holdWait = 100 * time.Millisecond
+	// holdTimeout bounds a call for lists beyond its wait: no end is seen while
+	// an answer that was lost is waited for.
+	holdTimeout = 100 * time.Millisecond
+	// callTimeout bounds an order to the worker, which is on this machine.
 	callTimeout = 200 * time.Millisecond
 	// pollEvery is the wait between two looks while ends are not noted yet:
 	// the worker answers at once then.
@@ -232,7 +235,7 @@
 	l.s.mu.Lock()
 	c.Token = l.s.term
 	l.s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(l.ctx, c.Wait+callTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, c.Wait+holdTimeout)
 	defer cancel()
 	held, err := l.calls.Hold(ctx, c)
 	if err == nil || errors.Is(err, ErrFenced) && held.Clock > 0 {
--- a/steward/runs.go
+++ b/steward/runs.go
@@ -30,10 +30,7 @@
 	if err != nil {
 		telemetry.StartsUnanswered.Inc()
 		l.s.log.Info("start without an answer", "name", name.Name, "run", name.Run, "worker", l.id, "err", err)
-		// A list may have shown meanwhile that it runs.
-		if r == nil || r.phase == phaseStarting {
-			l.bar(name)
-		}
+		l.settleStart(name)
 		return
 	}
 	if r == nil {
@@ -51,6 +48,29 @@
 	l.s.notStarted(r.ref, refused == RefusedUnhealthy)
 }
 
+// settleStart finds out what came of a start without an answer. The run goes on
+// where the worker lists it; else it is barred, since the start may still be
+// carried out. The lock is held, but for the call.
+func (l *life) settleStart(name NamedRun) {
+	if r := l.runs[name]; r != nil && r.phase == phaseStarting && !r.stopping {
+		seen := l.noted
+		l.s.mu.Unlock()
+		held, err := l.look(HoldCall{Seen: seen})
+		l.s.mu.Lock()
+		if err == nil && held.lists(name) {
+			l.s.log.Info("started all the same", "name", name.Name, "run", name.Run, "worker", l.id)
+			if r.phase == phaseStarting {
+				r.phase = phaseRunning
+			}
+			return
+		}
+	}
+	// A list may have shown meanwhile that it runs.
+	if r := l.runs[name]; r == nil || r.phase == phaseStarting {
+		l.bar(name)
+	}
+}
+
 // stop carries out an order to stop. The lock is held.
 func (l *life) stop(ref contract.RunRef) {
 	for i, st := range l.pending {
--- a/steward/worker.go
+++ b/steward/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -90,6 +91,12 @@
 	Ended   []EndedRun
 }
 
+// lists reports whether the run is among those that run or have ended.
+func (h *Held) lists(name NamedRun) bool {
+	return slices.Contains(h.Running, name) ||
+		slices.ContainsFunc(h.Ended, func(e EndedRun) bool { return e.NamedRun == name })
+}
+
 // Worker is one life of a worker. It keeps the highest fencing token that it
 // has seen and does nothing for a lower one.
 type Worker interface {
