Give up late jobs by the forecast; refuse truthfully after a hub that does not lead

Changes: a reply that a hub does not lead leaves a request new; how long its caller has waited goes with each submission. After a second without a leader requests are refused at once. Late jobs are played forward behind the others, and given up as soon as nothing will be left for them in time.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,7 +27,8 @@
 	mu sync.Mutex // guards all below
 	// changed is closed when the leader changes.
 	changed chan struct{}
-	// lostAt is when the last leader was lost; zero while there is one.
+	// lostAt is when the last leader was lost, or the process started; zero
+	// while there is a leader.
 	lostAt   time.Duration
 	hadOne   bool
 	draining bool
@@ -35,7 +36,7 @@
 
 // New returns a gateway; Run starts it.
 func New(cfg uplink.Config) *Gateway {
-	g := &Gateway{log: cfg.Log, changed: make(chan struct{})}
+	g := &Gateway{log: cfg.Log, changed: make(chan struct{}), lostAt: boottime.Now()}
 	g.up = uplink.New(cfg, g)
 	return g
 }
@@ -77,7 +78,8 @@
 // Answer is what came of a request.
 type Answer struct {
 	contract.JobReply
-	// Reached is false when no hub was asked: nothing was done.
+	// Reached is false when no hub can have taken the request: none was asked,
+	// or each said that it does not lead.
 	Reached bool
 	// Answered is false when a hub was asked and no answer came in time.
 	Answered bool
@@ -94,17 +96,16 @@
 		changed := g.changed
 		g.mu.Unlock()
 		if l, _ := g.up.Leader(); l != nil {
-			if sub, ok := m.(*contract.JobSubmit); ok && a.Reached {
-				again := *sub
-				again.Again = true
-				again.Age = boottime.Now() - began
-				m = &again
-			}
-			a.Reached = true
-			if r := g.askOne(ctx, l, m, changed); r != nil && r.Verdict != contract.VerdictNotLeader {
+			r := g.askOne(ctx, l, aged(m, a.Reached, boottime.Now()-began), changed)
+			switch {
+			case r == nil:
+				a.Reached = true
+			case r.Verdict != contract.VerdictNotLeader:
 				a.JobReply, a.Answered = *r, true
 				return a
 			}
+		} else if !a.Reached && g.leaderless() > leaderWait {
+			return a
 		}
 		select {
 		case <-ctx.Done():
@@ -115,6 +116,33 @@
 	}
 }
 
+// leaderWait is how long there must have been no leader before requests are
+// refused at once: a change of leader takes half a second, the return of all
+// processes under one.
+const leaderWait = time.Second
+
+// leaderless returns how long there has been no leader.
+func (g *Gateway) leaderless() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lostAt == 0 {
+		return 0
+	}
+	return boottime.Now() - g.lostAt
+}
+
+// aged returns the message with how long its caller has waited. again says that
+// an earlier leader may have taken it.
+func aged(m contract.Message, again bool, age time.Duration) contract.Message {
+	sub, ok := m.(*contract.JobSubmit)
+	if !ok {
+		return m
+	}
+	out := *sub
+	out.Again, out.Age = again, age
+	return &out
+}
+
 // Tell sends the leader a message without waiting for a reply; it may be lost.
 func (g *Gateway) Tell(m contract.Message) {
 	if l, _ := g.up.Leader(); l != nil {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -85,7 +85,9 @@
 	// demands are how much work of each rank came and was taken lately.
 	demands map[demandKey]*demand
 	running map[string]*running
-	orders  []Order
+	// hopelessAt is when late jobs were last looked at.
+	hopelessAt time.Duration
+	orders     []Order
 	// orphans are ends of jobs that are not known, oldest first.
 	orphans []orphan
 	lastRun uint64
@@ -136,27 +138,6 @@
 	return s.claim(added)
 }
 
-// Hopeless returns the transient jobs that have not begun and would end too
-// late to be of use.
-func (s *Scheduler) Hopeless(now time.Duration) []contract.DurableJobID {
-	var out []contract.DurableJobID
-	for _, j := range s.late {
-		if j.transient && !j.begun && j.useless(now) {
-			out = append(out, j.ID)
-		}
-	}
-	return out
-}
-
-// useless reports whether the job, if it began now, would end too late to be
-// of use.
-func (j *job) useless(now time.Duration) bool {
-	return now+j.estimate > j.arrived+time.Duration(uselessFactor*float64(j.objective))
-}
-
-// uselessFactor times the objective is when an answer is of no use any more.
-const uselessFactor = 3
-
 func (s *Scheduler) add(d *durable.Job, arrived time.Duration, ready phase) {
 	if s.jobs[d.ID] != nil {
 		return
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -355,3 +355,24 @@
 	b.sch.Check(b.now)
 	must.Eq(t, 6, b.sch.Summaries()[0].Suspects)
 }
+
+// TestLateJobWithoutRoomIsGivenUpAtOnce replays the loss of a worker: the job
+// that waited for it has missed its objective, and the other worker is full for
+// longer than its caller has a use for the answer.
+func TestLateJobWithoutRoomIsGivenUpAtOnce(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", 10)
+	long := testJob("long", step(1, 10, 2000))
+	b.sch.Transient(durable.NewJob(&long, 0), b.now, false)
+	must.Len(t, 1, b.place())
+	short := testJob("short", step(1, 10, 100))
+	b.sch.Transient(durable.NewJob(&short, 0), b.now, false)
+	must.SliceEmpty(t, b.place())
+	must.SliceEmpty(t, b.sch.Hopeless(b.now))
+	b.now += 120 * ms
+	b.place()
+	must.Eq(t, []contract.DurableJobID{"short"}, b.sch.Hopeless(b.now))
+	b.worker("b", 20)
+	b.now += hopelessEvery
+	must.SliceEmpty(t, b.sch.Hopeless(b.now), must.Sprint("there is room now"))
+}
