Notice a lost answer of a worker within 50 ms; keep work from mute workers

Ruled out: the change of leader before it (0.3 s), the forecast.

Changes: calls to the worker, which is on the same machine, are given up after 50 ms; lists wait 50 ms. An end that says "not started" tells whether the order got no answer: the task avoids that worker, and three such starts in a row make it suspect, since a worker that answers nothing looks idle and draws work.

--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -167,6 +167,8 @@
 	How RunEnd
 	// Unhealthy says that the worker itself refused the start.
 	Unhealthy bool
+	// Unanswered says that the order to start got no answer from the worker.
+	Unanswered bool
 }
 
 // HeldRun is a run that is, or may be, on a worker, with what it takes there.
--- a/entry/announce_test.go
+++ b/entry/announce_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -13,6 +14,7 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/dispatch"
 	"github.com/carawaylanding/carawaylanding/host"
+	"github.com/carawaylanding/carawaylanding/ledger"
 	"github.com/carawaylanding/carawaylanding/record"
 	"github.com/carawaylanding/carawaylanding/tables"
 )
@@ -21,15 +23,22 @@
 type strictSink struct {
 	records []contract.OutcomeRecord
 	fault   error
+	// lag is how long a sync takes.
+	lag time.Duration
 	// submits counts the work that had reached the pool at the last sync.
 	submits, seen *atomic.Int32
 }
 
 func (s *strictSink) Record(r contract.OutcomeRecord) { s.records = append(s.records, r) }
 
-func (s *strictSink) Sync(context.Context) error {
+func (s *strictSink) Sync(ctx context.Context) error {
 	s.seen.Store(s.submits.Load())
-	return s.fault
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(s.lag):
+		return s.fault
+	}
 }
 
 // takeOverFrom resubmits a job of two tasks whose first owner is gone.
@@ -95,3 +104,15 @@
 	must.Eq(t, claimSubmits, sink.submits.Load())
 	must.True(t, contract.ErrNoQuorum.Is(a.err))
 }
+
+// TestTakeoverWaitsForASlowLedger: a disk that needs longer for a sync than the
+// holders of records may need for an answer refuses no takeover; the ledger
+// itself gives an append as long.
+func TestTakeoverWaitsForASlowLedger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sink := newStrictSink(nil)
+		sink.lag = ledger.AppendTimeout - time.Millisecond
+		takeOverFrom(t, sink)
+		must.Eq(t, claimSubmits+1, sink.submits.Load())
+	})
+}
--- a/entry/outcomes.go
+++ b/entry/outcomes.go
@@ -8,6 +8,7 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/forward"
 	"github.com/carawaylanding/carawaylanding/host"
+	"github.com/carawaylanding/carawaylanding/ledger"
 )
 
 // boundedSink is an OutcomeSink that can be full.
@@ -53,7 +54,7 @@
 			Reason:  "about to start",
 		})
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), RecordTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), ledger.AppendTimeout)
 	defer cancel()
 	return s.Sync(ctx)
 }
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -74,8 +74,9 @@
 	gatherWait = 5 * time.Millisecond
 	// resendWait is the wait before a batch without an answer is sent again.
 	resendWait = 250 * time.Millisecond
-	// appendTimeout bounds one append.
-	appendTimeout = 3 * time.Second
+	// AppendTimeout bounds one append: a disk under load may take a second or
+	// two for a sync.
+	AppendTimeout = 3 * time.Second
 	// flushPoll is how often Flush looks, and syncPoll how often Sync does.
 	flushPoll = 10 * time.Millisecond
 	syncPoll  = 2 * time.Millisecond
@@ -154,7 +155,7 @@
 	if len(batches) == 0 || ctx.Err() != nil {
 		return false
 	}
-	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, AppendTimeout)
 	defer cancel()
 	reply, err := h.Call(callCtx, &contract.LedgerAppend{Batches: batches})
 	if _, ok := reply.(*contract.LedgerAppended); err != nil || !ok {
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -19,6 +19,9 @@
 	samples  int
 	// failures counts failed ends since the last one that was done.
 	failures int
+	// unanswered counts starts without an answer since the last end that was
+	// done.
+	unanswered int
 	// overdue counts runs that take far longer than they should.
 	overdue int
 	// tolerated says that the worker is not suspected for being slow.
@@ -32,6 +35,9 @@
 	// suspectFailures is how many ends in a row must fail: one may be the
 	// task's own fault.
 	suspectFailures = 2
+	// suspectUnanswered is how many starts in a row must get no answer: single
+	// ones are lost on the way.
+	suspectUnanswered = 3
 	// suspectSlowness is how much slower than its peers a worker may be: the
 	// slowest kinds differ by a third, the tasks of a job by a seventh.
 	suspectSlowness = 2
@@ -62,7 +68,7 @@
 
 // suspect reports whether the worker gets one task at a time.
 func (h *health) suspect() bool {
-	return h.failures >= suspectFailures || h.slow() && !h.tolerated
+	return h.failures >= suspectFailures || h.unanswered >= suspectUnanswered || h.slow() && !h.tolerated
 }
 
 func (h *health) slow() bool {
@@ -125,12 +131,14 @@
 		return
 	}
 	switch {
+	case e.Unanswered:
+		w.unanswered++
 	case e.Unhealthy:
 		w.failures = max(w.failures+1, suspectFailures)
 	case e.How == contract.EndFailed:
 		w.failures++
 	case e.How == contract.EndDone:
-		w.failures = 0
+		w.failures, w.unanswered = 0, 0
 		w.backoff = minProbe
 		if r.takenOver {
 			break
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -376,3 +376,26 @@
 	b.now += hopelessEvery
 	must.SliceEmpty(t, b.sch.Hopeless(b.now), must.Sprint("there is room now"))
 }
+
+// TestMuteWorkerDrawsNoWork replays a worker that answers no order: it looks
+// idle, and would get the tasks that wait again and again.
+func TestMuteWorkerDrawsNoWork(t *testing.T) {
+	b := newBed(t)
+	b.worker("mute", 100)
+	b.worker("sound", 100)
+	b.submit(testJob("j", step(8, 10, 5000)))
+	orders := b.place()
+	must.Len(t, 8, orders)
+	toMute := 0
+	for _, o := range orders {
+		if o.Host == "mute" {
+			toMute++
+			b.sch.Ended(b.now, o.Host, contract.RunEnded{RunRef: o.Start.RunRef, How: contract.EndNotStarted, Unanswered: true})
+		}
+	}
+	must.GreaterEq(t, suspectUnanswered, toMute)
+	for _, o := range b.place() {
+		must.Eq(t, "sound", o.Host)
+	}
+	must.Eq(t, 1, b.sch.Summaries()[0].Suspects)
+}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -220,6 +220,9 @@
 		return &Counted{contract.DurableTask{Job: e.Job, Task: e.Task}, e.How == contract.EndDone}
 	}
 	if mine {
+		if e.Unanswered {
+			t.avoid = h
+		}
 		s.requeue(e.RunRef)
 	}
 	return nil
--- a/steward/life.go
+++ b/steward/life.go
@@ -13,12 +13,15 @@
 const (
 	// holdWait is how long a call to the worker may wait for an end; it must
 	// leave time for two more calls within a lease.
-	holdWait = 100 * time.Millisecond
-	// holdTimeout bounds a call for lists beyond its wait: no end is seen while
-	// an answer that was lost is waited for.
-	holdTimeout = 100 * time.Millisecond
-	// callTimeout bounds an order to the worker, which is on this machine.
-	callTimeout = 200 * time.Millisecond
+	holdWait = 50 * time.Millisecond
+	// callTimeout bounds a call to the worker, beyond the wait that it asks for.
+	// The worker is on this machine and answers within a millisecond or two;
+	// a lost answer is to be noticed before the shortest tasks should have
+	// ended.
+	callTimeout = 50 * time.Millisecond
+	// startMargin is how much longer than the next calls a lease must last
+	// before a run is started under it.
+	startMargin = 150 * time.Millisecond
 	// pollEvery is the wait between two looks while ends are not noted yet:
 	// the worker answers at once then.
 	pollEvery = 4 * time.Millisecond
@@ -54,6 +57,8 @@
 	// barredAt is the count of calls for lists when the stop was answered.
 	barredAt uint64
 	stopping bool
+	// unanswered says that the order to start got no answer.
+	unanswered bool
 }
 
 // life is one life of the worker.
@@ -235,7 +240,7 @@
 	l.s.mu.Lock()
 	c.Token = l.s.term
 	l.s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(l.ctx, c.Wait+holdTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, c.Wait+callTimeout)
 	defer cancel()
 	held, err := l.calls.Hold(ctx, c)
 	if err == nil || errors.Is(err, ErrFenced) && held.Clock > 0 {
@@ -327,7 +332,7 @@
 // the next calls. Without, a start could end before a list shows whether the
 // lease held all the time. The lock is held.
 func (l *life) leaseHeld() bool {
-	return l.confirmed-l.now() > (callTimeout+holdWait).Milliseconds()/2
+	return l.confirmed-l.now() > startMargin.Milliseconds()
 }
 
 // nothingToLose reports whether no run and no end would be void without the
@@ -468,7 +473,7 @@
 	for name, r := range l.runs {
 		if r.phase == phaseBarred && r.barredAt < number && !running[name] {
 			l.forget(name, r)
-			out = append(out, contract.RunEnded{RunRef: r.ref, How: contract.EndNotStarted})
+			out = append(out, contract.RunEnded{RunRef: r.ref, How: contract.EndNotStarted, Unanswered: r.unanswered})
 		}
 	}
 	return out
--- a/steward/runs.go
+++ b/steward/runs.go
@@ -53,6 +53,7 @@
 // carried out. The lock is held, but for the call.
 func (l *life) settleStart(name NamedRun) {
 	if r := l.runs[name]; r != nil && r.phase == phaseStarting && !r.stopping {
+		r.unanswered = true
 		seen := l.noted
 		l.s.mu.Unlock()
 		held, err := l.look(HoldCall{Seen: seen})
