--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,9 +117,9 @@
 }
 
 // leaderWait is how long there must have been no leader before requests are
-// refused at once: a change of leader takes half a second, the return of all
-// processes under one.
-const leaderWait = time.Second
+// refused at once: a change of leader takes under half a second, also after a
+// restart of all processes.
+const leaderWait = 700 * time.Millisecond
 
 // leaderless returns how long there has been no leader.
 func (g *Gateway) leaderless() time.Duration {
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -83,7 +83,7 @@
 // predict starts the waiting jobs in their order, with the new one among them.
 // It returns how long the new one would wait, and why it has to be refused.
 func (s *Scheduler) predict(now time.Duration, j *job) (time.Duration, string) {
-	f := s.forecast(now, j.Pool, j.rank)
+	f := s.forecast(now, j)
 	at, _ := s.viable.search(j)
 	for _, o := range s.viable[:at] {
 		if o.Pool == j.Pool {
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -16,9 +16,6 @@
 	// overdueShare of a task's expected time is what one is given that has
 	// taken longer already.
 	overdueShare = 0.25
-	// packedShare of a worker's processors can be used: the rest is too small
-	// for the next task.
-	packedShare = 0.96
 )
 
 // forecast is what processors of a pool are free, now and as running tasks end,
@@ -42,15 +39,16 @@
 	freed [forecastSlots]float64
 }
 
-// forecast returns the forecast for jobs of the pool with the rank.
-func (s *Scheduler) forecast(now time.Duration, pool string, rank int) forecast {
-	f := forecast{freed: s.runningOf(now, pool).freed}
+// forecast returns the forecast for the job, before any job that waits.
+func (s *Scheduler) forecast(now time.Duration, j *job) forecast {
+	f := forecast{freed: s.runningOf(now, j.Pool).freed}
+	need := j.widestNeed()
 	for _, w := range s.order {
-		if w.Pool == pool && w.sound() {
-			f.free += packedShare*float64(w.cap.MilliCPU) - float64(w.used.MilliCPU)
+		if w.Pool == j.Pool && w.sound() {
+			f.free += float64(w.cap.MilliCPU - w.used.MilliCPU - leftover(w.cap.MilliCPU, need))
 		}
 	}
-	cpu, work := s.demandAbove(now, pool, rank)
+	cpu, work := s.demandAbove(now, j.Pool, j.rank)
 	if cpu > 0 {
 		f.above = cpu * slotTime.Seconds()
 		f.aboveSlots = slots(time.Duration(work / cpu * float64(time.Second)))
@@ -58,6 +56,24 @@
 	return f
 }
 
+// widestNeed returns the most processors that one of the job's tasks asks for.
+func (j *job) widestNeed() int {
+	need := 0
+	for _, st := range j.Steps {
+		need = max(need, st.Need.MilliCPU)
+	}
+	return need
+}
+
+// leftover returns what of a full worker's processors is too small for a task:
+// at most half of one on average, as tasks differ.
+func leftover(processors, need int) int {
+	if need == 0 {
+		return 0
+	}
+	return min(processors%need, need/2)
+}
+
 func (s *Scheduler) runningOf(now time.Duration, pool string) *running {
 	r := s.running[pool]
 	if r == nil {
--- a/schedule/hopeless.go
+++ b/schedule/hopeless.go
@@ -53,7 +53,7 @@
 // forecastLate returns the forecast behind all jobs that can meet their
 // objective, less the reserve for those that come next.
 func (s *Scheduler) forecastLate(now time.Duration, j *job) *forecast {
-	f := s.forecast(now, j.Pool, j.rank)
+	f := s.forecast(now, j)
 	f.free -= spareShare * float64(s.room(j.Pool))
 	for _, o := range s.viable {
 		if o.Pool == j.Pool {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -399,3 +399,45 @@
 	}
 	must.Eq(t, 1, b.sch.Summaries()[0].Suspects)
 }
+
+// TestForecastSeesWhatShortTasksFree replays a full pool in which short tasks
+// are about to end while longer ones wait: the work ahead is large, and yet all
+// can start at once.
+func TestForecastSeesWhatShortTasksFree(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", 180)
+	b.submit(testJob("long", step(5, 10, 2000)))
+	b.submit(testJob("short", step(12, 10, 60)))
+	must.Len(t, 17, b.place())
+	b.now += 45 * ms
+	b.submit(testJob("waiting", step(8, 10, 400)))
+	must.Len(t, 1, b.place())
+	j := testJob("new", step(4, 10, 900))
+	must.True(t, b.sch.Admit(b.now, b.now, &j).OK)
+	wide := testJob("wide", step(13, 10, 60))
+	must.False(t, b.sch.Admit(b.now, b.now, &wide).OK, must.Sprint("only twelve tasks are about to end"))
+}
+
+// TestFirstPriorityGoesBeforeOthers replays an overload of jobs that must start
+// sooner: the first priority neither waits for them nor is refused for them.
+func TestFirstPriorityGoesBeforeOthers(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", 10)
+	busy := testJob("busy", step(1, 10, 40))
+	busy.Priority = 1
+	b.submit(busy)
+	must.Len(t, 1, b.place())
+	for i := range 4 {
+		j := testJob(fmt.Sprint("other", i), step(1, 10, 10))
+		j.Priority = 1 + i%2
+		b.submit(j)
+	}
+	b.now += 20 * ms
+	first := testJob("first", step(1, 10, 60))
+	must.True(t, b.sch.Admit(b.now, b.now, &first).OK)
+	b.submit(first)
+	b.sch.Ended(b.now, "a", contract.RunEnded{RunRef: contract.RunRef{Job: "busy", Run: 1<<runBits | 1}, Seq: 1, How: contract.EndDone})
+	orders := b.place()
+	must.Len(t, 1, orders)
+	must.Eq(t, "first", orders[0].Start.Job)
+}
