Forecast tasks without processors as starting at once

Found by reading the change: a task that asks for no processors was played forward as asking for one thousandth, and could be refused on a full pool. Test: TestTasksWithoutProcessorsWaitForNoRoom.

--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -120,10 +120,10 @@
 }
 
 // start starts count equal tasks as room comes; false when the forecast ends
-// before.
+// before. Tasks that ask for no processors start at once.
 func (f *forecast) start(count int, need float64, slots int) bool {
-	for count > 0 {
-		if n := min(count, int(f.free/max(need, 1))); n > 0 {
+	for count > 0 && need > 0 {
+		if n := min(count, int(f.free/need)); n > 0 {
 			f.take(float64(n)*need, slots)
 			count -= n
 			continue
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -441,3 +441,15 @@
 	must.Len(t, 1, orders)
 	must.Eq(t, "first", orders[0].Start.Job)
 }
+
+// TestTasksWithoutProcessorsWaitForNoRoom: they may ask for memory alone.
+func TestTasksWithoutProcessorsWaitForNoRoom(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", 100)
+	b.submit(testJob("full", step(11, 10, 5000)))
+	must.Len(t, 10, b.place())
+	j := testJob("memory", step(2, 0, 100))
+	must.True(t, b.sch.Admit(b.now, b.now, &j).OK)
+	b.submit(j)
+	must.Len(t, 2, b.place())
+}
