Add up the work behind the last slot of a forecast

Found by reading the change, for deployments whose tasks take longer than the two seconds that a forecast reaches: a job that could not start within it was taken however long the backlog, if its objective was farther off. Behind the last slot the work is added up at the pool's rate now.

Test: TestLongTasksAreForecastBehindTheSlots; without the change all of the 40 jobs would be taken.

--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -1,14 +1,13 @@
 package schedule
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// slotTime is the resolution of a forecast: a short task takes ten slots.
 	slotTime = 5 * time.Millisecond
-	// forecastSlots bound a forecast: no job waits longer than this for an
-	// answer that is of use.
+	// forecastSlots bound a forecast: jobs of sub-second tasks have no use for
+	// an answer that comes later. Behind it the work is added up at the pool's
+	// rate.
 	forecastSlots = 400
 	// forecastKept is how long what running tasks will free is not counted
 	// anew.
@@ -18,6 +17,9 @@
 	overdueShare = 0.25
 )
 
+// forecastSpan is the time up to the end of a forecast.
+const forecastSpan = forecastSlots * slotTime
+
 // forecast is what processors of a pool are free, now and as running tasks end,
 // in thousandths. Load pattern: more work waits than fits. Whether a job can
 // still start in time depends on when the tasks that run now end, and on what
@@ -31,17 +33,23 @@
 	above      float64
 	aboveSlots int
 	slot       int
+	// room is what the pool has at all; beyond is the work, in thousandths of
+	// processors times seconds, that comes before the next job behind the last
+	// slot.
+	room, beyond float64
 }
 
 // running caches what the running tasks of a pool will free.
 type running struct {
-	at    time.Duration
-	freed [forecastSlots]float64
+	at     time.Duration
+	freed  [forecastSlots]float64
+	beyond float64
 }
 
 // forecast returns the forecast for the job, before any job that waits.
 func (s *Scheduler) forecast(now time.Duration, j *job) forecast {
-	f := forecast{freed: s.runningOf(now, j.Pool).freed}
+	r := s.runningOf(now, j.Pool)
+	f := forecast{freed: r.freed, beyond: r.beyond, room: float64(s.room(j.Pool))}
 	need := j.widestNeed()
 	for _, w := range s.order {
 		if w.Pool == j.Pool && w.sound() {
@@ -92,6 +100,8 @@
 			left := max(x.placed+x.expected-now, time.Duration(overdueShare*float64(x.expected)))
 			if at := slots(left); at < forecastSlots {
 				r.freed[at] += float64(x.need.MilliCPU)
+			} else {
+				r.beyond += float64(x.need.MilliCPU) * (left - forecastSpan).Seconds()
 			}
 		}
 	}
@@ -119,9 +129,9 @@
 	}
 }
 
-// start starts count equal tasks as room comes; false when the forecast ends
-// before. Tasks that ask for no processors start at once.
-func (f *forecast) start(count int, need float64, slots int) bool {
+// start starts count equal tasks as room comes; it returns how many are left at
+// the end of the forecast. Tasks that ask for no processors start at once.
+func (f *forecast) start(count int, need float64, slots int) int {
 	for count > 0 && need > 0 {
 		if n := min(count, int(f.free/need)); n > 0 {
 			f.take(float64(n)*need, slots)
@@ -129,16 +139,17 @@
 			continue
 		}
 		if !f.advance() {
-			return false
+			return count
 		}
 	}
-	return true
+	return 0
 }
 
 // startJob starts the waiting tasks of a job and returns when the last of them
 // starts, from now.
 func (s *Scheduler) startJob(f *forecast, j *job) time.Duration {
 	t := 0
+	late, behind := false, 0.0
 	for step := range j.Steps {
 		st := &j.Steps[step]
 		count := 0
@@ -148,9 +159,16 @@
 			}
 			t++
 		}
-		if !f.start(count, float64(st.Need.MilliCPU), slots(s.expected(j, step))) {
-			return forecastSlots * slotTime
+		need, each := float64(st.Need.MilliCPU), s.expected(j, step)
+		if left := f.start(count, need, slots(each)); left > 0 {
+			// Of the job's own tasks only those wait for others that the pool
+			// can't run at once.
+			late, behind = true, f.beyond + max(0, float64(left)*need-f.room)*each.Seconds()
+			f.beyond += float64(left) * need * each.Seconds()
 		}
 	}
+	if late {
+		return forecastSpan + time.Duration(behind/max(f.room, 1)*float64(time.Second))
+	}
 	return time.Duration(f.slot) * slotTime
 }
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -453,3 +453,20 @@
 	b.submit(j)
 	must.Len(t, 2, b.place())
 }
+
+// TestLongTasksAreForecastBehindTheSlots replays a backlog of tasks that take
+// far longer than a forecast reaches: what waits is still limited.
+func TestLongTasksAreForecastBehindTheSlots(t *testing.T) {
+	b := newBed(t)
+	b.worker("a", 100)
+	taken := 0
+	for i := range 40 {
+		j := testJob(fmt.Sprint("long", i), step(10, 10, 60_000))
+		if a := b.sch.Admit(b.now, b.now, &j); a.OK {
+			taken++
+			b.submit(j)
+			b.place()
+		}
+	}
+	must.Eq(t, 1, taken, must.Sprint("the first fills the worker for 60 s; the next may wait for 36 s"))
+}
