--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -163,7 +163,7 @@
 		if left := f.start(count, need, slots(each)); left > 0 {
 			// Of the job's own tasks only those wait for others that the pool
 			// can't run at once.
-			late, behind = true, f.beyond + max(0, float64(left)*need-f.room)*each.Seconds()
+			late, behind = true, f.beyond+max(0, float64(left)*need-f.room)*each.Seconds()
 			f.beyond += float64(left) * need * each.Seconds()
 		}
 	}
