Choose the sound workers of a pool in one place; one figure for the worker's clock

Found by reading the whole change: four loops of the scheduler each chose the sound workers of a pool, the reserve of late jobs added up the room a second time, and hub and steward each held the error of a worker's clock. The comment on Place did not tell of the ranks.

--- a/contract/durable.go
+++ b/contract/durable.go
@@ -146,3 +146,7 @@
 func (a WorkerAnnouncement) SameLife(b WorkerAnnouncement) bool {
 	return a.ID == b.ID && a.Born == b.Born
 }
+
+// WorkerClockError is how much slower a worker's clock may run than others, as
+// one part in this; the users' platform allows 2%.
+const WorkerClockError = 50
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -46,7 +46,7 @@
 
 // sessionLife is how long a session may last after its agent was given
 // authority for the last time: no lease is longer than the authority.
-const sessionLife = AgentAuthority + AgentAuthority/clockError + sessionSlack
+const sessionLife = AgentAuthority + AgentAuthority/contract.WorkerClockError + sessionSlack
 
 func (ld *leadership) linkDown(h *Hub, l *link.Link) {
 	a := ld.links[l]
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -58,8 +58,6 @@
 	ordersSilent = 80 * time.Millisecond
 	// sessionSlack covers the stop of what a lease held and late timers.
 	sessionSlack = 150 * time.Millisecond
-	// clockError is how much slower a worker's clock may run, as 1 in this.
-	clockError = 50
 	// stateEvery is how often a leader says so on each link.
 	stateEvery = 200 * time.Millisecond
 	// compactBytes is the size of the log file at which it is compacted.
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -110,10 +110,8 @@
 // room returns the processors of the pool that take new work.
 func (s *Scheduler) room(pool string) int {
 	room := 0
-	for _, w := range s.order {
-		if w.Pool == pool && w.sound() {
-			room += w.cap.MilliCPU
-		}
+	for w := range s.soundOf(pool) {
+		room += w.cap.MilliCPU
 	}
 	return room
 }
@@ -134,10 +132,8 @@
 // steps.
 func (s *Scheduler) hasRoomFor(j *job) bool {
 	free, need := 0, 0
-	for _, w := range s.order {
-		if w.Pool == j.Pool && w.sound() {
-			free += w.cap.MilliCPU - w.used.MilliCPU
-		}
+	for w := range s.soundOf(j.Pool) {
+		free += w.cap.MilliCPU - w.used.MilliCPU
 	}
 	for _, st := range j.Steps {
 		if len(st.After) == 0 {
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -51,10 +51,8 @@
 	r := s.runningOf(now, j.Pool)
 	f := forecast{freed: r.freed, beyond: r.beyond, room: float64(s.room(j.Pool))}
 	need := j.widestNeed()
-	for _, w := range s.order {
-		if w.Pool == j.Pool && w.sound() {
-			f.free += float64(w.cap.MilliCPU - w.used.MilliCPU - leftover(w.cap.MilliCPU, need))
-		}
+	for w := range s.soundOf(j.Pool) {
+		f.free += float64(w.cap.MilliCPU - w.used.MilliCPU - leftover(w.cap.MilliCPU, need))
 	}
 	cpu, work := s.demandAbove(now, j.Pool, j.rank)
 	if cpu > 0 {
@@ -92,10 +90,7 @@
 		return r
 	}
 	*r = running{at: now}
-	for _, w := range s.order {
-		if w.Pool != pool || !w.sound() {
-			continue
-		}
+	for w := range s.soundOf(pool) {
 		for _, x := range w.runs {
 			left := max(x.placed+x.expected-now, time.Duration(overdueShare*float64(x.expected)))
 			if at := slots(left); at < forecastSlots {
--- a/schedule/hopeless.go
+++ b/schedule/hopeless.go
@@ -54,7 +54,7 @@
 // objective, less the reserve for those that come next.
 func (s *Scheduler) forecastLate(now time.Duration, j *job) *forecast {
 	f := s.forecast(now, j)
-	f.free -= spareShare * float64(s.room(j.Pool))
+	f.free -= spareShare * f.room
 	for _, o := range s.viable {
 		if o.Pool == j.Pool {
 			s.startJob(&f, o)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"slices"
 	"time"
 
@@ -13,8 +14,8 @@
 const maxMisses = 12
 
 // Place starts what fits. Load pattern: more tasks wait than there is room
-// for. Jobs that can meet their objective go first, those first that must
-// start soonest; jobs that are past help fill what is left.
+// for. Jobs that can meet their objective go first, by rank, and then those that
+// must start soonest; jobs that are past help fill what is left.
 func (s *Scheduler) Place(now time.Duration) {
 	s.demote(now)
 	misses := s.placeList(now, &s.viable)
@@ -61,6 +62,17 @@
 // sound reports whether the worker takes new work without reserve.
 func (w *Worker) sound() bool { return w.usable && !w.away && !w.suspect() }
 
+// soundOf returns the sound workers of a pool.
+func (s *Scheduler) soundOf(pool string) iter.Seq[*Worker] {
+	return func(yield func(*Worker) bool) {
+		for _, w := range s.order {
+			if w.Pool == pool && w.sound() && !yield(w) {
+				return
+			}
+		}
+	}
+}
+
 // placeJob places the job's waiting tasks; it reports whether none is left.
 func (s *Scheduler) placeJob(now time.Duration, j *job) bool {
 	t := 0
--- a/steward/life.go
+++ b/steward/life.go
@@ -32,8 +32,6 @@
 	clockSlack = 20 * time.Millisecond
 	// lapseSlack is added to the end of a lease for late timers and the stop.
 	lapseSlack = 100 * time.Millisecond
-	// clockError is how much slower the worker's clock may run, as 1 in this.
-	clockError = 50
 	// maxRefusals is how many connections must be refused in a row before the
 	// worker counts as ended.
 	maxRefusals = 3
@@ -381,7 +379,7 @@
 	left := max(l.attempted-l.now(), 0)
 	l.s.mu.Unlock()
 	wait := time.Duration(left) * time.Millisecond
-	until := boottime.Now() + wait + wait/clockError + lapseSlack
+	until := boottime.Now() + wait + wait/contract.WorkerClockError + lapseSlack
 	for l.ctx.Err() == nil && boottime.Now() < until {
 		l.sleep(until - boottime.Now())
 	}
