record: a contested record says nothing of the request's body

Cause: a holder that merged copies with different bodies answered every request with RecordConflict, which NeverRecorded counted as 'holds another body'. A quorum may have stored the request's own body before the merge, so a refusal could say not-run although the work had run. Change: such a holder answers RecordContested, which refuses the key as before but does not count in NeverRecorded. Test: TestNeverRecordedCountsNoContestedRecord, failed before. Conclusion: the refusal says unknown in that case.

--- a/contract/message_record.go
+++ b/contract/message_record.go
@@ -89,6 +89,9 @@
 	RecordConflict
 	// RecordFull means that the holder has reached one of its limits.
 	RecordFull
+	// RecordContested means that the record was merged from copies for different
+	// bodies, one of which may be the body of the request.
+	RecordContested
 )
 
 // RecordReply is the reply to RecordWrite and RecordPrepare.
--- a/record/holder.go
+++ b/record/holder.go
@@ -146,6 +146,9 @@
 		h.remove(job, r)
 		ok = false
 	}
+	if ok && r.digest == conflictingDigest {
+		return nil, &contract.RecordReply{Verdict: contract.RecordContested, Promised: r.epoch}
+	}
 	if ok && r.digest != digest {
 		return nil, &contract.RecordReply{Verdict: contract.RecordConflict, Promised: r.epoch}
 	}
@@ -229,7 +232,7 @@
 }
 
 // conflictingDigest is the digest of a merged record whose copies have different
-// digests. No body has this digest, so every request conflicts with the record.
+// digests. No body has this digest, so no request is granted the record.
 const conflictingDigest = ""
 
 // merge merges the copy of another holder's record into the holder's records.
--- a/record/tally.go
+++ b/record/tally.go
@@ -53,7 +53,7 @@
 	switch r.Verdict {
 	case contract.RecordGranted:
 		t.plan.add(r.Plan)
-	case contract.RecordOwned, contract.RecordConflict:
+	case contract.RecordOwned, contract.RecordConflict, contract.RecordContested:
 		if t.owner.Less(r.Promised) {
 			t.owner = r.Promised
 		}
@@ -80,7 +80,7 @@
 	switch {
 	case t.verdicts[contract.RecordGranted] >= Majority(t.holderCount):
 		return Granted
-	case t.verdicts[contract.RecordConflict] > 0:
+	case t.verdicts[contract.RecordConflict] > 0, t.verdicts[contract.RecordContested] > 0:
 		return Conflict
 	case t.verdicts[contract.RecordOwned] > 0:
 		return Owned
@@ -98,10 +98,10 @@
 // request.
 func (t *Tally) Plan() []contract.Placement { return t.plan }
 
-// NeverRecorded reports whether so many holders replied with a conflict that the
-// others are fewer than a quorum. Unless a holder replied so because its record has
-// conflictingDigest, no quorum can then have stored a record for the body of this
-// request.
+// NeverRecorded reports whether so many holders have a record of another body that
+// the others are fewer than a quorum. No quorum can then have stored a record for the
+// body of this request. A contested record does not count: one of the copies that it
+// was merged from may have been for this body.
 func (t *Tally) NeverRecorded() bool {
 	return t.holderCount-t.verdicts[contract.RecordConflict] < Majority(t.holderCount)
 }
