dispatch: a task that fits a serving group is not refused

Cause: checkFits looked at the groups in order of size and refused at the first group that fits but has no serving worker, though a larger one serves. Test: TestFitsTheServingOfTwoGroups, failed before for the smaller group gone.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -107,14 +107,18 @@
 		}
 	}
 	largest := contract.Capacity{} // the maximum of each resource over the groups
+	fitsAbsent := false
 	for _, g := range p.workers.groups {
-		if !g.capacity.Fits(d) {
+		switch {
+		case !g.capacity.Fits(d):
 			largest = maxCapacity(largest, g.capacity)
-			continue
-		}
-		if g.serving > 0 {
+		case g.serving > 0:
 			return nil
+		default:
+			fitsAbsent = true
 		}
+	}
+	if fitsAbsent {
 		return contract.ErrNoUpstream.WithRetryAfter(noUpstreamRetryAfter,
 			"task %d fits no worker that serves now, but one that drains or is silent: it runs when such a worker is back", i)
 	}
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -384,3 +384,20 @@
 	must.Len(t, 1, placesOf(p.Step(testStart, Submit{Job: "j", Demands: large})))
 	must.SliceEmpty(t, asksOf(p.Step(testStart.Add(time.Second), Tick{})))
 }
+
+// TestFitsTheServingOfTwoGroups gives the pool two groups of workers that fit the
+// task, the first of which has drained: the task must run on the other one,
+// whatever the order of the groups.
+func TestFitsTheServingOfTwoGroups(t *testing.T) {
+	for _, gone := range []int{0, 1} {
+		p := poolWith(Config{}, contract.Capacity{Slots: 4}, contract.Capacity{Slots: 8})
+		p.Step(testStart, WorkerDown{Worker: testWorker(gone, contract.Capacity{}).Ref})
+		actions := p.Step(testStart, Submit{Job: "a", Demands: []contract.Demand{{Slots: 2}}})
+		for _, a := range actions {
+			if r, ok := a.(Refuse); ok {
+				t.Fatalf("worker %d gone: refused: %v", gone, r.Err)
+			}
+		}
+		must.Len(t, 1, placesOf(actions))
+	}
+}
