testbed: freeze returns once every thread has stopped

Cause: SIGSTOP takes effect up to 25 ms later on threads that run; the scenario no-majority-of-control-hosts had an edit accepted in that window. Change: Process.Freeze waits until /proc shows all threads as stopped; the verb freeze uses it.

--- a/internal/scenario/faults.go
+++ b/internal/scenario/faults.go
@@ -28,8 +28,11 @@
 // exit: drain NAME...
 func (env *environment) terminate(args []string) error { return env.signal(args, syscall.SIGTERM) }
 
-// freeze suspends processes with SIGSTOP: freeze NAME...
-func (env *environment) freeze(args []string) error { return env.signal(args, syscall.SIGSTOP) }
+// freeze suspends processes with SIGSTOP, and returns once they have stopped:
+// freeze NAME...
+func (env *environment) freeze(args []string) error {
+	return env.forEachProcess(args, (*testbed.Process).Freeze)
+}
 
 // thaw resumes frozen processes with SIGCONT: thaw NAME...
 func (env *environment) thaw(args []string) error { return env.signal(args, syscall.SIGCONT) }
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -169,6 +170,49 @@
 	return cmd.Process.Signal(s)
 }
 
+// Freeze suspends the process with SIGSTOP and returns once all its threads have
+// stopped: a thread that runs on a processor may go on for some milliseconds after
+// the signal. It fails if they have not stopped within freezeTimeout.
+func (p *Process) Freeze() error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for deadline := time.Now().Add(freezeTimeout); ; time.Sleep(time.Millisecond) {
+		stopped, err := allThreadsStopped(p.PID())
+		if err != nil || stopped {
+			return err
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s still runs %s after SIGSTOP", p.Name, freezeTimeout)
+		}
+	}
+}
+
+const freezeTimeout = 10 * time.Second
+
+// allThreadsStopped reports whether each thread of the process is stopped by a
+// signal, or has exited.
+func allThreadsStopped(pid int) (bool, error) {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil {
+		return false, err
+	}
+	for _, path := range threads {
+		stat, err := os.ReadFile(path)
+		if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ESRCH) {
+			continue
+		}
+		if err != nil {
+			return false, err
+		}
+		// The state follows the command name, which is in parentheses.
+		if i := bytes.LastIndexByte(stat, ')'); i < 0 || i+2 >= len(stat) || !bytes.ContainsRune([]byte("TtZX"), rune(stat[i+2])) {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
 // Kill sends SIGKILL to the process and waits for it to exit. It does nothing if the
 // process was not started.
 func (p *Process) Kill() {
