carawayctl outcome exits 2 on misuse; accepted edits are counted

Causes: outcome returned plain errors for a bad command line; nothing incremented caraway_edits_accepted; tables.FullDelta was dead. Tests: two cases of the command line table, TestEditsAcceptedAreCounted (both failed before).

--- a/cmd/carawayctl/main_test.go
+++ b/cmd/carawayctl/main_test.go
@@ -170,6 +170,8 @@
 		{"unknown field", []string{"apply", "-f", writeFile(t, `{"rutes": []}`)}, exitFailed, "correct the file"},
 		{"trailing data", []string{"apply", "-f", writeFile(t, bothTablesJSON+"{}")}, exitFailed, "keep one object"},
 		{"no such row", []string{"routes", "get", "nope"}, exitFailed, "leave the name out"},
+		{"outcome without a job", []string{"outcome"}, exitUsage, "give JOB"},
+		{"outcome of a task that is no number", []string{"outcome", "j", "x"}, exitUsage, "is not a number"},
 		{"drain without a host", []string{"drain"}, exitUsage, "carawayctl status"},
 		{"unreachable host", []string{"-admin", "127.0.0.1:1", "upstreams"}, exitFailed, "check -admin"},
 	} {
--- a/cmd/carawayctl/outcome.go
+++ b/cmd/carawayctl/outcome.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/url"
 	"strconv"
@@ -27,17 +26,20 @@
 
 func (c *client) outcome(ctx context.Context, args []string) error {
 	if len(args) == 0 || len(args) > 2 {
-		return errors.New("give JOB, or JOB and TASK: the job's ID is in the Caraway-Job-Id field of its answer")
+		return fmt.Errorf("%w: give JOB, or JOB and TASK: the job's ID is in the Caraway-Job-Id field of its answer", errUsage)
+	}
+	var index uint64
+	if len(args) == 2 {
+		var err error
+		if index, err = strconv.ParseUint(args[1], 10, 32); err != nil {
+			return fmt.Errorf("%w: TASK %q is not a number: give the task's index in the job, from 0", errUsage, args[1])
+		}
 	}
 	var answer node.OutcomesAnswer
 	if err := c.get(ctx, "/admin/outcomes/"+url.PathEscape(args[0]), &answer); err != nil {
 		return err
 	}
 	if len(args) == 2 {
-		index, err := strconv.ParseUint(args[1], 10, 32)
-		if err != nil {
-			return fmt.Errorf("TASK %q is not a number: give the task's index in the job, from 0", args[1])
-		}
 		answer.Tasks = selectTask(answer.Tasks, uint32(index))
 	}
 	return c.print(answer, func(w *tabwriter.Writer) { printOutcomes(w, answer.Tasks) })
--- a/control/control.go
+++ b/control/control.go
@@ -15,6 +15,7 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/link"
+	"github.com/carawaylanding/carawaylanding/metrics"
 	"github.com/carawaylanding/carawaylanding/quorum"
 	"github.com/carawaylanding/carawaylanding/tables"
 )
@@ -144,6 +145,7 @@
 	if err != nil {
 		return 0, err
 	}
+	metrics.EditsAccepted.Add(1)
 	return version, nil
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/metrics"
 )
 
 func pools(names ...string) []contract.Pool {
@@ -49,6 +50,17 @@
 	}
 }
 
+// Only accepted edits are counted.
+func TestEditsAcceptedAreCounted(t *testing.T) {
+	withThreeHosts(t, func(t *testing.T, n *network) {
+		before := metrics.EditsAccepted.Value()
+		makeEdits(t, n.host("a"), 2)
+		_, err := n.host("b").Edit(t.Context(), putPool("late", 0, "q"))
+		must.True(t, contract.ErrConflict.Is(err))
+		must.Eq(t, 2, metrics.EditsAccepted.Value()-before)
+	})
+}
+
 // Of two edits that were made from the same version, the second is refused.
 func TestOneOfTwoEqualVersionsWins(t *testing.T) {
 	withThreeHosts(t, func(t *testing.T, n *network) {
--- a/metrics/quorum.go
+++ b/metrics/quorum.go
@@ -12,7 +12,7 @@
 	QuorumRoundsLost = expvar.NewInt("caraway_quorum_rounds_lost")
 	// QuorumSaveFailures counts failures to sync the acceptor state to disk.
 	QuorumSaveFailures = expvar.NewInt("caraway_quorum_save_failures")
-	// EditsAccepted is always 0: it is published, but nothing increments it.
+	// EditsAccepted counts edits of the tables that this host made and acknowledged.
 	EditsAccepted = expvar.NewInt("caraway_edits_accepted")
 	// TablesDeltasSent counts deltas of the tables sent to other processes.
 	TablesDeltasSent = expvar.NewInt("caraway_tables_deltas_sent")
--- a/tables/delta.go
+++ b/tables/delta.go
@@ -13,9 +13,6 @@
 	return DeltaSince(s.View().Tables, from)
 }
 
-// FullDelta returns the delta from the empty tables to t. It contains all rows.
-func FullDelta(t contract.Tables) *contract.TablesDelta { return DeltaSince(t, 0) }
-
 // DeltaSince returns the rows of t that were changed or removed after version from.
 // If t no longer has all removals since that version, it returns the delta from
 // version 0, which contains all rows.
