--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -80,7 +80,8 @@
 
 // Ready is the pending work of the driver, to be done in this order: send the
 // messages in Send; write and sync Hard, Snapshot and Entries; send the messages in
-// AfterSync and call Node.Synced with the last of Entries, if there are any.
+// AfterSync, and call Node.Synced with Snapshot and with the last of Entries, if
+// there are any.
 type Ready struct {
 	Send []contract.LogMessage
 	// Hard is nil if it has not changed.
@@ -101,21 +102,6 @@
 // NeedsSync reports whether there is anything to write and sync.
 func (r *Ready) NeedsSync() bool { return r.Hard != nil || r.Snapshot != nil || len(r.Entries) > 0 }
 
-// progress is a leader's view of the replication to one member.
-type progress struct {
-	// match is the last index that the member is known to have synced; next is
-	// the index of the next entry to send to it.
-	match, next uint64
-	// lastReplyTime is when the member last replied in this term. Until it has,
-	// it is the time when this leader began to track the member.
-	lastReplyTime time.Duration
-	// ackedSendTime is the send time of the latest append or snapshot that the
-	// member has answered.
-	ackedSendTime time.Duration
-	// lastSendTime is when an append or a snapshot was last sent to the member.
-	lastSendTime time.Duration
-}
-
 // Node is the state machine of one member. It is not safe for concurrent use.
 type Node struct {
 	self   contract.LogMember
@@ -278,8 +264,9 @@
 	return out
 }
 
-// Synced records that the log is on disk up to the given entry. It does nothing
-// if that entry has been replaced or compacted since.
+// Synced records that the log is on disk up to the given entry, or up to a snapshot
+// of that index and term. It does nothing if that entry has been replaced or
+// compacted since.
 func (n *Node) Synced(index, term uint64) {
 	if got, ok := n.log.term(index); !ok || got != term {
 		return
@@ -290,7 +277,8 @@
 	}
 }
 
-// Compact drops the entries that snap replaces. They must have been applied.
+// Compact drops the entries that snap replaces. They must have been applied. The
+// driver calls Synced with snap once it has replaced the stored log.
 func (n *Node) Compact(snap Snapshot) { n.log.compact(snap) }
 
 // GroupAt returns the group in effect at the index, which must be applied and
--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,14 +43,20 @@
 // member has applied since it last started, and committed the longest of these
 // sequences.
 type cluster struct {
-	t           *testing.T
-	rng         *rand.Rand
-	now         time.Duration
-	members     []contract.LogMember
-	nodes       map[contract.LogMember]*Node
-	disks       map[contract.LogMember]*simulatedDisk
-	unsynced    map[contract.LogMember][]Ready
-	inFlight    []contract.LogMessage
+	t        *testing.T
+	rng      *rand.Rand
+	now      time.Duration
+	members  []contract.LogMember
+	nodes    map[contract.LogMember]*Node
+	disks    map[contract.LogMember]*simulatedDisk
+	unsynced map[contract.LogMember][]Ready
+	inFlight []contract.LogMessage
+	// latency holds the additional steps that messages to a member take, and
+	// delayed the messages that are under way for longer than a step, by the step
+	// in which they arrive.
+	latency     map[contract.LogMember]int
+	delayed     map[int][]contract.LogMessage
+	stepCount   int
 	partitioned map[contract.LogMember]bool
 	lossRate    float64
 	applied     map[contract.LogMember][]string
@@ -61,6 +68,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[contract.LogMember]*Node{}, now: time.Second,
 		disks: map[contract.LogMember]*simulatedDisk{}, partitioned: map[contract.LogMember]bool{},
 		unsynced: map[contract.LogMember][]Ready{}, applied: map[contract.LogMember][]string{},
+		latency: map[contract.LogMember]int{}, delayed: map[int][]contract.LogMessage{},
 	}
 	for i := range n {
 		m := contract.LogMember{Addr: fmt.Sprintf("h%d", i), Disk: contract.DiskID(fmt.Sprintf("d%d", i))}
@@ -75,7 +83,7 @@
 // start starts or restarts a member from what its disk has synced.
 func (c *cluster) start(m contract.LogMember) {
 	c.unsynced[m] = nil
-	c.applied[m] = nil
+	c.applied[m] = decodeApplied(c.disks[m].stored.Snapshot.Data)
 	c.nodes[m] = New(m, testTiming, c.disks[m].stored, c.now, func(d time.Duration) time.Duration {
 		return time.Duration(c.rng.Int64N(max(int64(d), 1)))
 	})
@@ -85,8 +93,10 @@
 // unless they are lost, and each disk syncs its pending writes with probability 1/2.
 func (c *cluster) step() {
 	c.now += 10 * time.Millisecond
-	arriving := c.inFlight
+	c.stepCount++
+	arriving := append(c.inFlight, c.delayed[c.stepCount]...)
 	c.inFlight = nil
+	delete(c.delayed, c.stepCount)
 	for _, m := range arriving {
 		if c.partitioned[m.From] || c.partitioned[m.To] || c.rng.Float64() < c.lossRate {
 			continue
@@ -109,13 +119,19 @@
 // handleReady does the work of the driver of m for one step.
 func (c *cluster) handleReady(m contract.LogMember, n *Node) {
 	if r := n.Ready(); !r.Empty() {
-		c.inFlight = append(c.inFlight, r.Send...)
+		c.send(r.Send)
+		if r.Snapshot != nil {
+			c.applied[m] = decodeApplied(r.Snapshot.Data)
+		}
 		c.unsynced[m] = append(c.unsynced[m], r)
 	}
 	if c.rng.IntN(2) == 0 {
 		for _, r := range c.unsynced[m] {
 			c.disks[m].sync(r)
-			c.inFlight = append(c.inFlight, r.AfterSync...)
+			c.send(r.AfterSync)
+			if r.Snapshot != nil {
+				n.Synced(r.Snapshot.Index, r.Snapshot.Term)
+			}
 			if k := len(r.Entries); k > 0 {
 				n.Synced(r.Entries[k-1].Index, r.Entries[k-1].Term)
 			}
@@ -127,6 +143,37 @@
 	}
 }
 
+// send puts messages on the network.
+func (c *cluster) send(ms []contract.LogMessage) {
+	for _, m := range ms {
+		if d := c.latency[m.To]; d > 0 {
+			c.delayed[c.stepCount+1+d] = append(c.delayed[c.stepCount+1+d], m)
+			continue
+		}
+		c.inFlight = append(c.inFlight, m)
+	}
+}
+
+// appliedSeparator separates the applied entries in the data of a snapshot.
+const appliedSeparator = "\n"
+
+// compact replaces the applied entries of m by a snapshot, which holds them as its
+// data. As in the hub, the stored log is replaced later than the log in memory.
+func (c *cluster) compact(m contract.LogMember) {
+	n := c.nodes[m]
+	index := n.Applied()
+	s := Snapshot{Index: index, Term: n.TermAt(index), Group: n.GroupAt(index), Data: []byte(strings.Join(c.applied[m], appliedSeparator))}
+	n.Compact(s)
+	c.unsynced[m] = append(c.unsynced[m], Ready{Snapshot: &s, Entries: n.EntriesSinceSnapshot()})
+}
+
+func decodeApplied(data []byte) []string {
+	if len(data) == 0 {
+		return nil
+	}
+	return strings.Split(string(data), appliedSeparator)
+}
+
 // apply records that m has applied e. It fails the test if another member has
 // applied a different entry at the same position.
 func (c *cluster) apply(m contract.LogMember, e contract.LogEntry) {
@@ -277,17 +324,13 @@
 	for range 50 {
 		c.step()
 	}
-	snapshotIndex := leader.Commit()
-	leader.Compact(Snapshot{Index: snapshotIndex, Term: leader.TermAt(snapshotIndex), Group: leader.GroupAt(snapshotIndex), Data: []byte("state")})
+	c.compact(leader.Self())
 	newMember := contract.LogMember{Addr: "h9", Disk: "d9"}
 	c.members = append(c.members, newMember)
 	c.disks[newMember] = &simulatedDisk{}
 	c.start(newMember)
 	must.True(t, leader.ProposeGroup(WithLearner(leader.Group(), newMember), c.now))
 	must.False(t, leader.ProposeGroup(WithVoter(leader.Group(), newMember), c.now), must.Sprint("second group change accepted before the first was committed"))
-	// The snapshot covers the entries up to snapshotIndex, so the new member does
-	// not apply them one by one.
-	c.applied[newMember] = append([]string(nil), c.committed[:snapshotIndex]...)
 	for range 50 {
 		c.step()
 	}
@@ -297,7 +340,8 @@
 		c.step()
 	}
 	must.True(t, IsVoter(c.nodes[newMember].Group(), newMember))
-	must.Eq(t, []byte("state"), c.disks[newMember].stored.Snapshot.Data)
+	must.Eq(t, c.committed, c.applied[newMember])
+	must.Greater(t, 0, len(c.disks[newMember].stored.Snapshot.Data))
 }
 
 // TestRestartedGroupElectsAtOnce guards against split votes when power returns to
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -10,8 +10,9 @@
 type entryLog struct {
 	snapshot Snapshot
 	entries  []contract.LogEntry
-	// syncedIndex is the index up to which the log is synced to disk. A snapshot
-	// counts as synced as soon as it is installed in memory.
+	// syncedIndex is the index up to which the log is synced to disk. It can be
+	// before snapshot.Index: a snapshot from the leader replaces the log before it
+	// is synced, and entries may be compacted before they are.
 	syncedIndex uint64
 	// groupEntries are the entries that change the group, oldest first.
 	groupEntries []contract.LogEntry
@@ -21,7 +22,7 @@
 	l.snapshot = s
 	l.entries = nil
 	l.groupEntries = nil
-	l.syncedIndex = s.Index
+	l.syncedIndex = 0
 }
 
 func (l *entryLog) lastIndex() uint64 { return l.snapshot.Index + uint64(len(l.entries)) }
@@ -100,5 +101,4 @@
 	l.entries = slices.Clone(l.entries[s.Index-l.snapshot.Index:])
 	l.groupEntries = slices.DeleteFunc(l.groupEntries, func(e contract.LogEntry) bool { return e.Index <= s.Index })
 	l.snapshot = s
-	l.syncedIndex = max(l.syncedIndex, s.Index)
 }
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -32,7 +32,7 @@
 	}
 	n.eachPeer(func(m contract.LogMember, p *progress) {
 		if now-p.lastSendTime >= n.timing.HeartbeatInterval {
-			n.sendAppend(now, m, p)
+			n.sendHeartbeat(now, m, p)
 		}
 	})
 }
@@ -44,8 +44,8 @@
 		return
 	}
 	n.eachPeer(func(m contract.LogMember, p *progress) {
-		if p.next <= n.log.lastIndex() && p.next-p.match <= maxInFlightEntries {
-			n.sendAppend(now, m, p)
+		if p.next <= n.log.lastIndex() && p.canSend() {
+			n.sendEntries(now, m, p)
 		}
 	})
 	n.advanceCommit()
@@ -135,7 +135,7 @@
 	for _, list := range [][]contract.LogMember{n.group.Voters, n.group.Learners} {
 		for _, m := range list {
 			if m != n.self && n.peers[m] == nil {
-				n.peers[m] = &progress{next: n.log.lastIndex(), lastReplyTime: now}
+				n.peers[m] = newProgress(now, n.log.lastIndex())
 			}
 		}
 	}
@@ -258,7 +258,7 @@
 		if m.Index < n.log.snapshot.Index {
 			// The snapshot covers the entry at m.Index, and everything that a
 			// snapshot covers is committed.
-			reply.Index = n.log.snapshot.Index
+			reply.Index = min(n.log.snapshot.Index, n.log.syncedIndex)
 			n.send(reply)
 			return
 		}
@@ -307,6 +307,14 @@
 		}
 		return
 	}
+	if got, ok := n.log.term(m.Index); ok && got == m.LogTerm {
+		// The log already has what the snapshot covers. Replacing it would drop
+		// later entries that the leader may have counted as synced.
+		n.commit = m.Index
+		reply.Index = min(m.Index, n.log.syncedIndex)
+		n.send(reply)
+		return
+	}
 	s := Snapshot{Index: m.Index, Term: m.LogTerm, Group: m.Group, Data: m.Data}
 	n.log.reset(s)
 	n.commit, n.applied = s.Index, s.Index
@@ -316,72 +324,6 @@
 	n.sendAfterSync(reply)
 }
 
-func (n *Node) stepAppendReply(now time.Duration, m *contract.LogMessage) {
-	p := n.peers[m.From]
-	if p == nil {
-		return
-	}
-	p.lastReplyTime = now
-	p.ackedSendTime = max(p.ackedSendTime, time.Duration(m.SentAt))
-	if m.Refused {
-		p.next = max(p.match+1, min(p.next-1, m.Hint+1))
-		n.sendAppend(now, m.From, p)
-		return
-	}
-	if m.Index > p.match {
-		p.match = m.Index
-		n.advanceCommit()
-	}
-	p.next = max(p.next, p.match+1)
-}
-
-// maxInFlightEntries limits the unacknowledged entries of one member: once that many
-// are in flight, the leader sends it only heartbeats.
-const maxInFlightEntries = 8192
-
-// sendAppend sends the next entries to the member, or a heartbeat if there are none
-// to send. If the next entry has been compacted, it sends the snapshot. Appends are
-// pipelined: entries are sent before earlier ones are answered. A member that has
-// missed some refuses the next append, and the leader resumes from where their logs
-// may match.
-func (n *Node) sendAppend(now time.Duration, to contract.LogMember, p *progress) {
-	p.lastSendTime = now
-	if p.next <= n.log.snapshot.Index {
-		n.sendSnapshot(now, to, p)
-		return
-	}
-	m := contract.LogMessage{Type: contract.LogAppend, To: to, Commit: n.commit, SentAt: int64(now)}
-	m.Index = p.next - 1
-	m.LogTerm, _ = n.log.term(m.Index)
-	if p.next-p.match <= maxInFlightEntries {
-		m.Entries = n.nextBatch(p.next)
-		p.next += uint64(len(m.Entries))
-	}
-	n.send(m)
-}
-
-func (n *Node) sendSnapshot(now time.Duration, to contract.LogMember, p *progress) {
-	s := n.log.snapshot
-	p.next = s.Index + 1
-	n.send(contract.LogMessage{Type: contract.LogSnapshot, To: to, SentAt: int64(now), Index: s.Index, LogTerm: s.Term, Group: s.Group, Data: s.Data})
-}
-
-// nextBatch returns the entries that fit into one append, beginning at index from.
-func (n *Node) nextBatch(from uint64) []contract.LogEntry {
-	if from > n.log.lastIndex() {
-		return nil
-	}
-	all := n.log.slice(from, n.log.lastIndex())
-	size := 0
-	for i, e := range all {
-		size += len(e.Data)
-		if size > MaxAppendBytes && i > 0 {
-			return all[:i]
-		}
-	}
-	return all
-}
-
 // advanceCommit raises the commit index to the last entry of the current term
 // that a majority of the voters has synced.
 func (n *Node) advanceCommit() {
--- a/contract/message.go
+++ b/contract/message.go
@@ -50,6 +50,9 @@
 	FailureDomain string
 	Rack          string
 	Roles         []Role
+	// RelayAddr is the address at which the sender relays links to control hosts;
+	// empty if it does not.
+	RelayAddr string
 }
 
 // Heartbeat shows that its sender is alive. It is sent on an idle link, and by an
--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -18,6 +18,8 @@
 	KindDiskReply      MessageKind = 112
 	KindKnownWorker    MessageKind = 113
 	KindOrdersTaken    MessageKind = 114
+	KindRelayOpen      MessageKind = 115
+	KindRelayList      MessageKind = 116
 )
 
 // HubState is the state of a control host. The host sends it on each link when
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,9 @@
 // Received ignores messages that are not replies.
 func (g *Gateway) Received(*link.Link, contract.Message) {}
 
+// Connected reports whether a direct link to the hub at addr is open.
+func (g *Gateway) Connected(addr string) bool { return g.uplink.Connected(addr) }
+
 // Drain makes Ready return false.
 func (g *Gateway) Drain() {
 	g.mu.Lock()
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -18,8 +18,8 @@
 	// registered says that the replicated state lists the agent, so that a
 	// later leader waits for it.
 	registered bool
-	// attached says that this leader has handled a report of the agent that has
-	// Attach set, and that no session of the agent has expired since.
+	// attached says that this leader has handled a report of the agent, and that no
+	// session of the agent has expired since.
 	attached bool
 	// unreachable says that the agent gets no new work, since it has not reported
 	// to this leader yet, its link is down, it is silent, or it does not
@@ -112,6 +112,12 @@
 		h.registerWorker(a, r)
 	}
 	if !a.registered {
+		if len(a.backlog) >= maxAgentBacklog {
+			h.log.Info("agent sent too much before its registration: closing its link", "worker", a.host, "messages", len(a.backlog))
+			a.backlog = nil
+			l.Close()
+			return
+		}
 		a.backlog = append(a.backlog, m)
 		return
 	}
@@ -172,6 +178,11 @@
 	}
 }
 
+// maxAgentBacklog is the maximum number of messages that are queued for an agent
+// until it is registered. An agent sends about ten a second, and some for each run
+// that ends; a registration takes a few milliseconds while there is a majority.
+const maxAgentBacklog = 256
+
 func (h *Hub) processAgentMessage(now time.Duration, a *agent, m contract.Message) {
 	switch m := m.(type) {
 	case *contract.WorkerReport:
@@ -227,8 +238,8 @@
 		a.ackedEndSeq = 0
 	}
 	a.session = r.Session
+	a.attached = true
 	if r.Attach {
-		a.attached = true
 		h.log.Info("worker attached", "worker", a.host, "session", r.Session, "pool", r.Worker.Pool, "running", len(r.Running), "ends", len(r.Ends), "draining", r.Worker.Draining, "gone", r.NoWorker)
 	}
 	h.proposeEnds(now, a, r.Ends, h.leader.sched.WorkerReported(now, r))
@@ -379,7 +390,9 @@
 	o.Number = a.lastOrderNumber
 	o.Term, o.Session = h.leader.term, a.session
 	if err := a.link.Send(o); err != nil {
-		h.log.V(1).Info("orders not sent", "worker", a.host, "err", err)
+		// The agent never acknowledges these orders. A new link lets it attach again.
+		h.log.Info("orders not sent: closing the agent's link", "worker", a.host, "err", err)
+		a.link.Close()
 	}
 	a.orders = contract.WorkerOrders{}
 }
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -81,8 +81,24 @@
 var LinkConfig = link.Config{
 	HeartbeatInterval: 700 * time.Millisecond, SilenceTimeout: 2 * time.Second,
 	DialTimeout: 250 * time.Millisecond, MaxRedialBackoff: 150 * time.Millisecond,
+	MaxBacklogBytes: maxLinkBacklogBytes,
 }
 
+// RelayAfter returns how long the leader may be silent towards a process of the role
+// before the process also dials it through a relay. The leader answers the heartbeats
+// of agents, and announces itself to entries every stateBroadcastInterval.
+func RelayAfter(role contract.Role) time.Duration {
+	if role == contract.RoleAgent {
+		return agentTimeout
+	}
+	return 2*stateBroadcastInterval + 50*time.Millisecond
+}
+
+// maxLinkBacklogBytes bounds the memory of the messages that wait for one slow peer.
+// It covers the entries that may be in flight to one hub, and for an agent some
+// seconds of orders.
+const maxLinkBacklogBytes = 8 << 20
+
 // Hub accepts and schedules durable jobs on one control host. The event loop owns
 // its mutable state.
 type Hub struct {
@@ -120,10 +136,14 @@
 	// when that was.
 	lastBroadcast   contract.HubState
 	lastBroadcastAt time.Duration
-	groupCheckedAt  time.Duration
-	joinRequestedAt time.Duration
-	logClock        logClock
-	disksQueriedAt  time.Duration
+	// relaysChanged says that a relay has come or gone since the relays were last
+	// announced, at relaysAnnouncedAt.
+	relaysChanged     bool
+	relaysAnnouncedAt time.Duration
+	groupCheckedAt    time.Duration
+	joinRequestedAt   time.Duration
+	logClock          logClock
+	disksQueriedAt    time.Duration
 	// diskReplies holds the other seeds' replies while the group is formed, by
 	// link address.
 	diskReplies map[string]contract.DiskReply
@@ -171,7 +191,10 @@
 	// transients holds the jobs that are not replicated.
 	transients    *transientJobs
 	lastSummaryAt time.Duration
-	lastCheckAt   time.Duration
+	// poolFields holds, by pool, the log fields of refusalFields as of poolFieldsAt.
+	poolFields   map[string][]any
+	poolFieldsAt time.Duration
+	lastCheckAt  time.Duration
 }
 
 // Run runs a hub that accepts links on ln until ctx is done. It passes the hub to
@@ -182,8 +205,6 @@
 	if err != nil {
 		return err
 	}
-	stop := make(chan struct{})
-	defer close(stop)
 	goroutines, ctx := errgroup.WithContext(ctx)
 	h.ctx, h.goroutines = ctx, goroutines
 	h.writer = newDiskWriter(cfg.Log, h.store, h.handleSynced)
@@ -295,6 +316,7 @@
 		h.tickLeader(now)
 	}
 	h.compact()
+	h.announceRelays(now)
 }
 
 // advance acts on the events that the loop iteration has handled: it proposes
@@ -380,6 +402,7 @@
 			entries := w.record.Entries
 			if w.rewrite != nil {
 				entries = w.rewrite.Entries
+				h.node.Synced(w.rewrite.Snapshot.Index, w.rewrite.Snapshot.Term)
 			}
 			if n := len(entries); n > 0 {
 				h.node.Synced(entries[n-1].Index, entries[n-1].Term)
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/consensus"
@@ -109,12 +110,51 @@
 const summaryInterval = time.Second
 
 func (h *Hub) logSummaries() {
+	unattached := h.leader.countUnattached()
 	for _, p := range h.leader.sched.PoolSummaries() {
-		h.log.Info("pool summary", "pool", p.Pool, "workers", p.AvailableWorkers, "suspects", p.SuspectedWorkers, "away", p.UnavailableWorkers,
-			"room", p.CapacityMilliCPU, "used", p.UsedMilliCPU, "viable", p.ViableJobs, "late", p.LateJobs, "jobs", p.Jobs)
+		h.log.Info("pool summary", append(poolFields(p, unattached), "viable", p.ViableJobs, "late", p.LateJobs, "jobs", p.Jobs)...)
 	}
 }
 
+// poolFields returns the fields of log lines that describe the workers of a pool.
+// unattached counts the agents, of whatever pool, that have not reported to this
+// leader yet.
+func poolFields(p schedule.PoolSummary, unattached int) []any {
+	return []any{
+		"pool", p.Pool, "workers", p.AvailableWorkers, "suspects", p.SuspectedWorkers, "away", p.UnavailableWorkers,
+		"unreachable", p.UnreachableWorkers, "unattached", unattached, "room", p.CapacityMilliCPU, "used", p.UsedMilliCPU,
+	}
+}
+
+// countUnattached returns the number of agents that the replicated state lists and
+// that have no session with this leader.
+func (ls *leaderState) countUnattached() int {
+	n := 0
+	for _, a := range ls.agents {
+		if a.registered && !a.attached {
+			n++
+		}
+	}
+	return n
+}
+
+// refusalFieldsTTL is how long the description of the pools in the log lines of
+// refused jobs is reused, since it takes a walk over all workers.
+const refusalFieldsTTL = 50 * time.Millisecond
+
+// refusalFields returns the fields that describe the pool in the log line of a
+// refused job, and the age of that knowledge.
+func (ls *leaderState) refusalFields(now time.Duration, pool string) []any {
+	if ls.poolFields == nil || now-ls.poolFieldsAt > refusalFieldsTTL {
+		ls.poolFields, ls.poolFieldsAt = map[string][]any{}, now
+		unattached := ls.countUnattached()
+		for _, p := range ls.sched.PoolSummaries() {
+			ls.poolFields[p.Pool] = poolFields(p, unattached)
+		}
+	}
+	return append(slices.Clone(ls.poolFields[pool]), "pool_age_ms", (now - ls.poolFieldsAt).Milliseconds())
+}
+
 // checkInterval is how often the leader checks agents, runs and ended transient
 // jobs for timeouts.
 const checkInterval = 20 * time.Millisecond
@@ -210,7 +250,13 @@
 	}
 	if r.Verdict != contract.VerdictAccepted && r.Verdict != contract.VerdictState {
 		telemetry.JobsRefused.WithLabelValues(r.Reason).Inc()
-		h.log.Info("job refused", "path", m.Path, "verdict", r.Verdict, "reason", r.Reason, "retry_ms", r.RetryAfter.Milliseconds())
+		fields := []any{"path", m.Path, "verdict", r.Verdict, "reason", r.Reason, "retry_ms", r.RetryAfter.Milliseconds()}
+		if r.Verdict == contract.VerdictOverload {
+			if q, _ := h.state.MatchQueue(m.Host, m.Path); q != nil {
+				fields = append(fields, h.leader.refusalFields(now, q.Pool)...)
+			}
+		}
+		h.log.Info("job refused", fields...)
 	}
 	h.reply(to.link, to.seq, r)
 }
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -37,7 +37,6 @@
 // peer is another hub, to which this hub maintains a link.
 type peer struct {
 	dialer *link.Dialer
-	cancel context.CancelFunc
 }
 
 // peerHandler handles the events of a link that this hub dialled to another hub.
@@ -83,10 +82,9 @@
 	if addr == h.cfg.Addr || h.peers[addr] != nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(h.ctx)
 	d := &link.Dialer{Addr: addr, Local: h.hello(), Config: LinkConfig, Handler: peerHandler{h, addr}}
-	h.peers[addr] = &peer{dialer: d, cancel: cancel}
-	h.goroutines.Go(func() error { return d.Run(ctx) })
+	h.peers[addr] = &peer{dialer: d}
+	h.goroutines.Go(func() error { return d.Run(h.ctx) })
 }
 
 // dialHubs dials the hubs that another hub has announced.
@@ -289,6 +287,7 @@
 			h.log.V(1).Info("hub state not sent", "peer", l.Remote().Host, "err", err)
 		}
 		h.sendKnownWorker(l)
+		h.relayLinkUp(l)
 	})
 }
 
@@ -314,6 +313,7 @@
 	h := (*Hub)(i)
 	h.post(func() {
 		delete(h.inbound, l)
+		h.relayLinkDown(l)
 		if h.leader != nil {
 			h.leader.agentLinkDown(h, l)
 		}
--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -115,7 +115,7 @@
 func (c *cluster) uplinkConfig(name string, role contract.Role) uplink.Config {
 	return uplink.Config{
 		Hello: contract.Hello{Host: contract.HostID(name), Incarnation: contract.NewIncarnation(), Roles: []contract.Role{role}},
-		Seeds: c.seeds, Link: LinkConfig, Log: testLog(name),
+		Seeds: c.seeds, Link: LinkConfig, RelayAfter: RelayAfter(role), Log: testLog(name),
 	}
 }
 
@@ -455,6 +455,27 @@
 	must.Eq(t, nil, c.runChecker.Violations())
 }
 
+// acceptedLinks passes on the links that a server accepts, and ignores messages.
+type acceptedLinks chan *link.Link
+
+func (a acceptedLinks) LinkUp(l *link.Link)                          { a <- l }
+func (a acceptedLinks) Receive(*link.Link, uint64, contract.Message) {}
+func (a acceptedLinks) LinkDown(*link.Link, error)                   {}
+
+// newTestLink returns the accepting end of a link over the loopback interface.
+func newTestLink(t *testing.T) *link.Link {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	accepted := make(acceptedLinks, 1)
+	server := &link.Server{Local: contract.Hello{Host: "hub"}, Config: LinkConfig, Handler: accepted}
+	go server.Serve(ctx, ln)
+	dialer := &link.Dialer{Addr: ln.Addr().String(), Local: contract.Hello{Host: "agent"}, Config: LinkConfig, Handler: make(acceptedLinks, 1)}
+	go dialer.Run(ctx)
+	return <-accepted
+}
+
 // TestSecondReportOnALinkTakesNoOrderBack guards against a second start of a task
 // after the leader has lost and regained its lease. The agent then attaches again
 // on the same link while an order is in transit, so its report does not list the
@@ -464,7 +485,7 @@
 	c := newCluster(t, 1)
 	c.putTables(1)
 	h := c.hubInstances[c.waitLeader()]
-	l := new(link.Link)
+	l := newTestLink(t)
 	report := func() *contract.WorkerReport {
 		return &contract.WorkerReport{
 			Attach: true, Term: h.leader.term, Host: "w1", Session: 7,
@@ -491,13 +512,51 @@
 	onLoop(func() {
 		h.handleAgentMessage(boottime.Now(), l, report())
 		sameLink = usedCPU()
-		h.handleAgentMessage(boottime.Now(), new(link.Link), report())
+		h.handleAgentMessage(boottime.Now(), newTestLink(t), report())
 		newLink = usedCPU()
 	})
 	must.Eq(t, 100, sameLink, must.Sprint("the order in transit was dropped: the task would start twice"))
 	must.Eq(t, 0, newLink, must.Sprint("an order sent on the previous link must count as lost"))
 }
 
+// TestNewSessionOnALinkAttaches lets a session expire and the agent report its next
+// session on the same link. The worker must get work again after a short silence.
+func TestNewSessionOnALinkAttaches(t *testing.T) {
+	c := newCluster(t, 1)
+	c.putTables(1)
+	h := c.hubInstances[c.waitLeader()]
+	l := newTestLink(t)
+	report := func(session contract.WorkerSession) *contract.WorkerReport {
+		return &contract.WorkerReport{
+			Attach: true, Term: h.leader.term, Host: "w1", Session: session,
+			Worker: contract.WorkerAnnouncement{ID: "w1", Pool: testPool, Capacity: contract.Capacity{MilliCPU: 1000, MemoryMB: 1000}},
+		}
+	}
+	onLoop := func(f func()) {
+		done := make(chan struct{})
+		h.post(func() { f(); close(done) })
+		<-done
+	}
+	onLoop(func() { h.handleAgentMessage(boottime.Now(), l, report(7)) })
+	c.waitFor("the agent is registered", func() bool {
+		registered := false
+		onLoop(func() { registered = h.leader.agents["w1"].registered })
+		return registered
+	})
+	var unreachable bool
+	onLoop(func() {
+		a := h.leader.agents["w1"]
+		h.leader.markUnreachable(h, a, "test")
+		a.authorityGrantedAt -= 2 * sessionTTL
+		h.checkAgents(boottime.Now())
+		h.handleAgentMessage(boottime.Now(), l, report(8))
+		h.leader.markUnreachable(h, a, "test")
+		h.handleAgentMessage(boottime.Now(), l, &contract.AgentBeat{Session: 8})
+		unreachable = a.unreachable
+	})
+	must.False(t, unreachable, must.Sprint("the worker of the new session gets no work"))
+}
+
 func TestFailingWorkerFailsNoJob(t *testing.T) {
 	c := newCluster(t, 3, "w1", "w2", "w3")
 	c.putTables(1)
--- a/link/dial.go
+++ b/link/dial.go
@@ -18,8 +18,11 @@
 
 // Dialer maintains one link to an address and reconnects when it goes down.
 type Dialer struct {
-	Addr    string         // TCP address of the peer
-	Local   contract.Hello // sent to the peer in the handshake
+	Addr  string         // TCP address of the peer
+	Local contract.Hello // sent to the peer in the handshake
+	// Relay returns the address of the relay through which the next attempt
+	// connects. Nil means that the peer is dialled directly.
+	Relay   func() string
 	Config  Config
 	Handler Handler
 
@@ -46,8 +49,7 @@
 // handshake succeeded and the link came up.
 func (d *Dialer) dialAndRun(ctx context.Context) bool {
 	cfg := d.Config.withDefaults()
-	dialer := net.Dialer{Timeout: cfg.DialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", d.Addr)
+	conn, err := d.dial(ctx, cfg.DialTimeout)
 	if err != nil {
 		return false
 	}
@@ -64,6 +66,28 @@
 	return true
 }
 
+// dial connects to the peer, directly or through a relay.
+func (d *Dialer) dial(ctx context.Context, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout}
+	if d.Relay == nil {
+		return dialer.DialContext(ctx, "tcp", d.Addr)
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", d.Relay())
+	if err != nil {
+		return nil, err
+	}
+	open, err := AppendFrame(nil, Frame{Message: &contract.RelayOpen{Hub: d.Addr}})
+	if err == nil {
+		conn.SetWriteDeadline(time.Now().Add(timeout))
+		_, err = conn.Write(open)
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
 func (d *Dialer) setCurrent(l *Link) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/link/link.go
+++ b/link/link.go
@@ -18,10 +18,13 @@
 	"github.com/carawaylanding/carawaylanding/metrics"
 )
 
-// ErrDown means that the link was down, so no part of the message was sent. The one
-// exception is a Call during which Close was called on the link; see Link.Call.
+// ErrDown means that the link was down, so no part of the message was sent.
 var ErrDown = errors.New("link is down: the message was not sent")
 
+// ErrClosed is why a link is down after Close. A Call that waited for its reply then
+// returns it, and its message may have arrived.
+var ErrClosed = errors.New("link was closed: the message may have arrived")
+
 // ErrBacklogFull means that too many bytes wait to be written because the peer reads
 // too slowly. No part of the message was sent.
 var ErrBacklogFull = errors.New("link backlog is full: the message was not sent")
@@ -134,9 +137,7 @@
 
 // Call sends a message and waits for its reply. If the reply is a Fault, Call
 // returns the error that it carries. ErrDown and ErrBacklogFull mean that the
-// message was not sent, with one exception: Call also returns ErrDown if Close is
-// called while Call waits for the reply, and the message may then have arrived.
-// After any other error it may have arrived.
+// message was not sent. After any other error it may have arrived.
 func (l *Link) Call(ctx context.Context, m contract.Message) (contract.Message, error) {
 	ch := make(chan contract.Message, 1)
 	l.mu.Lock()
@@ -175,7 +176,7 @@
 }
 
 // Close takes the link down. Messages that were queued but not written are dropped.
-func (l *Link) Close() { l.closeWithError(ErrDown) }
+func (l *Link) Close() { l.closeWithError(ErrClosed) }
 
 // closeWithError takes the link down because of err. Calls after the first have no
 // effect.
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"maps"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,6 +89,40 @@
 	must.NoError(t, <-ran)
 }
 
+// TestCloseDuringCall closes a link while a call waits for its reply. The message may
+// have arrived, so the error must not say that it was not sent.
+func TestCloseDuringCall(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	srv := &Server{Local: contract.Hello{Host: "s"}, Handler: newEchoHandler()}
+	go srv.Serve(ctx, ln)
+	handler := newEchoHandler()
+	d := &Dialer{Addr: ln.Addr().String(), Local: contract.Hello{Host: "d"}, Handler: handler}
+	go d.Run(ctx)
+	l := <-handler.up
+	failed := make(chan error, 1)
+	go func() {
+		_, err := l.Call(ctx, &contract.Hello{}) // the server does not reply to it
+		failed <- err
+	}()
+	for len(l.waitingCalls()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	l.Close()
+	err = <-failed
+	must.ErrorIs(t, err, ErrClosed)
+	must.False(t, errors.Is(err, ErrDown))
+}
+
+// waitingCalls returns the sequence numbers of the calls that wait for a reply.
+func (l *Link) waitingCalls() []uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.calls))
+}
+
 // A peer that sends nothing after its Hello, not even heartbeats, is considered
 // lost after Config.SilenceTimeout.
 func TestSilentPeerTakesTheLinkDown(t *testing.T) {
--- a/schedule/summary.go
+++ b/schedule/summary.go
@@ -7,6 +7,8 @@
 	// suspected ones, which get one task at a time, and UnavailableWorkers those that
 	// are unreachable or take no new work. Each worker is in one of the three counts.
 	AvailableWorkers, SuspectedWorkers, UnavailableWorkers int
+	// UnreachableWorkers counts those of UnavailableWorkers that the hub can't reach.
+	UnreachableWorkers int
 	// CapacityMilliCPU is the total CPU of the workers counted in AvailableWorkers,
 	// and UsedMilliCPU the part of it that runs use, in thousandths of a core.
 	CapacityMilliCPU, UsedMilliCPU int
@@ -38,6 +40,9 @@
 		switch {
 		case w.unreachable || !w.usable:
 			p.UnavailableWorkers++
+			if w.unreachable {
+				p.UnreachableWorkers++
+			}
 		case w.suspect():
 			p.SuspectedWorkers++
 		default:
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -52,6 +52,13 @@
 	RunsPlaced = factory.NewCounter(prometheus.CounterOpts{Name: "caraway_runs_placed_total", Help: "Orders to start a run."})
 	// RunsStopped counts orders to stop a run that were queued for agents.
 	RunsStopped = factory.NewCounter(prometheus.CounterOpts{Name: "caraway_runs_stopped_total", Help: "Orders to stop a run."})
+	// RelayLinks counts the links that this process was asked to relay to control
+	// hosts, by result.
+	RelayLinks = factory.NewCounterVec(prometheus.CounterOpts{
+		Name: "caraway_relay_links_total", Help: "Links to relay, by result.",
+	}, []string{"result"})
+	// RelayBytes counts the bytes of relayed links.
+	RelayBytes = factory.NewCounter(prometheus.CounterOpts{Name: "caraway_relay_bytes_total", Help: "Bytes relayed to and from control hosts."})
 	// SyncSeconds is the duration of one sync of the log to disk.
 	SyncSeconds = factory.NewHistogram(prometheus.HistogramOpts{
 		Name: "caraway_log_sync_seconds", Help: "Time of one sync of the log.", Buckets: latencyBuckets,
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -1,6 +1,7 @@
 // Package uplink maintains links from a process to the hubs, the control hosts of
 // durable jobs. It discovers hubs through those that it is connected to, and
-// tracks which hub is the leader.
+// tracks which hub is the leader. A hub that it can't reach directly it reaches
+// through a relay.
 package uplink
 
 import (
@@ -25,7 +26,7 @@
 	// closed and dialled again.
 	leaderLinkTimeout = 1100 * time.Millisecond
 	// checkInterval is how often hubs are checked for timeouts.
-	checkInterval = 100 * time.Millisecond
+	checkInterval = 50 * time.Millisecond
 )
 
 // Listener handles the events of an Uplink. Its methods may be called from several
@@ -45,16 +46,23 @@
 	// Seeds returns the link addresses of hubs that may be running.
 	Seeds func() []string
 	Link  link.Config
-	Log   logr.Logger
+	// RelayAfter is how long the leader may be silent before it is also dialled
+	// through a relay; zero means that relays are not used. It should cover two
+	// intervals of the leader's messages.
+	RelayAfter time.Duration
+	Log        logr.Logger
 }
 
-// hubConn is the connection to one hub, with the state that the hub announced last.
+// hubConn is one path to a hub, direct or through a relay, with the state that the
+// hub announced last on it.
 type hubConn struct {
-	dialer  *link.Dialer
-	cancel  context.CancelFunc
-	link    *link.Link
-	state   contract.HubState
-	stateAt time.Duration
+	path
+	addr   string
+	cancel context.CancelFunc
+	link   *link.Link
+	state  contract.HubState
+	// wantedAt is when a relayed path was last wanted.
+	wantedAt time.Duration
 }
 
 // Uplink maintains links to the hubs and tracks the leader. Leader may be called
@@ -65,17 +73,24 @@
 	ctx        context.Context
 	goroutines *errgroup.Group
 
-	mu     sync.Mutex // guards the fields below
-	hubs   map[string]*hubConn
-	leader *link.Link
-	term   uint64
+	mu sync.Mutex // guards the fields below
+	// hubs holds the direct paths and relayed the paths through a relay, by the
+	// address of the hub.
+	hubs, relayed map[string]*hubConn
+	// leader is the selected path to the leader, or nil.
+	leader *hubConn
+	// notified is the link that the listener knows as that to the leader.
+	notified *link.Link
+	term     uint64
 	// groupAddrs are the hub addresses that a leader announced last.
 	groupAddrs []string
+	// relays are the addresses of the relays that a hub announced last.
+	relays []string
 }
 
 // New returns an Uplink that notifies l of its events. Run starts it.
 func New(cfg Config, l Listener) *Uplink {
-	return &Uplink{cfg: cfg, listener: l, hubs: map[string]*hubConn{}}
+	return &Uplink{cfg: cfg, listener: l, hubs: map[string]*hubConn{}, relayed: map[string]*hubConn{}}
 }
 
 // Run maintains the links until ctx is done.
@@ -102,7 +117,15 @@
 func (u *Uplink) Leader() (*link.Link, uint64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.leader, u.term
+	return u.notified, u.term
+}
+
+// Connected reports whether a direct link to the hub at addr is open.
+func (u *Uplink) Connected(addr string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	h := u.hubs[addr]
+	return h != nil && h.link != nil
 }
 
 // dialAll starts to maintain a link to each of the addresses that is not dialled
@@ -114,22 +137,29 @@
 		if u.hubs[addr] != nil || u.ctx.Err() != nil {
 			continue
 		}
-		ctx, cancel := context.WithCancel(u.ctx)
-		h := &hubConn{cancel: cancel}
-		h.dialer = &link.Dialer{Addr: addr, Local: u.cfg.Hello, Config: u.cfg.Link, Handler: &hubHandler{u, addr}}
-		u.hubs[addr] = h
-		u.goroutines.Go(func() error { return h.dialer.Run(ctx) })
+		u.hubs[addr] = u.dial(addr, nil)
 	}
 }
 
+// dial starts to maintain a path to the hub at addr. relay is nil for a direct path.
+// The caller holds u.mu.
+func (u *Uplink) dial(addr string, relay func() string) *hubConn {
+	ctx, cancel := context.WithCancel(u.ctx)
+	c := &hubConn{addr: addr, cancel: cancel, path: path{relayed: relay != nil}}
+	c.heardAt = boottime.Now()
+	d := &link.Dialer{Addr: addr, Local: u.cfg.Hello, Config: u.cfg.Link, Relay: relay, Handler: &hubHandler{u, c}}
+	u.goroutines.Go(func() error { return d.Run(ctx) })
+	return c
+}
+
 // checkHubs closes the links to silent leaders, so that they are dialled again. It
 // removes disconnected hubs that are neither seeds nor among the hubs that the
-// leader announced, and then selects the leader.
+// leader announced, updates the relayed paths, and then selects the leader.
 func (u *Uplink) checkHubs(now time.Duration) {
 	seeds := u.cfg.Seeds()
 	u.mu.Lock()
 	for addr, h := range u.hubs {
-		if h.link != nil && h.state.Leads && now-h.stateAt > leaderLinkTimeout {
+		if h.link != nil && h.leads && now-h.stateAt > leaderLinkTimeout {
 			h.link.Close()
 		}
 		if h.link == nil && len(u.groupAddrs) > 0 && !slices.Contains(u.groupAddrs, addr) && !slices.Contains(seeds, addr) {
@@ -137,28 +167,44 @@
 			delete(u.hubs, addr)
 		}
 	}
+	u.updateRelayed(now)
 	u.mu.Unlock()
 	u.selectLeader(now)
 }
 
-// selectLeader selects the leader: of the connected hubs that have announced
-// within leaderTimeout that they lead, the one with the highest term. It notifies
-// the listener of a change.
+// paths returns all paths. The caller holds u.mu.
+func (u *Uplink) paths() []*hubConn {
+	out := make([]*hubConn, 0, len(u.hubs)+len(u.relayed))
+	for _, h := range u.hubs {
+		out = append(out, h)
+	}
+	for _, h := range u.relayed {
+		out = append(out, h)
+	}
+	return out
+}
+
+// selectLeader selects the path to the leader. It notifies the listener if the link
+// to the leader or its term has changed.
 func (u *Uplink) selectLeader(now time.Duration) {
 	u.mu.Lock()
+	// Between equal paths the present one stays.
 	var best *hubConn
-	for _, h := range u.hubs {
-		if h.link != nil && h.state.Leads && now-h.stateAt <= leaderTimeout && (best == nil || h.state.Term > best.state.Term) {
+	if u.leader != nil && u.leader.mayLead(now) {
+		best = u.leader
+	}
+	for _, h := range u.paths() {
+		if h.mayLead(now) && (best == nil || h.betterThan(&best.path, now, u.cfg.RelayAfter)) {
 			best = h
 		}
 	}
 	var l *link.Link
 	term := u.term
 	if best != nil {
-		l, term = best.link, best.state.Term
+		l, term = best.link, best.term
 	}
-	changed := l != u.leader || term != u.term
-	u.leader, u.term = l, term
+	changed := l != u.notified || term != u.term
+	u.leader, u.notified, u.term = best, l, term
 	u.mu.Unlock()
 	if !changed {
 		return
@@ -166,49 +212,64 @@
 	if l == nil {
 		u.cfg.Log.Info("leader lost", "term", term)
 	} else {
-		u.cfg.Log.Info("leader found", "leader", l.Remote().Host, "term", term)
+		u.cfg.Log.Info("leader found", "leader", l.Remote().Host, "term", term, "relayed", best.relayed)
 	}
 	u.listener.LeaderChanged(l, term)
 }
 
-// hubHandler handles the events of the link to one hub.
+// hubHandler handles the events of one path to a hub.
 type hubHandler struct {
-	u    *Uplink
-	addr string
+	u *Uplink
+	c *hubConn
 }
 
 // LinkUp records the link. The hub's state is unknown until the hub announces it.
 func (h *hubHandler) LinkUp(l *link.Link) {
+	now := boottime.Now()
 	h.u.mu.Lock()
-	if c := h.u.hubs[h.addr]; c != nil {
-		c.link, c.state = l, contract.HubState{}
-	}
+	h.c.link, h.c.state = l, contract.HubState{}
+	h.c.up(now)
 	h.u.mu.Unlock()
-	h.u.cfg.Log.Info("hub connected", "hub", h.addr)
+	h.u.cfg.Log.Info("hub connected", "hub", h.c.addr, "relayed", h.c.relayed)
 }
 
 // LinkDown removes the link and selects another leader if this hub was the leader.
 func (h *hubHandler) LinkDown(l *link.Link, err error) {
+	now := boottime.Now()
 	h.u.mu.Lock()
-	if c := h.u.hubs[h.addr]; c != nil && c.link == l {
-		c.link, c.state = nil, contract.HubState{}
+	if h.c.link == l {
+		h.c.link, h.c.state = nil, contract.HubState{}
+		h.c.down(now)
 	}
 	h.u.mu.Unlock()
-	h.u.cfg.Log.Info("hub disconnected", "hub", h.addr, "err", err)
-	h.u.selectLeader(boottime.Now())
+	h.u.cfg.Log.Info("hub disconnected", "hub", h.c.addr, "relayed", h.c.relayed, "err", err)
+	h.u.selectLeader(now)
 }
 
-// Receive records a HubState and passes every other message to the listener.
+// Receive records a HubState or a RelayList, and passes every other message to the
+// listener.
 func (h *hubHandler) Receive(l *link.Link, _ uint64, m contract.Message) {
-	s, ok := m.(*contract.HubState)
-	if !ok {
+	now := boottime.Now()
+	h.u.mu.Lock()
+	h.c.heard(now)
+	h.u.mu.Unlock()
+	switch m := m.(type) {
+	case *contract.HubState:
+		h.recordState(now, l, m)
+	case *contract.RelayList:
+		h.u.mu.Lock()
+		h.u.relays = m.Addrs
+		h.u.mu.Unlock()
+	default:
 		h.u.listener.Received(l, m)
-		return
 	}
-	now := boottime.Now()
+}
+
+func (h *hubHandler) recordState(now time.Duration, l *link.Link, s *contract.HubState) {
 	h.u.mu.Lock()
-	if c := h.u.hubs[h.addr]; c != nil && c.link == l {
-		c.state, c.stateAt = *s, now
+	if h.c.link == l {
+		h.c.state = *s
+		h.c.announced(now, s.Leads, s.Term)
 	}
 	if s.Leads {
 		h.u.groupAddrs = s.Hubs
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -19,6 +19,10 @@
 	// millisecond or two. The timeout must be short enough to detect a lost
 	// answer before the expected end of the shortest tasks.
 	callTimeout = 50 * time.Millisecond
+	// leaseDuration is the longest lease that an agent asks for. The tasks of a worker
+	// that went silent start elsewhere only once its lease has expired. A sound worker
+	// answers eight polls within it.
+	leaseDuration = 500 * time.Millisecond
 	// startMargin is the minimum remaining time of the confirmed lease for a run to
 	// be started under it. It must be longer than the next calls take.
 	startMargin = 150 * time.Millisecond
@@ -382,7 +386,7 @@
 // leader's authority, so that the leader knows when no run is left on a worker that
 // it can't reach. The caller holds agent.mu.
 func (w *workerInstance) nextLeaseEndMS() int64 {
-	duration := min(w.agent.cfg.Lease, w.agent.authorityEnd-boottime.Now())
+	duration := min(w.agent.cfg.Lease, leaseDuration, w.agent.authorityEnd-boottime.Now())
 	end := w.workerNowMS() + duration.Milliseconds()
 	w.latestLeaseEndMS = max(w.latestLeaseEndMS, end)
 	return end
