hub: a leader that is behind calls no agent silent; cheaper decisions

Change: silence counts only up to the time for which the queue has been handled; the tick handles the queue first. Orders are sent from a list of the agents that have any, not by a walk over all. The runs left from an earlier submission are found by an index instead of a walk over all runs of all workers for each job; a worker without room is passed over by the cheapest check first.

--- a/hub/agents.go
+++ b/hub/agents.go
@@ -35,8 +35,10 @@
 	// backlog holds the messages that are processed once the agent is
 	// registered.
 	backlog []contract.Message
-	// orders collects the orders that are sent next.
-	orders contract.WorkerOrders
+	// orders collects the orders that are sent next; hasOrders says that there are
+	// any. nextOrders adds to them.
+	orders    contract.WorkerOrders
+	hasOrders bool
 	// lastOrderNumber is the number of the last orders sent on the link, and
 	// ackedOrderNumber that of the last orders acknowledged. orderAckTimeout
 	// counts from unackedSince: when the oldest unacknowledged orders were sent,
@@ -52,13 +54,24 @@
 }
 
 // acknowledgeEnds acknowledges committed run ends in the agent's next orders.
-func (a *agent) acknowledgeEnds(ack endAck) {
+func (ls *leaderState) acknowledgeEnds(ack endAck) {
+	a := ack.agent
 	if a.session == ack.session && ack.seq > a.ackedEndSeq {
 		a.ackedEndSeq = ack.seq
-		a.orders.AckedEndSeq = ack.seq
+		ls.nextOrders(a).AckedEndSeq = ack.seq
 	}
 }
 
+// nextOrders returns the orders that are sent to the agent at the end of this loop
+// iteration.
+func (ls *leaderState) nextOrders(a *agent) *contract.WorkerOrders {
+	if !a.hasOrders {
+		a.hasOrders = true
+		ls.withOrders = append(ls.withOrders, a)
+	}
+	return &a.orders
+}
+
 // sessionTTL is how long a session may last after its agent was last granted
 // authority. No worker lease lasts longer than the authority, and a worker's
 // clock may be slow by one part in contract.WorkerClockDriftDivisor.
@@ -107,7 +120,7 @@
 	if a == nil {
 		return
 	}
-	a.lastHeardAt = now
+	a.lastHeardAt = h.eventAt
 	if r, ok := m.(*contract.WorkerReport); ok {
 		h.registerWorker(a, r)
 	}
@@ -230,7 +243,7 @@
 // authority. For an expired session it only orders the agent to end the session.
 func (h *Hub) handleReport(now time.Duration, a *agent, r *contract.WorkerReport) {
 	if r.Session == a.expiredSession && r.Session != 0 {
-		a.orders.EndSession = true
+		h.leader.nextOrders(a).EndSession = true
 		a.session = r.Session
 		return
 	}
@@ -283,7 +296,7 @@
 	}
 	ack := endAck{agent: a, session: a.session, seq: last}
 	if !proposed && a.pendingEndAcks == 0 {
-		a.acknowledgeEnds(ack)
+		h.leader.acknowledgeEnds(ack)
 		return
 	}
 	// Ends are acknowledged in order, so these wait for earlier ends that are
@@ -292,7 +305,8 @@
 	p.endAcks = append(p.endAcks, ack)
 }
 
-// checkAgents marks agents that time out as unreachable, and declares sessions
+// checkAgents marks agents that time out as unreachable, as far as the messages that
+// have arrived were handled, and declares sessions
 // expired once none of their runs can be alive. It removes an agent whose session
 // has expired if the agent has no link. It releases the tasks that may have runs
 // of an earlier leader once each registered agent has attached or its session has
@@ -301,10 +315,10 @@
 	ls := h.leader
 	allAttached := true
 	for _, a := range ls.agents {
-		if a.registered && !a.unreachable && now-a.lastHeardAt > agentTimeout {
+		if a.registered && !a.unreachable && h.handledUntil-a.lastHeardAt > agentTimeout {
 			ls.markUnreachable(h, a, "silent")
 		}
-		if a.registered && !a.unreachable && a.ackedOrderNumber < a.lastOrderNumber && now-a.unackedSince > orderAckTimeout {
+		if a.registered && !a.unreachable && a.ackedOrderNumber < a.lastOrderNumber && h.handledUntil-a.unackedSince > orderAckTimeout {
 			ls.markUnreachable(h, a, "orders not acknowledged")
 		}
 		if !a.unreachable || !a.registered {
@@ -346,9 +360,11 @@
 	for id, workers := range placed {
 		h.log.Info("job placed", "job", id, "workers", workers)
 	}
-	for _, a := range h.leader.agents {
+	for _, a := range h.leader.withOrders {
+		a.hasOrders = false
 		h.sendOrders(now, a)
 	}
+	h.leader.withOrders = h.leader.withOrders[:0]
 }
 
 // placements lists, by job, the workers that were assigned its tasks in one loop
@@ -363,13 +379,15 @@
 		return
 	}
 	if o.Start != nil {
-		a.orders.Starts = append(a.orders.Starts, *o.Start)
+		next := h.leader.nextOrders(a)
+		next.Starts = append(next.Starts, *o.Start)
 		telemetry.RunsPlaced.Inc()
 		placed[o.Start.Job] = append(placed[o.Start.Job], o.Host)
 		return
 	}
 	telemetry.RunsStopped.Inc()
-	a.orders.Stops = append(a.orders.Stops, *o.Stop)
+	next := h.leader.nextOrders(a)
+	next.Stops = append(next.Stops, *o.Stop)
 	h.log.Info("run stopped", "job", o.Stop.Job, "task", o.Stop.Task, "run", o.Stop.Run, "worker", o.Host)
 }
 
@@ -381,6 +399,7 @@
 		return
 	}
 	if a.link == nil {
+		// attachAgent discards what is left.
 		return
 	}
 	if a.ackedOrderNumber == a.lastOrderNumber {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -105,11 +105,15 @@
 	cfg Config
 	log logr.Logger
 	// events queues the functions that the event loop runs.
-	events chan func()
-	node   *consensus.Node
-	store  *logStore
-	writer *diskWriter
-	state  *durable.State
+	events chan event
+	// eventAt is when the event that is being handled was posted. handledUntil is a
+	// time up to which all events have been handled: silence after it may only mean
+	// that this hub is behind.
+	eventAt, handledUntil time.Duration
+	node                  *consensus.Node
+	store                 *logStore
+	writer                *diskWriter
+	state                 *durable.State
 	// uncommittedWorkers holds, by host of their agent, the workers named by log
 	// entries that were read from disk and may not be committed. sendKnownWorker
 	// uses them for agents that state does not list.
@@ -181,6 +185,8 @@
 	// agentByLink holds the agents that have reported on a link that is up, by
 	// that link.
 	agentByLink map[*link.Link]*agent
+	// withOrders lists the agents whose queued orders are to be sent.
+	withOrders []*agent
 	// pending collects the changes for the next proposal.
 	pending *proposal
 	// proposed holds the proposed batches that are not applied yet, by log
@@ -227,7 +233,7 @@
 	}
 	now := boottime.Now()
 	h := &Hub{
-		cfg: cfg, log: cfg.Log, events: make(chan func(), 4096), store: store, state: state,
+		cfg: cfg, log: cfg.Log, events: make(chan event, 4096), store: store, state: state,
 		self:               contract.LogMember{Addr: cfg.Addr, Disk: store.disk},
 		uncommittedWorkers: workersInEntries(cfg.Log, stored.Entries),
 		peers:              map[string]*peer{},
@@ -266,11 +272,17 @@
 	return contract.Hello{Host: h.cfg.Host, Incarnation: contract.NewIncarnation(), Roles: []contract.Role{contract.RoleControl}}
 }
 
+// event is a function for the event loop, with the time at which it was posted.
+type event struct {
+	f  func()
+	at time.Duration
+}
+
 // post queues f to run in the event loop, and blocks while the queue is full. It
 // may drop f once the hub stops.
 func (h *Hub) post(f func()) {
 	select {
-	case h.events <- f:
+	case h.events <- event{f, boottime.Now()}:
 	case <-h.ctx.Done():
 	}
 }
@@ -283,10 +295,11 @@
 		select {
 		case <-ctx.Done():
 			return h.store.close()
-		case f := <-h.events:
-			f()
+		case e := <-h.events:
+			h.handle(e)
 			h.drainEvents()
 		case <-tick.C:
+			h.drainEvents()
 			h.tick(boottime.Now())
 		}
 		h.advance(boottime.Now())
@@ -300,14 +313,20 @@
 func (h *Hub) drainEvents() {
 	for range maxEventsPerIteration {
 		select {
-		case f := <-h.events:
-			f()
+		case e := <-h.events:
+			h.handle(e)
 		default:
+			h.handledUntil = boottime.Now()
 			return
 		}
 	}
 }
 
+func (h *Hub) handle(e event) {
+	h.eventAt, h.handledUntil = e.at, e.at
+	e.f()
+}
+
 func (h *Hub) tick(now time.Duration) {
 	h.node.Tick(now)
 	h.formGroup(now)
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -203,7 +203,7 @@
 	}
 	for _, ack := range p.endAcks {
 		ack.agent.pendingEndAcks--
-		ack.agent.acknowledgeEnds(ack)
+		h.leader.acknowledgeEnds(ack)
 	}
 	for _, r := range p.cancelWaiters {
 		h.reply(r.link, r.seq, &contract.JobReply{Verdict: contract.VerdictCancelled})
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -170,7 +170,8 @@
 // eligible reports whether a task of the step may start on the worker now.
 func (s *Scheduler) eligible(now time.Duration, w *Worker, j *job, step int) bool {
 	st := &j.Steps[step]
-	if w.Pool != j.Pool || !w.usable || w.unreachable || !w.hasCapacityFor(st.Demand) {
+	// Most workers fail the first check while the pool is full.
+	if !w.hasCapacityFor(&st.Demand) || !w.usable || w.unreachable || w.Pool != j.Pool {
 		return false
 	}
 	if st.Label != "" && !slices.Contains(w.labels, st.Label) {
@@ -183,7 +184,7 @@
 }
 
 // hasCapacityFor reports whether the worker's free resources cover the demand.
-func (w *Worker) hasCapacityFor(d contract.Demand) bool {
+func (w *Worker) hasCapacityFor(d *contract.Demand) bool {
 	return w.used.MilliCPU+d.MilliCPU <= w.cap.MilliCPU &&
 		w.used.MemoryMB+d.MemoryMB <= w.cap.MemoryMB &&
 		w.used.Accelerators+d.Accelerators <= w.cap.Accelerators
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -118,6 +118,8 @@
 	lastShedCheck time.Duration
 	// pendingOrders holds the orders since the last TakeOrders.
 	pendingOrders []Order
+	// unclaimedRuns holds the worker of each unclaimed run, by the run's job.
+	unclaimedRuns map[contract.DurableJobID]map[contract.RunRef]*Worker
 	// unclaimedEnds holds ends of runs whose job this leader doesn't know,
 	// oldest first.
 	unclaimedEnds []unclaimedEnd
@@ -141,6 +143,7 @@
 		statsByQueue:     map[string]*queueStats{},
 		demandRates:      map[demandKey]*demandRate{},
 		runningForecasts: map[string]*runningForecast{},
+		unclaimedRuns:    map[contract.DurableJobID]map[contract.RunRef]*Worker{},
 		awaitingRelease:  true,
 	}
 	for _, j := range s.Jobs {
@@ -250,8 +253,8 @@
 	for i := range j.tasks {
 		if t := &j.tasks[i]; t.phase == phasePlaced {
 			ref := contract.RunRef{Job: id, Task: uint32(i), Run: t.currentRun}
-			if r := t.worker.runs[ref]; r != nil {
-				r.unclaimed = true
+			if t.worker.runs[ref] != nil {
+				s.markUnclaimed(t.worker, ref)
 			}
 			s.stopRun(t.worker, ref)
 		}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -96,7 +96,8 @@
 	for _, p := range running {
 		listed[p.RunRef] = true
 		if w.runs[p.RunRef] == nil {
-			s.addRun(w, p.RunRef, &run{need: p.Demand, placedAt: now, takenOver: true, unclaimed: true})
+			s.addRun(w, p.RunRef, &run{need: p.Demand, placedAt: now, takenOver: true})
+			s.markUnclaimed(w, p.RunRef)
 			if j := s.jobs[p.Job]; j != nil {
 				s.claimRun(j, w, p.RunRef)
 			}
@@ -123,6 +124,7 @@
 	}
 	r := w.runs[ref]
 	step, _ := j.StepOf(ref.Task)
+	s.forgetUnclaimed(ref)
 	r.unclaimed, r.queue, r.expectedDuration = false, j.Queue, s.expectedDuration(j, step)
 	s.setPhase(j, int(ref.Task), phasePlaced)
 	t.worker, t.currentRun = w, ref.Run
@@ -132,12 +134,30 @@
 // claimRuns assigns the runs that are left from an earlier submission of the
 // job to its tasks.
 func (s *Scheduler) claimRuns(j *job) {
-	for _, w := range s.workerList {
-		for ref, r := range w.runs {
-			if r.unclaimed && ref.Job == j.ID {
-				s.claimRun(j, w, ref)
-			}
-		}
+	for ref, w := range s.unclaimedRuns[j.ID] {
+		s.claimRun(j, w, ref)
+	}
+}
+
+// markUnclaimed marks a run of the worker as one that belongs to no known job.
+func (s *Scheduler) markUnclaimed(w *Worker, ref contract.RunRef) {
+	w.runs[ref].unclaimed = true
+	byRun := s.unclaimedRuns[ref.Job]
+	if byRun == nil {
+		byRun = map[contract.RunRef]*Worker{}
+		s.unclaimedRuns[ref.Job] = byRun
+	}
+	byRun[ref] = w
+}
+
+// forgetUnclaimed removes a run from unclaimedRuns, if it is there.
+func (s *Scheduler) forgetUnclaimed(ref contract.RunRef) {
+	if s.unclaimedRuns[ref.Job] == nil {
+		return
+	}
+	delete(s.unclaimedRuns[ref.Job], ref)
+	if len(s.unclaimedRuns[ref.Job]) == 0 {
+		delete(s.unclaimedRuns, ref.Job)
 	}
 }
 
@@ -152,6 +172,7 @@
 // removeRun removes a run and its resources from the worker.
 func (s *Scheduler) removeRun(w *Worker, ref contract.RunRef, r *run) {
 	delete(w.runs, ref)
+	s.forgetUnclaimed(ref)
 	w.used.MilliCPU -= r.need.MilliCPU
 	w.used.MemoryMB -= r.need.MemoryMB
 	w.used.Accelerators -= r.need.Accelerators
