workeragent: a restarted agent waits out a lease of the new length

Cause: after a loss of power or a kill, workers whose runs had ended waited out 0.85 s, the longest lease of the agent's predecessor, though leases now last 500 ms. Change: the bound is 500 ms. It presumes that the predecessor asked for no longer leases: stop agents of an earlier version by SIGTERM when upgrading.

--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -232,9 +232,10 @@
 }
 
 // priorLeaseBound returns how long a lease granted by an earlier agent process
-// may last after that process has ended.
+// may last after that process has ended. That process must be of a version that asks
+// for no longer leases, or must have ended on SIGTERM.
 func (w *workerInstance) priorLeaseBound() time.Duration {
-	return min(w.agent.cfg.Lease, w.agent.cfg.AuthorityTTL)
+	return min(w.agent.cfg.Lease, leaseDuration, w.agent.cfg.AuthorityTTL)
 }
 
 // loadAckedSeq returns ackedSeq. The caller must not hold agent.mu.
