Attachments are numbered; workers about to attach count as capacity

An agent can now have two links to the leader. Its report on the slower one arrived after its report on the faster one; the runs ordered in between were not in it, so the leader took them for lost and ordered them again. The reverse was possible too: orders that arrive after the agent has changed its link and back. Change: an agent numbers its attachments; the leader ignores the report of an earlier one or of an earlier process, the agent the orders of an earlier one. Notifications are made in order.

--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -212,6 +212,10 @@
 	Ends      []RunEnded
 	// Stamp is the agent's clock, as in AgentBeat.
 	Stamp int64
+	// AttachID identifies the agent's present attachment. The agent takes a higher one
+	// each time it changes to another link. Two links to one leader can be open at the
+	// same time, and a message of the earlier attachment may arrive last.
+	AttachID int64
 }
 
 // MessageKind returns KindWorkerReport.
@@ -270,6 +274,9 @@
 	// EndSession ends the session: the agent lets the worker's lease expire and
 	// starts another session.
 	EndSession bool
+	// AttachID is the attachment that the orders rest on. An agent ignores orders of
+	// another one: its last report to the leader did not contain their runs.
+	AttachID int64
 }
 
 // KnownWorker tells an agent which worker the earlier agent process on its host
@@ -285,7 +292,8 @@
 // OrdersTaken acknowledges WorkerOrders. The leader regards an agent that does not
 // acknowledge them as unreachable.
 type OrdersTaken struct {
-	Number uint64
+	Number   uint64
+	AttachID int64
 }
 
 // MessageKind returns KindOrdersTaken.
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -12,9 +12,14 @@
 
 // agent is the leader's view of an agent and its worker's session.
 type agent struct {
-	host    contract.HostID
-	link    *link.Link
-	session contract.WorkerSession
+	host contract.HostID
+	link *link.Link
+	// attachID and incarnation are those of the agent's last attachment, and
+	// retired holds the earlier incarnations of the agent.
+	attachID    int64
+	incarnation contract.Incarnation
+	retired     map[contract.Incarnation]bool
+	session     contract.WorkerSession
 	// registered says that the replicated state lists the agent, so that a
 	// later leader waits for it.
 	registered bool
@@ -148,9 +153,19 @@
 	h.leader.pending.batch.RegisteredAgents = append(h.leader.pending.batch.RegisteredAgents, durable.AgentRegistration{Host: r.Host, Worker: r.Worker})
 }
 
+// isStale reports whether the agent has attached again, or has been restarted, since
+// it sent the report r on l. Such a report does not contain the runs that the agent has
+// started since, so they must not count as lost.
+func (a *agent) isStale(l *link.Link, r *contract.WorkerReport) bool {
+	if inc := l.Remote().Incarnation; inc != a.incarnation {
+		return a.retired[inc]
+	}
+	return r.AttachID < a.attachID
+}
+
 // attachAgent binds the agent that sent the report r to its link, and returns the
-// agent. If the agent reported on another link before, or on none, attachAgent
-// discards the orders that were not sent; otherwise it clears r.Attach.
+// agent, or nil if the report is stale. For a new attachment it discards the orders
+// that were not sent; otherwise it clears r.Attach.
 func (h *Hub) attachAgent(l *link.Link, r *contract.WorkerReport) *agent {
 	ls := h.leader
 	a := ls.agents[r.Host]
@@ -158,7 +173,11 @@
 		a = &agent{host: r.Host, unreachable: true}
 		ls.agents[r.Host] = a
 	}
-	if a.link == l {
+	if a.isStale(l, r) {
+		h.log.Info("report of an earlier attachment ignored", "worker", a.host, "attachment", r.AttachID, "present", a.attachID)
+		return nil
+	}
+	if a.link == l && a.attachID == r.AttachID {
 		// A link that is up loses no messages: orders that the report does not
 		// reflect may still be in transit, so they must not count as lost.
 		r.Attach = false
@@ -167,7 +186,14 @@
 	if a.link != nil && a.link != l {
 		delete(ls.agentByLink, a.link)
 	}
-	a.link = l
+	if inc := l.Remote().Incarnation; inc != a.incarnation {
+		if a.retired == nil {
+			a.retired = map[contract.Incarnation]bool{}
+		}
+		a.retired[a.incarnation] = a.incarnation != 0
+		a.incarnation = inc
+	}
+	a.link, a.attachID = l, r.AttachID
 	a.orders = contract.WorkerOrders{}
 	a.ackedEndSeq = 0
 	a.lastOrderNumber, a.ackedOrderNumber = 0, 0
@@ -205,6 +231,9 @@
 			h.handleEnds(now, a, m.Ends)
 		}
 	case *contract.OrdersTaken:
+		if m.AttachID != a.attachID {
+			return
+		}
 		a.ackedOrderNumber = max(a.ackedOrderNumber, m.Number)
 		a.unackedSince = now
 	case *contract.AgentBeat:
@@ -407,7 +436,7 @@
 	}
 	a.lastOrderNumber++
 	o.Number = a.lastOrderNumber
-	o.Term, o.Session = h.leader.term, a.session
+	o.Term, o.Session, o.AttachID = h.leader.term, a.session, a.attachID
 	if err := a.link.Send(o); err != nil {
 		// The agent never acknowledges these orders. A new link lets it attach again.
 		h.log.Info("orders not sent: closing the agent's link", "worker", a.host, "err", err)
--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -557,6 +557,49 @@
 	must.False(t, unreachable, must.Sprint("the worker of the new session gets no work"))
 }
 
+// TestLateReportOfAnEarlierAttachment lets an agent attach on two links, of which the
+// first is slower: its report arrives after the leader has ordered a run on the second.
+// The run is not in that report, but it is not lost.
+func TestLateReportOfAnEarlierAttachment(t *testing.T) {
+	c := newCluster(t, 1)
+	c.putTables(1)
+	h := c.hubInstances[c.waitLeader()]
+	slow, fast := newTestLink(t), newTestLink(t)
+	report := func(attachID int64) *contract.WorkerReport {
+		return &contract.WorkerReport{
+			Attach: true, AttachID: attachID, Term: h.leader.term, Host: "w1", Session: 7,
+			Worker: contract.WorkerAnnouncement{ID: "w1", Pool: testPool, Capacity: contract.Capacity{MilliCPU: 1000, MemoryMB: 1000}},
+		}
+	}
+	onLoop := func(f func()) {
+		done := make(chan struct{})
+		h.post(func() { f(); close(done) })
+		<-done
+	}
+	onLoop(func() { h.handleAgentMessage(boottime.Now(), fast, report(2)) })
+	c.submitUntilAccepted(testJob("a", 1, 1000))
+	usedCPU := func() int { return h.leader.sched.PoolSummaries()[0].UsedMilliCPU }
+	c.waitFor("the task is placed", func() bool {
+		used := 0
+		onLoop(func() {
+			h.handleAgentMessage(boottime.Now(), fast, &contract.AgentBeat{Session: 7})
+			used = usedCPU()
+		})
+		return used == 100
+	})
+	var afterStale, afterLater int
+	var stays bool
+	onLoop(func() {
+		h.handleAgentMessage(boottime.Now(), slow, report(1))
+		afterStale, stays = usedCPU(), h.leader.agents["w1"].link == fast
+		h.handleAgentMessage(boottime.Now(), slow, report(3))
+		afterLater = usedCPU()
+	})
+	must.Eq(t, 100, afterStale, must.Sprint("the run counts as lost: the task would start twice"))
+	must.True(t, stays)
+	must.Eq(t, 0, afterLater, must.Sprint("a later attachment must count"))
+}
+
 func TestFailingWorkerFailsNoJob(t *testing.T) {
 	c := newCluster(t, 3, "w1", "w2", "w3")
 	c.putTables(1)
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -41,13 +41,13 @@
 // admitted job miss its own.
 func (s *Scheduler) Admit(now, arrived time.Duration, d *contract.DurableJob) Admission {
 	milliCPU := s.poolMilliCPU(d.Pool)
-	if milliCPU == 0 && now-s.createdAt < attachGracePeriod {
+	if milliCPU == 0 && s.expectsWorkers(now) {
 		return Admission{OK: true}
 	}
 	if milliCPU == 0 {
 		return Admission{RetryAfter: noWorkerRetryAfter, Reason: "no worker of the pool takes work"}
 	}
-	if !s.fitsIdleWorkers(d) {
+	if !s.fitsIdleWorkers(now, d) {
 		return Admission{NeverFits: true, Reason: "no worker of the pool is large enough for a task, or has its label"}
 	}
 	j := &job{Job: &durable.Job{DurableJob: *d}, arrivedAt: arrived}
@@ -60,7 +60,7 @@
 		return Admission{OK: true}
 	}
 	wait, reason := s.predictWait(now, j)
-	if reason == "" {
+	if reason == "" || s.expectedMilliCPU(now, d.Pool) > 0 && !j.wouldExpire(now+wait) {
 		s.recordDemand(now, j)
 		return Admission{OK: true, PredictedWait: wait}
 	}
@@ -84,6 +84,9 @@
 	if len(s.viableJobs) == 0 && s.freeCPUExceedsReserve() && !j.wouldExpire(now) {
 		return Admission{OK: true}
 	}
+	if s.expectedMilliCPU(now, j.Pool) > 0 && !j.wouldExpire(now+s.expectedDelay(now)) {
+		return Admission{OK: true}
+	}
 	return Admission{RetryAfter: ShedRetryAfter, Reason: "the objective has passed"}
 }
 
@@ -133,19 +136,40 @@
 
 // fitsIdleWorkers reports whether for each step the pool has a worker that,
 // when idle, could run one of its tasks. It counts all known workers, available
-// or not.
-func (s *Scheduler) fitsIdleWorkers(d *contract.DurableJob) bool {
-	for _, st := range d.Steps {
-		if !slices.ContainsFunc(s.workerList, func(w *Worker) bool {
-			return w.Pool == d.Pool && w.cap.MilliCPU >= st.Demand.MilliCPU && w.cap.MemoryMB >= st.Demand.MemoryMB &&
-				w.cap.Accelerators >= st.Demand.Accelerators && (st.Label == "" || slices.Contains(w.labels, st.Label))
-		}) {
+// or not, and those that are expected to attach.
+func (s *Scheduler) fitsIdleWorkers(now time.Duration, d *contract.DurableJob) bool {
+	for i := range d.Steps {
+		if !s.stepFitsIdleWorker(now, d.Pool, &d.Steps[i]) {
 			return false
 		}
 	}
 	return true
 }
 
+func (s *Scheduler) stepFitsIdleWorker(now time.Duration, pool string, st *contract.DurableStep) bool {
+	for _, w := range s.workerList {
+		if w.Pool == pool && stepFits(st, w.cap, w.labels) {
+			return true
+		}
+	}
+	if !s.expectsWorkers(now) {
+		return false
+	}
+	for _, w := range s.expected {
+		if w.Pool == pool && stepFits(st, w.Capacity, w.Labels) {
+			return true
+		}
+	}
+	return false
+}
+
+// stepFits reports whether an idle worker of the capacity and with the labels could
+// run a task of the step.
+func stepFits(st *contract.DurableStep, c contract.Capacity, labels []string) bool {
+	return c.MilliCPU >= st.Demand.MilliCPU && c.MemoryMB >= st.Demand.MemoryMB && c.Accelerators >= st.Demand.Accelerators &&
+		(st.Label == "" || slices.Contains(labels, st.Label))
+}
+
 // firstStepsFitNow reports whether the pool has enough free CPU for all tasks of
 // the job's steps that depend on no other step.
 func (s *Scheduler) firstStepsFitNow(j *job) bool {
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -60,6 +60,7 @@
 	r := s.runningForecastOf(now, j.Pool)
 	f := forecast{freedMilliCPU: r.freedMilliCPU, workBeyondHorizon: r.workBeyondHorizon, poolMilliCPU: float64(s.poolMilliCPU(j.Pool))}
 	need := j.maxTaskMilliCPU()
+	s.addExpected(now, j.Pool, &f)
 	for w := range s.availableWorkers(j.Pool) {
 		f.freeMilliCPU += float64(w.cap.MilliCPU - w.used.MilliCPU - unusableMilliCPU(w.cap.MilliCPU, need))
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -10,6 +10,7 @@
 package schedule
 
 import (
+	"maps"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -98,6 +99,9 @@
 	// jobs holds the jobs that have not ended.
 	jobs    map[contract.DurableJobID]*job
 	workers map[contract.HostID]*Worker
+	// expected holds the workers that the replicated state lists and that have not
+	// been reported to this leader yet, by the host of their agent.
+	expected map[contract.HostID]contract.WorkerAnnouncement
 	// workerList holds the same workers as the workers map, in the order of
 	// their first report.
 	workerList []*Worker
@@ -140,6 +144,7 @@
 		createdAt:        now,
 		jobs:             map[contract.DurableJobID]*job{},
 		workers:          map[contract.HostID]*Worker{},
+		expected:         maps.Clone(s.Agents),
 		statsByQueue:     map[string]*queueStats{},
 		demandRates:      map[demandKey]*demandRate{},
 		runningForecasts: map[string]*runningForecast{},
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -488,3 +488,40 @@
 	}
 	must.Eq(t, 1, admitted, must.Sprint("the first job fills the worker for 60 s, and the next one may wait for at most 36 s"))
 }
+
+// TestWorkersAboutToAttachCountAsCapacity replays a restart of all processes: one of
+// ten workers has attached when the jobs of the last half second are handed in again.
+// Those whose result would still be of use wait for the others. Jobs are refused again
+// once no further worker is expected.
+func TestWorkersAboutToAttachCountAsCapacity(t *testing.T) {
+	state := durable.New()
+	var batch durable.Batch
+	for i := range 10 {
+		host := contract.HostID(fmt.Sprint("w", i))
+		batch.RegisteredAgents = append(batch.RegisteredAgents, durable.AgentRegistration{
+			Host: host, Worker: contract.WorkerAnnouncement{ID: host, Pool: "formula", Capacity: contract.Capacity{MilliCPU: 10, MemoryMB: 1000}},
+		})
+	}
+	state.Apply(&batch)
+	h := &harness{t: t, state: state, now: time.Second}
+	h.sch = New(2, state, h.now)
+	h.worker("w0", 10)
+	admitted := func(count, millis int) int {
+		n := 0
+		for i := range count {
+			d := testJob(fmt.Sprintf("%d-%d-%d", millis, i, h.now), step(1, 10, millis))
+			if h.sch.Admit(h.now, h.now, &d).OK {
+				n++
+				h.sch.AddTransient(durable.NewJob(&d, 0), h.now, false)
+				h.place()
+			}
+		}
+		return n
+	}
+	must.Eq(t, 10, admitted(10, 400), must.Sprint("jobs that can wait for the other workers"))
+	old := testJob("old", step(1, 10, 400))
+	must.True(t, h.sch.Admit(h.now, h.now-500*ms, &old).OK, must.Sprint("a job that has missed its objective while there was no leader, and is still of use"))
+	must.Eq(t, 0, admitted(5, 20), must.Sprint("their result would be of no use when a worker is there"))
+	h.now += attachGracePeriod
+	must.Eq(t, 0, admitted(5, 400), must.Sprint("no other worker has come"))
+}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -73,6 +73,11 @@
 	ctx        context.Context
 	goroutines *errgroup.Group
 
+	// notifyMu is held while a leader is selected and the listener is notified, so
+	// that the listener sees the changes in the order in which they were made. It is
+	// acquired before mu.
+	notifyMu sync.Mutex
+
 	mu sync.Mutex // guards the fields below
 	// hubs holds the direct paths and relayed the paths through a relay, by the
 	// address of the hub.
@@ -187,6 +192,8 @@
 // selectLeader selects the path to the leader. It notifies the listener if the link
 // to the leader or its term has changed.
 func (u *Uplink) selectLeader(now time.Duration) {
+	u.notifyMu.Lock()
+	defer u.notifyMu.Unlock()
 	u.mu.Lock()
 	// Between equal paths the present one stays.
 	var best *hubConn
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -50,8 +50,10 @@
 	group  *errgroup.Group
 
 	mu sync.Mutex // guards the fields below and those marked so in workerInstance
-	// link is the link to the leader, or nil if no leader is known.
-	link *link.Link
+	// link is the link to the leader, or nil if no leader is known. attachID
+	// identifies the attachment on it.
+	link     *link.Link
+	attachID int64
 	// term is the highest term of a leader so far.
 	term uint64
 	// authorityEnd is the boot time at which the leader's authority expires.
@@ -152,6 +154,9 @@
 func (a *Agent) LeaderChanged(l *link.Link, term uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if l != a.link {
+		a.attachID = max(a.attachID+1, int64(boottime.Now()))
+	}
 	a.link = l
 	a.term = max(a.term, term)
 	if l != nil && term == a.term && a.session != 0 {
@@ -169,7 +174,7 @@
 	}
 	r := &contract.WorkerReport{
 		Attach: attach, Term: a.term, Host: a.cfg.Uplink.Hello.Host, Session: a.session, NoWorker: true,
-		Stamp: int64(boottime.Now()),
+		Stamp: int64(boottime.Now()), AttachID: a.attachID,
 	}
 	if w := a.instance; w != nil && w.inSession {
 		w.fillReport(r)
@@ -226,7 +231,12 @@
 			a.authorityEnd = max(a.authorityEnd, time.Duration(m.Stamp)+a.cfg.AuthorityTTL)
 		}
 	case *contract.WorkerOrders:
-		a.send(&contract.OrdersTaken{Number: m.Number})
+		// Hubs of an earlier version send no attachment.
+		if m.AttachID != 0 && m.AttachID != a.attachID {
+			a.log.Info("orders of an earlier attachment ignored", "attachment", m.AttachID, "present", a.attachID, "starts", len(m.Starts), "stops", len(m.Stops))
+			return
+		}
+		a.send(&contract.OrdersTaken{Number: m.Number, AttachID: m.AttachID})
 		a.handleOrders(m)
 	}
 }
