--- a/hub/agents.go
+++ b/hub/agents.go
@@ -186,13 +186,7 @@
 	if a.link != nil && a.link != l {
 		delete(ls.agentByLink, a.link)
 	}
-	if inc := l.Remote().Incarnation; inc != a.incarnation {
-		if a.retired == nil {
-			a.retired = map[contract.Incarnation]bool{}
-		}
-		a.retired[a.incarnation] = a.incarnation != 0
-		a.incarnation = inc
-	}
+	a.setIncarnation(l.Remote().Incarnation)
 	a.link, a.attachID = l, r.AttachID
 	a.orders = contract.WorkerOrders{}
 	a.ackedEndSeq = 0
@@ -201,6 +195,20 @@
 	return a
 }
 
+// setIncarnation records the agent's present process, and retires the one before.
+func (a *agent) setIncarnation(inc contract.Incarnation) {
+	if inc == a.incarnation {
+		return
+	}
+	if a.incarnation != 0 {
+		if a.retired == nil {
+			a.retired = map[contract.Incarnation]bool{}
+		}
+		a.retired[a.incarnation] = true
+	}
+	a.incarnation = inc
+}
+
 // agentRegistered processes the queued messages of an agent whose registration
 // has been committed.
 func (h *Hub) agentRegistered(now time.Duration, host contract.HostID) {
--- a/hub/agents_test.go
+++ b/hub/agents_test.go
@@ -7,7 +7,6 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/carawaylanding/carawaylanding/boottime"
-	"github.com/carawaylanding/carawaylanding/contract"
 )
 
 // TestLeaderThatIsBehindCallsNoAgentSilent replays the seconds after a takeover: the
@@ -18,24 +17,16 @@
 	c.putTables(1)
 	h := c.hubInstances[c.waitLeader()]
 	l := newTestLink(t)
-	onLoop := func(f func()) {
-		done := make(chan struct{})
-		h.post(func() { f(); close(done) })
-		<-done
-	}
-	onLoop(func() {
-		h.handleAgentMessage(boottime.Now(), l, &contract.WorkerReport{
-			Attach: true, Term: h.leader.term, Host: "w1", Session: 7,
-			Worker: contract.WorkerAnnouncement{ID: "w1", Pool: testPool, Capacity: contract.Capacity{MilliCPU: 1000, MemoryMB: 1000}},
-		})
+	h.runInLoop(func() {
+		h.handleAgentMessage(boottime.Now(), l, testReport(h, 7, 1))
 	})
 	c.waitFor("the agent is registered", func() bool {
 		registered := false
-		onLoop(func() { registered = h.leader.agents["w1"].registered })
+		h.runInLoop(func() { registered = h.leader.agents["w1"].registered })
 		return registered
 	})
 	var behind, upToDate, ordersBehind bool
-	onLoop(func() {
+	h.runInLoop(func() {
 		now := boottime.Now()
 		a := h.leader.agents["w1"]
 		a.unreachable = false
--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -455,6 +455,21 @@
 	must.Eq(t, nil, c.runChecker.Violations())
 }
 
+// runInLoop runs f in the hub's event loop and waits until it has returned.
+func (h *Hub) runInLoop(f func()) {
+	done := make(chan struct{})
+	h.post(func() { f(); close(done) })
+	<-done
+}
+
+// testReport returns the first report of an attachment by the agent of the worker w1.
+func testReport(h *Hub, session contract.WorkerSession, attachID int64) *contract.WorkerReport {
+	return &contract.WorkerReport{
+		Attach: true, AttachID: attachID, Term: h.leader.term, Host: "w1", Session: session,
+		Worker: contract.WorkerAnnouncement{ID: "w1", Pool: testPool, Capacity: contract.Capacity{MilliCPU: 1000, MemoryMB: 1000}},
+	}
+}
+
 // acceptedLinks passes on the links that a server accepts, and ignores messages.
 type acceptedLinks chan *link.Link
 
@@ -486,30 +501,20 @@
 	c.putTables(1)
 	h := c.hubInstances[c.waitLeader()]
 	l := newTestLink(t)
-	report := func() *contract.WorkerReport {
-		return &contract.WorkerReport{
-			Attach: true, Term: h.leader.term, Host: "w1", Session: 7,
-			Worker: contract.WorkerAnnouncement{ID: "w1", Pool: testPool, Capacity: contract.Capacity{MilliCPU: 1000, MemoryMB: 1000}},
-		}
-	}
-	onLoop := func(f func()) {
-		done := make(chan struct{})
-		h.post(func() { f(); close(done) })
-		<-done
-	}
-	onLoop(func() { h.handleAgentMessage(boottime.Now(), l, report()) })
+	report := func() *contract.WorkerReport { return testReport(h, 7, 1) }
+	h.runInLoop(func() { h.handleAgentMessage(boottime.Now(), l, report()) })
 	c.submitUntilAccepted(testJob("a", 1, 1000))
 	usedCPU := func() int { return h.leader.sched.PoolSummaries()[0].UsedMilliCPU }
 	c.waitFor("the task is placed", func() bool {
 		used := 0
-		onLoop(func() {
+		h.runInLoop(func() {
 			h.handleAgentMessage(boottime.Now(), l, &contract.AgentBeat{Session: 7})
 			used = usedCPU()
 		})
 		return used == 100
 	})
 	var sameLink, newLink int
-	onLoop(func() {
+	h.runInLoop(func() {
 		h.handleAgentMessage(boottime.Now(), l, report())
 		sameLink = usedCPU()
 		h.handleAgentMessage(boottime.Now(), newTestLink(t), report())
@@ -526,25 +531,15 @@
 	c.putTables(1)
 	h := c.hubInstances[c.waitLeader()]
 	l := newTestLink(t)
-	report := func(session contract.WorkerSession) *contract.WorkerReport {
-		return &contract.WorkerReport{
-			Attach: true, Term: h.leader.term, Host: "w1", Session: session,
-			Worker: contract.WorkerAnnouncement{ID: "w1", Pool: testPool, Capacity: contract.Capacity{MilliCPU: 1000, MemoryMB: 1000}},
-		}
-	}
-	onLoop := func(f func()) {
-		done := make(chan struct{})
-		h.post(func() { f(); close(done) })
-		<-done
-	}
-	onLoop(func() { h.handleAgentMessage(boottime.Now(), l, report(7)) })
+	report := func(session contract.WorkerSession) *contract.WorkerReport { return testReport(h, session, 1) }
+	h.runInLoop(func() { h.handleAgentMessage(boottime.Now(), l, report(7)) })
 	c.waitFor("the agent is registered", func() bool {
 		registered := false
-		onLoop(func() { registered = h.leader.agents["w1"].registered })
+		h.runInLoop(func() { registered = h.leader.agents["w1"].registered })
 		return registered
 	})
 	var unreachable bool
-	onLoop(func() {
+	h.runInLoop(func() {
 		a := h.leader.agents["w1"]
 		h.leader.markUnreachable(h, a, "test")
 		a.authorityGrantedAt -= 2 * sessionTTL
@@ -565,23 +560,13 @@
 	c.putTables(1)
 	h := c.hubInstances[c.waitLeader()]
 	slow, fast := newTestLink(t), newTestLink(t)
-	report := func(attachID int64) *contract.WorkerReport {
-		return &contract.WorkerReport{
-			Attach: true, AttachID: attachID, Term: h.leader.term, Host: "w1", Session: 7,
-			Worker: contract.WorkerAnnouncement{ID: "w1", Pool: testPool, Capacity: contract.Capacity{MilliCPU: 1000, MemoryMB: 1000}},
-		}
-	}
-	onLoop := func(f func()) {
-		done := make(chan struct{})
-		h.post(func() { f(); close(done) })
-		<-done
-	}
-	onLoop(func() { h.handleAgentMessage(boottime.Now(), fast, report(2)) })
+	report := func(attachID int64) *contract.WorkerReport { return testReport(h, 7, attachID) }
+	h.runInLoop(func() { h.handleAgentMessage(boottime.Now(), fast, report(2)) })
 	c.submitUntilAccepted(testJob("a", 1, 1000))
 	usedCPU := func() int { return h.leader.sched.PoolSummaries()[0].UsedMilliCPU }
 	c.waitFor("the task is placed", func() bool {
 		used := 0
-		onLoop(func() {
+		h.runInLoop(func() {
 			h.handleAgentMessage(boottime.Now(), fast, &contract.AgentBeat{Session: 7})
 			used = usedCPU()
 		})
@@ -589,7 +574,7 @@
 	})
 	var afterStale, afterLater int
 	var stays bool
-	onLoop(func() {
+	h.runInLoop(func() {
 		h.handleAgentMessage(boottime.Now(), slow, report(1))
 		afterStale, stays = usedCPU(), h.leader.agents["w1"].link == fast
 		h.handleAgentMessage(boottime.Now(), slow, report(3))
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -60,7 +60,6 @@
 	addr   string
 	cancel context.CancelFunc
 	link   *link.Link
-	state  contract.HubState
 	// wantedAt is when a relayed path was last wanted.
 	wantedAt time.Duration
 }
@@ -234,7 +233,7 @@
 func (h *hubHandler) LinkUp(l *link.Link) {
 	now := boottime.Now()
 	h.u.mu.Lock()
-	h.c.link, h.c.state = l, contract.HubState{}
+	h.c.link = l
 	h.c.up(now)
 	h.u.mu.Unlock()
 	h.u.cfg.Log.Info("hub connected", "hub", h.c.addr, "relayed", h.c.relayed)
@@ -245,7 +244,7 @@
 	now := boottime.Now()
 	h.u.mu.Lock()
 	if h.c.link == l {
-		h.c.link, h.c.state = nil, contract.HubState{}
+		h.c.link = nil
 		h.c.down(now)
 	}
 	h.u.mu.Unlock()
@@ -275,7 +274,6 @@
 func (h *hubHandler) recordState(now time.Duration, l *link.Link, s *contract.HubState) {
 	h.u.mu.Lock()
 	if h.c.link == l {
-		h.c.state = *s
 		h.c.announced(now, s.Leads, s.Term)
 	}
 	if s.Leads {
