--- a/internal/testbed/freeze_test.go
+++ b/internal/testbed/freeze_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -14,12 +15,16 @@
 // busyVariable makes the test binary run busy threads instead of the tests.
 const busyVariable = "CARAWAYLANDING_TEST_BUSY"
 
+// spins counts the iterations of busy loops.
+var spins atomic.Uint64
+
 func TestMain(m *testing.M) {
 	if os.Getenv(busyVariable) != "" {
 		for range 8 {
 			go func() {
 				runtime.LockOSThread()
 				for {
+					spins.Add(1)
 				}
 			}()
 		}
@@ -33,16 +38,12 @@
 // which other threads keep the processors busy: once Freeze has returned, the process
 // must use no more processor time.
 func TestFreezeWaitsForAllThreads(t *testing.T) {
-	stop := make(chan struct{})
-	defer close(stop)
+	var stop atomic.Bool
+	defer stop.Store(true)
 	for range 2 * runtime.NumCPU() {
 		go func() {
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
+			for !stop.Load() {
+				spins.Add(1)
 			}
 		}()
 	}
