workeragent: runs are reported until their lease has expired

Cause: while the lease of a session ran out, a change of the link to the leader made the agent report no worker and no runs under the old session. The leader then counted the runs as never started and ordered their tasks elsewhere, up to 0.5 s before the lease ended. Relays made such changes frequent. A second fault led there: a poll after an unanswered one renews no lease, yet the pending starts were carried out after its reply; the next poll found the lease unconfirmed and ended the session. A third one, by reading: a restarted agent began a session at once if the worker listed no ended run, although a start call of the earlier process could still be carried out. Change: the report lists the runs, and the worker as draining, until the lease has expired. Pending starts wait for a confirmed lease. The first session of a process waits for the longest lease of an earlier process. Ruled out: links closed by handled errors (attachments are numbered), a new worker instance (its start ends all runs), leases of calls that hang (their ends are absolute times and all are counted). Result: TestReportWhileLeaseRunsOut and TestPendingStartsWaitForAConfirmedLease failed before and pass; TestFirstSessionWaitsForLateStarts covers the third fault (it names a new field).

--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -176,7 +176,7 @@
 		Attach: attach, Term: a.term, Host: a.cfg.Uplink.Hello.Host, Session: a.session, NoWorker: true,
 		Stamp: int64(boottime.Now()), AttachID: a.attachID,
 	}
-	if w := a.instance; w != nil && w.inSession {
+	if w := a.instance; w != nil && (w.inSession || w.leaseRunsOut) {
 		w.fillReport(r)
 	}
 	a.send(r)
--- /dev/null
+++ b/workeragent/expiry_test.go
@@ -0,0 +1,129 @@
+package workeragent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/carawaylanding/carawaylanding/boottime"
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/uplink"
+)
+
+// startingClient is a client of a worker that carries out each start.
+type startingClient struct {
+	WorkerClient
+	started chan StartCall
+}
+
+func (c startingClient) Start(_ context.Context, call StartCall) (Refusal, error) {
+	c.started <- call
+	return NotRefused, nil
+}
+
+// newInstanceInSession returns an agent and its worker, which is in session 7 and
+// reads 1000 on its clock.
+func newInstanceInSession(t *testing.T, c WorkerClient) (*Agent, *workerInstance) {
+	a := New(Config{
+		Uplink: uplink.Config{Hello: contract.Hello{Host: "w"}, Log: logr.Discard()},
+		Lease:  time.Second, MaxLease: time.Second, AuthorityTTL: time.Second,
+		Connect: func(contract.WorkerAnnouncement) WorkerClient { return c },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	a.group, a.ctx = errgroup.WithContext(ctx)
+	a.session, a.term = 7, 3
+	a.authorityEnd = boottime.Now() + time.Minute
+	a.instance = newWorkerInstance(a, contract.WorkerAnnouncement{ID: "w", Pool: "p"})
+	a.instance.inSession = true
+	a.instance.setClock(1000)
+	return a, a.instance
+}
+
+// TestReportWhileLeaseRunsOut changes the link to the leader while the lease of a
+// worker that stopped answering runs out. A report without the runs, which may be
+// alive until then, makes the leader start their tasks elsewhere at once.
+func TestReportWhileLeaseRunsOut(t *testing.T) {
+	a, w := newInstanceInSession(t, noClient{})
+	ref := contract.RunRef{Job: "j", Task: 2, Run: 9}
+	w.runs[NamedRun{Name: "j.0.0.2", Run: 9}] = &run{ref: ref, phase: phaseRunning}
+	w.latestLeaseEndMS = 1400
+	ended := make(chan struct{})
+	go func() { w.awaitLeaseExpiry(); close(ended) }()
+	must.True(t, eventually(func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return !w.inSession
+	}))
+	l, received := newLeaderLink(t)
+	a.LeaderChanged(l, 3)
+	r := (<-received).(*contract.WorkerReport)
+	must.Eq(t, 7, r.Session)
+	must.False(t, r.NoWorker, must.Sprint("the report says that no run is left"))
+	must.Eq(t, []contract.PlacedRun{{RunRef: ref}}, r.Running)
+	must.True(t, r.Worker.Draining, must.Sprint("the worker would get new runs"))
+
+	<-ended
+	r = (<-received).(*contract.WorkerReport)
+	must.NotEq(t, 7, r.Session)
+	must.SliceEmpty(t, r.Running)
+	must.True(t, r.NoWorker)
+}
+
+func eventually(f func() bool) bool {
+	for range 1000 {
+		if f() {
+			return true
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return false
+}
+
+// TestPendingStartsWaitForAConfirmedLease answers a poll that renewed nothing, as the
+// one after an unanswered poll does. A run started then ends the session: its lease was
+// never confirmed, so it may have expired.
+func TestPendingStartsWaitForAConfirmedLease(t *testing.T) {
+	c := startingClient{started: make(chan StartCall, 1)}
+	_, w := newInstanceInSession(t, c)
+	w.pendingStarts = []contract.RunStart{{Name: "j.0.0.0"}}
+	w.handlePollReply(PollReply{ClockMS: 1010}, PollCall{}, 1)
+	must.MapEmpty(t, w.runs)
+	must.Len(t, 1, w.pendingStarts)
+	w.handlePollReply(PollReply{ClockMS: 1020}, PollCall{DeadlineMS: 1500}, 2)
+	must.Eq(t, "j.0.0.0", (<-c.started).Name)
+	must.SliceEmpty(t, w.pendingStarts)
+}
+
+// TestFirstSessionWaitsForLateStarts checks when a session may begin. The worker may
+// carry out a start call of an earlier agent process until the lease that the process
+// may have asked for has passed, although it lists no run and its last lease has
+// expired.
+func TestFirstSessionWaitsForLateStarts(t *testing.T) {
+	lapsed := []EndedRun{{Seq: 1, Kind: contract.EndLeaseExpired}}
+	done := []EndedRun{{Seq: 1, Kind: contract.EndDone}}
+	cases := []struct {
+		name       string
+		hadSession bool
+		clock      int64
+		ended      []EndedRun
+		want       bool
+	}{
+		{"first session, no end listed", false, 1400, nil, false},
+		{"first session, a lease has expired", false, 1400, lapsed, false},
+		{"first session, after the longest lease", false, 1530, lapsed, true},
+		{"later session, no end listed", true, 1400, nil, true},
+		{"later session, the lease has expired", true, 1400, lapsed, true},
+		{"later session, an end under the lease", true, 1400, done, false},
+		{"later session, after the longest lease", true, 1530, done, true},
+	}
+	for _, c := range cases {
+		_, w := newInstanceInSession(t, noClient{})
+		w.latestLeaseEndMS, w.hadSession = 1500, c.hadSession
+		must.Eq(t, c.want, w.leaseExpired(PollReply{ClockMS: c.clock, Ended: c.ended}), must.Sprint(c.name))
+	}
+}
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -83,6 +83,11 @@
 	// Draining.
 	worker    contract.WorkerAnnouncement
 	inSession bool
+	// leaseRunsOut is set from the end of a session until its lease has expired. The
+	// runs of the session may be alive until then.
+	leaseRunsOut bool
+	// hadSession says that this process has begun a session with the instance.
+	hadSession bool
 	// sessionEnding is set when the lease is no longer renewed; the session ends
 	// when it expires.
 	sessionEnding bool
@@ -142,11 +147,14 @@
 	w.cancel()
 }
 
-// fillReport adds the state of the instance to a report. The caller holds
-// agent.mu.
+// fillReport adds the state of the instance to a report. While the lease of a session
+// runs out, the runs are reported as active, since a leader starts the tasks of missing
+// runs elsewhere, and the worker as draining, since it gets no new runs. The caller
+// holds agent.mu.
 func (w *workerInstance) fillReport(r *contract.WorkerReport) {
 	r.NoWorker = false
 	r.Worker = w.worker
+	r.Worker.Draining = r.Worker.Draining || w.leaseRunsOut
 	for _, st := range w.pendingStarts {
 		r.Running = append(r.Running, st.PlacedRun)
 	}
@@ -200,9 +208,11 @@
 	}
 }
 
-// recover waits until no run of an earlier session is left on the worker and, if
-// the worker still lists run ends, until the lease has expired. Then it begins a
-// session and returns true. It returns false when the instance has ended.
+// recover waits until no run of an earlier session is left on the worker, and until
+// the lease has expired if the worker still lists run ends. Before the first session of
+// this process it always waits for the lease: the worker may still carry out a start
+// call of an earlier agent process until then. It then begins a session and returns
+// true. It returns false when the instance has ended.
 func (w *workerInstance) recover() bool {
 	for w.ctx.Err() == nil {
 		reply, err := w.poll(PollCall{AckedSeq: w.loadAckedSeq()})
@@ -210,7 +220,7 @@
 			w.sleep(retryInterval)
 			continue
 		}
-		if len(reply.Running) == 0 && (len(reply.Ended) == 0 || w.leaseExpired(reply)) && w.beginSession(reply) {
+		if len(reply.Running) == 0 && w.leaseExpired(reply) && w.beginSession(reply) {
 			return true
 		}
 		w.sleep(retryInterval)
@@ -218,16 +228,16 @@
 	return false
 }
 
-// leaseExpired reports whether the lease has certainly expired since the last run
-// end. It allows for an earlier agent process that renewed the lease just before
-// the first poll. Runs left by that process are not stopped: when they end because
-// the lease expired, the expiry is certain. reply.Ended must not be empty.
+// leaseExpired reports whether no start call of an earlier session can be carried out
+// any more, and the run ends in reply are certainly void: the lease has expired since the
+// last of them. It allows for an earlier agent process that renewed the lease or called
+// the worker just before the first poll. Runs left by that process are not stopped.
 func (w *workerInstance) leaseExpired(reply PollReply) bool {
-	if reply.Ended[len(reply.Ended)-1].Kind == contract.EndLeaseExpired {
-		return true
-	}
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
+	if w.hadSession && (len(reply.Ended) == 0 || reply.Ended[len(reply.Ended)-1].Kind == contract.EndLeaseExpired) {
+		return true
+	}
 	return reply.ClockMS > w.latestLeaseEndMS+clockSlack.Milliseconds()
 }
 
@@ -260,7 +270,7 @@
 		w.lastSeq = max(w.lastSeq, e.Seq)
 	}
 	w.ackedSeq = w.lastSeq
-	w.inSession = true
+	w.inSession, w.hadSession = true, true
 	w.confirmedLeaseEndMS = 0
 	telemetry.Sessions.Inc()
 	w.agent.log.Info("session started", "worker", w.id, "void_ends", len(reply.Ended))
@@ -417,7 +427,7 @@
 // new session without a worker.
 func (w *workerInstance) awaitLeaseExpiry() {
 	w.agent.mu.Lock()
-	w.inSession = false
+	w.inSession, w.leaseRunsOut = false, true
 	remainingMS := max(w.latestLeaseEndMS-w.workerNowMS(), 0)
 	w.agent.mu.Unlock()
 	remaining := time.Duration(remainingMS) * time.Millisecond
@@ -427,6 +437,7 @@
 	}
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
+	w.leaseRunsOut = false
 	w.ackedSeq = w.lastSeq
 	w.clear()
 	if w.agent.instance == w {
@@ -457,6 +468,16 @@
 	if len(newEnds) > 0 {
 		w.agent.send(&contract.WorkerEnds{Session: w.agent.session, Ends: newEnds})
 	}
+	w.startPending()
+}
+
+// startPending starts the runs that wait for a confirmed lease. A poll that renewed
+// nothing, as after an unanswered one, may leave the lease unconfirmed; a run started
+// then would look as if its lease had expired. The caller holds agent.mu.
+func (w *workerInstance) startPending() {
+	if !w.leaseConfirmed() {
+		return
+	}
 	pending := w.pendingStarts
 	w.pendingStarts = nil
 	for _, st := range pending {
