testbed: processes run in their own process groups

Cause: hub2 of the scenario no-majority-of-control-hosts ran again after "freeze hub2". All processes were in the process group of the tests. When the shell that started the tests in the background exits, the group is orphaned, and the kernel sends SIGHUP and SIGCONT to it because hub2 is stopped. Under nohup, SIGHUP is ignored, and hub2 confirms the edit: a majority was present. Change: each process is in a group of its own, and is killed when the process that started it ends, because the interrupt key doesn't reach it any more. Freeze fails if the process is gone.

--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -102,6 +102,7 @@
 	cmd := exec.Command(p.binary, p.args...)
 	cmd.Stdout = log
 	cmd.Stderr = log
+	cmd.SysProcAttr = ownGroup()
 	if err := cmd.Start(); err != nil {
 		return false, fmt.Errorf("start %s: %w", p.Name, err)
 	}
@@ -122,6 +123,18 @@
 	return bytes.Contains(output, []byte("address already in use")), fmt.Errorf("%s did not start: %s", p.Name, output)
 }
 
+// ownGroup returns the attributes of a process in its own process group, which is
+// killed when this process ends. When the last link of a process group to its session
+// goes, for example because the shell that started the tests in the background exits,
+// the kernel sends SIGHUP and SIGCONT to the group if one of its processes is stopped.
+// In the group of the tests, a frozen process would run again. Since the interrupt
+// key of a terminal doesn't reach other groups, the kernel kills the process with its
+// parent; strictly, when the thread that started it ends, which the Go runtime does
+// only to threads that a goroutine has locked.
+func ownGroup() *syscall.SysProcAttr {
+	return &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+}
+
 // awaitListening waits until the process listens. It returns false if done is
 // closed first or the start times out.
 func (p *Process) awaitListening(done <-chan struct{}) bool {
@@ -191,12 +204,15 @@
 const freezeTimeout = 10 * time.Second
 
 // allThreadsStopped reports whether each thread of the process is stopped by a
-// signal, or has exited.
+// signal, or has exited. It fails if the process is gone.
 func allThreadsStopped(pid int) (bool, error) {
 	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
 	if err != nil {
 		return false, err
 	}
+	if len(threads) == 0 {
+		return false, fmt.Errorf("process %d is gone", pid)
+	}
 	for _, path := range threads {
 		stat, err := os.ReadFile(path)
 		if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ESRCH) {
