scenarios: a frozen process that runs again fails the script as a fault of the test bed

Cause: an edit that a resumed hub2 confirmed looked like an edit without a majority. Change: after each line the scenario checks that the processes it has frozen are still stopped.

--- a/internal/scenario/environment.go
+++ b/internal/scenario/environment.go
@@ -34,8 +34,9 @@
 	sys  *testbed.System
 
 	submissions     map[string]*submission
-	markedStarts    map[string]int   // starts at the last mark, by upstream
-	acceptedVersion contract.Version // highest version returned for an edit
+	markedStarts    map[string]int              // starts at the last mark, by upstream
+	frozen          map[string]*testbed.Process // processes that freeze has stopped
+	acceptedVersion contract.Version            // highest version returned for an edit
 
 	mu      sync.Mutex // guards reverts
 	reverts []string   // descriptions for expectNoRevert
@@ -48,7 +49,7 @@
 // programs.
 func Setup(env *testscript.Env, bin string) error {
 	ctx, stop := context.WithCancel(context.Background())
-	e := &environment{bin: bin, dir: filepath.Join(env.WorkDir, "system"), ctx: ctx, stop: stop, submissions: make(map[string]*submission), markedStarts: make(map[string]int)}
+	e := &environment{bin: bin, dir: filepath.Join(env.WorkDir, "system"), ctx: ctx, stop: stop, submissions: make(map[string]*submission), markedStarts: make(map[string]int), frozen: make(map[string]*testbed.Process)}
 	env.Values[environmentKey{}] = e
 	env.Defer(e.close)
 	return nil
@@ -111,10 +112,14 @@
 // verb implements a command of a script.
 type verb func(env *environment, args []string) error
 
-// run runs the verb. On a line that begins with "!" (neg) the verb must fail.
+// run runs the verb. On a line that begins with "!" (neg) the verb must fail. The
+// script also fails if a frozen process has been resumed from outside.
 func (v verb) run(ts *testscript.TestScript, neg bool, args []string) {
 	env := ts.Value(environmentKey{}).(*environment)
 	err := v(env, args)
+	if lost := env.checkFrozen(); lost != nil {
+		ts.Fatalf("the test bed has failed: %v (result of this line: %v)", lost, err)
+	}
 	switch {
 	case neg && err == nil:
 		ts.Fatalf("succeeded, but was expected to fail")
--- a/internal/scenario/faults.go
+++ b/internal/scenario/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -20,6 +21,7 @@
 func (env *environment) kill(args []string) error {
 	return env.forEachProcess(args, func(p *testbed.Process) error {
 		p.Kill()
+		delete(env.frozen, p.Name)
 		return nil
 	})
 }
@@ -31,11 +33,37 @@
 // freeze suspends processes with SIGSTOP, and returns once they have stopped:
 // freeze NAME...
 func (env *environment) freeze(args []string) error {
-	return env.forEachProcess(args, (*testbed.Process).Freeze)
+	return env.forEachProcess(args, func(p *testbed.Process) error {
+		if err := p.Freeze(); err != nil {
+			return err
+		}
+		env.frozen[p.Name] = p
+		return nil
+	})
 }
 
 // thaw resumes frozen processes with SIGCONT: thaw NAME...
-func (env *environment) thaw(args []string) error { return env.signal(args, syscall.SIGCONT) }
+func (env *environment) thaw(args []string) error {
+	return env.forEachProcess(args, func(p *testbed.Process) error {
+		delete(env.frozen, p.Name)
+		return p.Signal(syscall.SIGCONT)
+	})
+}
+
+// checkFrozen returns an error if a process that the script has frozen runs: the
+// results of the script then say nothing about the system.
+func (env *environment) checkFrozen() error {
+	for name, p := range env.frozen {
+		frozen, err := p.Frozen()
+		if err == nil && !frozen {
+			err = errors.New("it was resumed from outside the script: look for the sender of SIGCONT")
+		}
+		if err != nil {
+			return fmt.Errorf("%s is no longer frozen: %w", name, err)
+		}
+	}
+	return nil
+}
 
 // loseDisk empties the data directories of killed hosts: lose-disk HOST...
 func (env *environment) loseDisk(args []string) error {
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -123,14 +123,13 @@
 	return bytes.Contains(output, []byte("address already in use")), fmt.Errorf("%s did not start: %s", p.Name, output)
 }
 
-// ownGroup returns the attributes of a process in its own process group, which is
-// killed when this process ends. When the last link of a process group to its session
-// goes, for example because the shell that started the tests in the background exits,
-// the kernel sends SIGHUP and SIGCONT to the group if one of its processes is stopped.
-// In the group of the tests, a frozen process would run again. Since the interrupt
-// key of a terminal doesn't reach other groups, the kernel kills the process with its
-// parent; strictly, when the thread that started it ends, which the Go runtime does
-// only to threads that a goroutine has locked.
+// ownGroup returns the attributes of a process in its own process group, which the
+// kernel kills when this process ends. In the group of the tests, a frozen process
+// could run again: when the shell that started the tests in the background exits, the
+// kernel sends SIGHUP and SIGCONT to the group if a process in it is stopped. Killing
+// with the parent replaces the interrupt key of a terminal, which reaches one group
+// only. The kernel does so when the thread that started the process ends, but the Go
+// runtime ends no threads except those that a goroutine has locked.
 func ownGroup() *syscall.SysProcAttr {
 	return &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 }
@@ -191,7 +190,7 @@
 		return err
 	}
 	for deadline := time.Now().Add(freezeTimeout); ; time.Sleep(time.Millisecond) {
-		stopped, err := allThreadsStopped(p.PID())
+		stopped, err := p.Frozen()
 		if err != nil || stopped {
 			return err
 		}
@@ -201,6 +200,10 @@
 	}
 }
 
+// Frozen reports whether each thread of the process is stopped. It fails if the
+// process is gone.
+func (p *Process) Frozen() (bool, error) { return allThreadsStopped(p.PID()) }
+
 const freezeTimeout = 10 * time.Second
 
 // allThreadsStopped reports whether each thread of the process is stopped by a
