Agents report recent runs; a new leader settles resubmitted jobs

A leader keeps transient jobs in memory only. When it was lost, ends that it had acknowledged were forgotten and jobs that never began ended in 504. Agents keep a bounded record of runs that are over and report it when they attach. The scheduler claims these ends for resubmitted jobs, and admits or refuses a job as new if the records of all agents prove that it never began.

--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -82,6 +82,12 @@
 	// Unsupported names the features that the job requires and that are not
 	// implemented; empty means none.
 	Unsupported string
+	// Term is the term of the leader that the message is addressed to. Age was read
+	// after that leader had announced itself.
+	Term uint64
+	// LastTerm is the term of the last leader that may have accepted the job before;
+	// zero if none has. If it equals Term, the earlier message may still arrive.
+	LastTerm uint64
 }
 
 // MessageKind returns KindJobSubmit.
@@ -216,6 +222,15 @@
 	// each time it changes to another link. Two links to one leader can be open at the
 	// same time, and a message of the earlier attachment may arrive last.
 	AttachID int64
+	// Recent holds, in a report with Attach set, the runs of any session that have
+	// ended lately. The end of a run counts if its kind is EndDone or EndFailed: a
+	// leader has acknowledged it. A run of another kind has no result, but it may have
+	// run.
+	Recent []RunEnded
+	// RecentSince is the age of the record behind Recent: each run that was on the
+	// worker within this time before the report is in Recent, Ends or Running. It is
+	// zero if there is no record.
+	RecentSince time.Duration
 }
 
 // MessageKind returns KindWorkerReport.
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -5,6 +5,8 @@
 package durable
 
 import (
+	"time"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -101,11 +103,21 @@
 	// Agents holds the announcement of each worker that may have runs, by the
 	// host of its agent.
 	Agents map[contract.HostID]contract.WorkerAnnouncement
+	// GoneAgents holds, by host, the log time in milliseconds at which an agent was
+	// removed from Agents. A later leader can't learn from it which jobs have run.
+	GoneAgents map[contract.HostID]int64
 }
 
+// GoneAgentRetention is how long, in log time, the removal of an agent is kept. It
+// is longer than callers wait for a job.
+const GoneAgentRetention = 20 * time.Second
+
 // New returns an empty state.
 func New() *State {
-	return &State{Jobs: map[contract.DurableJobID]*Job{}, Agents: map[contract.HostID]contract.WorkerAnnouncement{}}
+	return &State{
+		Jobs: map[contract.DurableJobID]*Job{}, Agents: map[contract.HostID]contract.WorkerAnnouncement{},
+		GoneAgents: map[contract.HostID]int64{},
+	}
 }
 
 // Restore decodes a state from the data of a snapshot that Encode returned.
@@ -176,14 +188,27 @@
 	}
 	for _, a := range b.RegisteredAgents {
 		s.Agents[a.Host] = a.Worker
+		delete(s.GoneAgents, a.Host)
 	}
-	for _, h := range b.RemovedAgents {
-		delete(s.Agents, h)
-	}
+	s.removeAgents(b.RemovedAgents)
 	s.forgetEndedJobs(b.ForgetBefore)
 	return c
 }
 
+// removeAgents removes agents, and forgets the removals that are older than
+// GoneAgentRetention.
+func (s *State) removeAgents(hosts []contract.HostID) {
+	for h, at := range s.GoneAgents {
+		if at < s.LogTime-GoneAgentRetention.Milliseconds() {
+			delete(s.GoneAgents, h)
+		}
+	}
+	for _, h := range hosts {
+		delete(s.Agents, h)
+		s.GoneAgents[h] = s.LogTime
+	}
+}
+
 // addJob adds a job and returns it, or returns nil if the state holds a job
 // with the same ID.
 func (s *State) addJob(d *contract.DurableJob) *Job {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -86,7 +87,8 @@
 type Answer struct {
 	contract.JobReply
 	// PossiblyAccepted is false if no hub can have accepted the request: none was
-	// asked, or each replied that it is not the leader.
+	// asked, each replied that it is not the leader, or the link went down before the
+	// request was sent.
 	PossiblyAccepted bool
 	// Answered is false if the leader gave no answer before ctx was done, or no
 	// leader was known.
@@ -99,17 +101,18 @@
 // maxLeaderlessWait and no hub can have accepted the request.
 func (g *Gateway) Ask(ctx context.Context, m contract.Message) Answer {
 	var a Answer
+	var lastTerm uint64
 	began := boottime.Now()
 	for {
 		g.mu.Lock()
 		changed := g.leaderChanged
 		g.mu.Unlock()
-		if l, _ := g.uplink.Leader(); l != nil {
-			r := g.askHub(ctx, l, withAge(m, a.PossiblyAccepted, boottime.Now()-began), changed)
+		if l, term := g.uplink.Leader(); l != nil {
+			r, sent := g.askHub(ctx, l, forTerm(m, term, lastTerm, boottime.Now()-began), changed)
 			switch {
-			case r == nil:
-				a.PossiblyAccepted = true
-			case r.Verdict != contract.VerdictNotLeader:
+			case r == nil && sent:
+				a.PossiblyAccepted, lastTerm = true, term
+			case r != nil && r.Verdict != contract.VerdictNotLeader:
 				a.JobReply, a.Answered = *r, true
 				return a
 			}
@@ -141,16 +144,19 @@
 	return boottime.Now() - g.leaderLostAt
 }
 
-// withAge returns a copy of a JobSubmit with the time that its caller has
-// waited. resubmitted is set if a hub may have accepted the job before. Other
-// messages are returned unchanged.
-func withAge(m contract.Message, resubmitted bool, age time.Duration) contract.Message {
+// forTerm returns a copy of a JobSubmit that is addressed to the leader of the term,
+// with the time that its caller has waited. lastTerm is the term of the last leader
+// that may have accepted the job, or zero if none has. The age must have been read
+// after the term, since the leader derives from it when the job was first sent.
+// Other messages are returned unchanged.
+func forTerm(m contract.Message, term, lastTerm uint64, age time.Duration) contract.Message {
 	sub, ok := m.(*contract.JobSubmit)
 	if !ok {
 		return m
 	}
 	out := *sub
-	out.Resubmitted, out.Age = resubmitted, age
+	out.Resubmitted, out.Age = lastTerm != 0, age
+	out.Term, out.LastTerm = term, lastTerm
 	return &out
 }
 
@@ -169,8 +175,8 @@
 const askRetryInterval = 100 * time.Millisecond
 
 // askHub asks one hub until it answers, the leader changes, or ctx is done. It
-// returns nil if there was no answer.
-func (g *Gateway) askHub(ctx context.Context, l *link.Link, m contract.Message, changed <-chan struct{}) *contract.JobReply {
+// returns nil if there was no answer, and whether the message may have been sent.
+func (g *Gateway) askHub(ctx context.Context, l *link.Link, m contract.Message, changed <-chan struct{}) (reply *contract.JobReply, sent bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := make(chan struct{})
@@ -185,12 +191,12 @@
 	r, err := l.Call(ctx, m)
 	if err != nil {
 		g.log.V(1).Info("hub did not answer", "hub", l.Remote().Host, "err", err)
-		return nil
+		return nil, !errors.Is(err, link.ErrDown) && !errors.Is(err, link.ErrBacklogFull)
 	}
 	reply, ok := r.(*contract.JobReply)
 	if !ok {
 		g.log.Info("hub sent an unexpected message type: run the same version on all hosts", "hub", l.Remote().Host, "kind", r.MessageKind())
-		return nil
+		return nil, true
 	}
-	return reply
+	return reply, true
 }
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -290,7 +290,7 @@
 	a.session = r.Session
 	a.attached = true
 	if r.Attach {
-		h.log.Info("worker attached", "worker", a.host, "session", r.Session, "pool", r.Worker.Pool, "running", len(r.Running), "ends", len(r.Ends), "draining", r.Worker.Draining, "gone", r.NoWorker)
+		h.log.Info("worker attached", "worker", a.host, "session", r.Session, "pool", r.Worker.Pool, "running", len(r.Running), "ends", len(r.Ends), "recent", len(r.Recent), "recent_ms", r.RecentSince.Milliseconds(), "draining", r.Worker.Draining, "gone", r.NoWorker)
 	}
 	h.proposeEnds(now, a, r.Ends, h.leader.sched.WorkerReported(now, r))
 	a.unreachable = false
@@ -378,7 +378,7 @@
 	}
 	if allAttached && ls.sched.AwaitingRelease() {
 		h.log.Info("tasks of earlier leader released", "after_ms", (now - ls.startedAt).Milliseconds())
-		ls.sched.Release()
+		h.settleResubmitted(now)
 	}
 }
 
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -68,6 +68,9 @@
 		for host := range h.state.Agents {
 			h.leader.agents[host] = &agent{host: host, authorityGrantedAt: now, unreachable: true, registered: true}
 		}
+		for host, at := range h.state.GoneAgents {
+			h.leader.sched.AgentGone(host, now-time.Duration(h.logClock.now(now)-at)*time.Millisecond)
+		}
 		for l := range h.inbound {
 			h.sendKnownWorker(l)
 		}
@@ -281,9 +284,14 @@
 // admitJob admits or refuses a job. It returns nil if the reply is sent later: when
 // the job has been committed or, for a transient job, when it has ended.
 func (h *Hub) admitJob(now time.Duration, to replyTo, m *contract.JobSubmit) *contract.JobReply {
-	q, suffix, refusal := h.matchQueue(now, m.Host, m.Path)
-	if refusal != nil {
-		return refusal
+	if h.leader != nil && m.Term != 0 && m.Term != h.leader.term {
+		// A message to an earlier leader at this hub. Its sender may have been told since
+		// that the job has not run.
+		return &contract.JobReply{Verdict: contract.VerdictNotLeader}
+	}
+	q, suffix, unmatched := h.matchQueue(now, m.Host, m.Path)
+	if unmatched != nil {
+		return unmatched
 	}
 	id := contract.DurableJobID(suffix)
 	if h.state.Jobs[id] != nil {
@@ -294,6 +302,7 @@
 		return nil
 	}
 	if t := h.leader.transients.jobs[id]; t != nil {
+		t.sentAfter = min(t.sentAfter, h.leader.sentAfter(now, m))
 		return t.addWaiter(to)
 	}
 	if m.Unsupported != "" || q.NeedsAdvice {
@@ -303,17 +312,17 @@
 		ID: id, Queue: q.Name, Pool: q.Pool, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 		Slack: q.Slack, Target: q.Target, Spec: m.Spec, Steps: m.Steps,
 	}
-	// A refusal tells the caller that the job has not run. That could be wrong
-	// for a resubmitted job, which an earlier leader may have started.
-	if admission := h.leader.sched.Admit(now, now-m.Age, &job); !admission.OK && !m.Resubmitted {
-		verdict := contract.VerdictOverload
-		if admission.NeverFits {
-			verdict = contract.VerdictUnsupported
-		}
-		return &contract.JobReply{Verdict: verdict, RetryAfter: admission.RetryAfter, Reason: admission.Reason}
+	// A refusal tells the caller that the job has not run. That could be wrong for a
+	// job that an earlier leader may have started.
+	mayHaveStarted := m.Resubmitted
+	if m.Transient {
+		mayHaveStarted = h.mayHaveStarted(now, id, m)
+	}
+	if admission := h.leader.sched.Admit(now, now-m.Age, &job); !admission.OK && !mayHaveStarted {
+		return refusal(admission)
 	}
 	if m.Transient {
-		h.startTransient(now, to, &job, m)
+		h.startTransient(now, to, &job, m, mayHaveStarted)
 		return nil
 	}
 	h.leader.submissions[id] = &submission{receivedAt: now, waiters: []replyTo{to}}
@@ -321,6 +330,15 @@
 	return nil
 }
 
+// refusal returns the reply to a job that is not admitted and has not run.
+func refusal(a schedule.Admission) *contract.JobReply {
+	verdict := contract.VerdictOverload
+	if a.NeverFits {
+		verdict = contract.VerdictUnsupported
+	}
+	return &contract.JobReply{Verdict: verdict, RetryAfter: a.RetryAfter, Reason: a.Reason}
+}
+
 // handleQuery handles a request to read, cancel or abandon a job.
 func (h *Hub) handleQuery(now time.Duration, to replyTo, m *contract.JobQuery) {
 	if r := h.answerQuery(now, to, m); r != nil && to.seq != 0 {
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -6,6 +6,7 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/durable"
 	"github.com/carawaylanding/carawaylanding/schedule"
+	"github.com/carawaylanding/carawaylanding/telemetry"
 )
 
 // transientRetention is how long the result of an ended transient job is kept. A
@@ -22,6 +23,9 @@
 	endedAt time.Duration
 	// mayHaveStarted says that an earlier leader may have started the job.
 	mayHaveStarted bool
+	// sentAfter is a time before which the job was not sent to any leader; zero if
+	// none is known.
+	sentAfter time.Duration
 }
 
 // addWaiter adds a caller that waits for the job's end. If the job has ended, it
@@ -59,12 +63,18 @@
 // earlier leader may have started the job, the scheduler takes over the runs that
 // agents report, and starts the other tasks only when none of their earlier runs
 // can be alive.
-func (h *Hub) startTransient(now time.Duration, to replyTo, d *contract.DurableJob, m *contract.JobSubmit) {
-	t := &transientJob{job: durable.NewJob(d, h.logClock.now(now)), waiters: []replyTo{to}, mayHaveStarted: m.Resubmitted}
+func (h *Hub) startTransient(now time.Duration, to replyTo, d *contract.DurableJob, m *contract.JobSubmit, mayHaveStarted bool) {
+	t := &transientJob{
+		job: durable.NewJob(d, h.logClock.now(now)), waiters: []replyTo{to},
+		mayHaveStarted: mayHaveStarted, sentAfter: h.leader.sentAfter(now, m),
+	}
 	h.leader.transients.jobs[d.ID] = t
-	for _, c := range h.leader.sched.AddTransient(t.job, now-m.Age, m.Resubmitted) {
+	for _, c := range h.leader.sched.AddTransient(t.job, now-m.Age, mayHaveStarted) {
 		h.endTransientTask(now, c.DurableTask, c.Done)
 	}
+	if t.endedAt != 0 {
+		telemetry.JobsSettled.WithLabelValues(settledByEnds).Inc()
+	}
 }
 
 // shedLateTransients drops transient jobs that have not begun and would end too
@@ -80,14 +90,20 @@
 			reply.Verdict = contract.VerdictUnknown
 		}
 		h.log.Info("transient job shed: it would end too late", "job", id, "verdict", reply.Verdict, "ms", h.logClock.now(now)-t.job.AcceptedAt)
-		for _, r := range t.waiters {
-			h.reply(r.link, r.seq, &reply)
-		}
-		h.leader.sched.JobEnded(id)
-		delete(h.leader.transients.jobs, id)
+		h.dropTransient(t, &reply)
 	}
 }
 
+// dropTransient answers the callers of a transient job that is not served, and forgets
+// the job.
+func (h *Hub) dropTransient(t *transientJob, reply *contract.JobReply) {
+	for _, r := range t.waiters {
+		h.reply(r.link, r.seq, reply)
+	}
+	h.leader.sched.JobEnded(t.job.ID)
+	delete(h.leader.transients.jobs, t.job.ID)
+}
+
 // endTransientTask records that a task of a transient job succeeded, if done is
 // set, or failed. It returns false if the job is not a known transient job.
 func (h *Hub) endTransientTask(now time.Duration, ref contract.DurableTask, done bool) bool {
--- a/link/link.go
+++ b/link/link.go
@@ -100,8 +100,10 @@
 	local  contract.Hello
 	remote contract.Hello
 
-	mu      sync.Mutex                       // guards backlog, downErr, seq and calls
+	mu      sync.Mutex                       // guards backlog, queued, taken, downErr, seq and calls
 	backlog []byte                           // encoded frames that wait to be written
+	queued  uint64                           // number of frames that were added to backlog
+	taken   uint64                           // number of these that were taken from it to be written
 	downErr error                            // why the link is down; nil while it is up
 	seq     uint64                           // sequence number of the last call
 	calls   map[uint64]chan contract.Message // calls that wait for a reply, by sequence number
@@ -126,18 +128,21 @@
 // Send queues a message that expects no reply. If it returns an error, no part of
 // the message was sent; otherwise the message may or may not arrive.
 func (l *Link) Send(m contract.Message) error {
-	return l.enqueue(Frame{Message: m})
+	_, err := l.enqueue(Frame{Message: m})
+	return err
 }
 
 // Reply queues the reply to the message that was received with seq. Its errors are
 // those of Send.
 func (l *Link) Reply(seq uint64, m contract.Message) error {
-	return l.enqueue(Frame{Seq: seq, Reply: true, Message: m})
+	_, err := l.enqueue(Frame{Seq: seq, Reply: true, Message: m})
+	return err
 }
 
 // Call sends a message and waits for its reply. If the reply is a Fault, Call
-// returns the error that it carries. ErrDown and ErrBacklogFull mean that the
-// message was not sent. After any other error it may have arrived.
+// returns the error that it carries. ErrDown and ErrBacklogFull mean that no part of
+// the message was sent; the link may have gone down while the message was queued.
+// After any other error it may have arrived.
 func (l *Link) Call(ctx context.Context, m contract.Message) (contract.Message, error) {
 	ch := make(chan contract.Message, 1)
 	l.mu.Lock()
@@ -146,7 +151,8 @@
 	l.calls[seq] = ch
 	l.mu.Unlock()
 	defer l.removeCall(seq)
-	if err := l.enqueue(Frame{Seq: seq, Message: m}); err != nil {
+	number, err := l.enqueue(Frame{Seq: seq, Message: m})
+	if err != nil {
 		return nil, err
 	}
 	select {
@@ -156,12 +162,23 @@
 		}
 		return reply, nil
 	case <-l.done:
-		return nil, l.Err()
+		return nil, l.callError(number, l.Err())
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, l.callError(number, ctx.Err())
 	}
 }
 
+// callError returns the error of a call that got no reply: ErrDown if the link went
+// down before the frame with the number was taken from the backlog, and otherwise err.
+func (l *Link) callError(number uint64, err error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.downErr != nil && number > l.taken {
+		return ErrDown
+	}
+	return err
+}
+
 func (l *Link) removeCall(seq uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -194,28 +211,29 @@
 	}
 }
 
-// enqueue appends the frame to the backlog and wakes writeLoop. It returns ErrDown,
-// ErrBacklogFull or an error of AppendFrame.
-func (l *Link) enqueue(f Frame) error {
+// enqueue appends the frame to the backlog and wakes writeLoop. It returns the number
+// of the frame, or ErrDown, ErrBacklogFull or an error of AppendFrame.
+func (l *Link) enqueue(f Frame) (uint64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.downErr != nil {
-		return ErrDown
+		return 0, ErrDown
 	}
 	if len(l.backlog) > l.cfg.MaxBacklogBytes {
-		return ErrBacklogFull
+		return 0, ErrBacklogFull
 	}
 	out, err := AppendFrame(l.backlog, f)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	l.backlog = out
+	l.queued++
 	countSent(f.Message)
 	select {
 	case l.wake <- struct{}{}:
 	default:
 	}
-	return nil
+	return l.queued, nil
 }
 
 // run reads and writes until the link is down and calls the handler for its
@@ -242,7 +260,7 @@
 		case <-l.wake:
 		case <-idle.C:
 			metrics.HeartbeatsSent.Add(1)
-			l.enqueue(Frame{Message: l.cfg.Heartbeat()})
+			_ = l.Send(l.cfg.Heartbeat())
 		}
 		if err := l.flush(); err != nil {
 			l.closeWithError(err)
@@ -257,6 +275,9 @@
 	l.mu.Lock()
 	out := l.backlog
 	l.backlog = nil
+	if len(out) > 0 {
+		l.taken = l.queued
+	}
 	l.mu.Unlock()
 	if len(out) == 0 {
 		return nil
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -209,6 +209,7 @@
 // workers, and updates which workers are suspected for being slow. It also
 // stops unclaimed runs, and discards unclaimed ends, after their TTL.
 func (s *Scheduler) CheckRuns(now time.Duration) {
+	s.checkedAt = now
 	s.expireUnclaimed(now)
 	for _, w := range s.workerList {
 		w.overdueRuns = 0
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -47,6 +47,9 @@
 	// startCount is the number of starts that this leader has ordered.
 	startCount int
 	worker     *Worker
+	// endedEarlier says, in phaseEnding, that the run that ended was not known before:
+	// an earlier leader may have counted its end and gone on.
+	endedEarlier bool
 	// avoidHost is the worker that last failed the task or did not answer its
 	// start; the next start prefers other workers.
 	avoidHost contract.HostID
@@ -64,6 +67,10 @@
 	// transient marks a job that is not in the replicated log; it can be shed
 	// until it has begun.
 	transient bool
+	// settling is set while Settle decides on the job; its tasks wait for that.
+	settling bool
+	// failedRuns holds the runs whose failure has been counted.
+	failedRuns map[uint64]bool
 	// shortestRun is the duration of the job's fastest task so far, which ran
 	// on shortestRunWorker. It is zero until the first task is done whose start
 	// time is known.
@@ -124,9 +131,12 @@
 	pendingOrders []Order
 	// unclaimedRuns holds the worker of each unclaimed run, by the run's job.
 	unclaimedRuns map[contract.DurableJobID]map[contract.RunRef]*Worker
-	// unclaimedEnds holds ends of runs whose job this leader doesn't know,
-	// oldest first.
-	unclaimedEnds []unclaimedEnd
+	// past holds runs whose job this leader doesn't know, or no longer.
+	past pastRuns
+	// records says how far back the agents have reported runs.
+	records runRecords
+	// checkedAt is when CheckRuns was last called.
+	checkedAt time.Duration
 	// runCount is the number of runs that this scheduler has started. Its value
 	// after a start is the lower part of that run's number.
 	runCount uint64
@@ -150,6 +160,11 @@
 		runningForecasts: map[string]*runningForecast{},
 		unclaimedRuns:    map[contract.DurableJobID]map[contract.RunRef]*Worker{},
 		awaitingRelease:  true,
+		checkedAt:        now,
+		records:          runRecords{},
+	}
+	for host := range s.Agents {
+		sch.records[host] = never
 	}
 	for _, j := range s.Jobs {
 		if !j.State.Ended() {
@@ -256,14 +271,24 @@
 	s.viableJobs.remove(j)
 	s.lateJobs.remove(j)
 	for i := range j.tasks {
-		if t := &j.tasks[i]; t.phase == phasePlaced {
-			ref := contract.RunRef{Job: id, Task: uint32(i), Run: t.currentRun}
-			if t.worker.runs[ref] != nil {
-				s.markUnclaimed(t.worker, ref)
-			}
-			s.stopRun(t.worker, ref)
+		if j.tasks[i].phase == phasePlaced {
+			s.abandonRun(j, i)
 		}
 	}
+	if j.transient && j.begun {
+		s.past.noteJob(s.checkedAt, id)
+	}
+}
+
+// abandonRun orders the present run of the placed task t to stop. The run no longer
+// belongs to the job.
+func (s *Scheduler) abandonRun(j *job, t int) {
+	tk := &j.tasks[t]
+	ref := contract.RunRef{Job: j.ID, Task: uint32(t), Run: tk.currentRun}
+	if tk.worker.runs[ref] != nil {
+		s.markUnclaimed(tk.worker, ref)
+	}
+	s.stopRun(tk.worker, ref)
 }
 
 // stopRun orders the worker to stop a run, unless the stop was ordered before or
@@ -283,12 +308,20 @@
 	if j == nil || int(ref.Task) >= len(j.tasks) {
 		return
 	}
-	if j.Done[ref.Task] {
+	// After an end that an earlier leader may have counted, that leader may have started
+	// the next run of the task, or the steps after it, on a worker out of reach. Of a
+	// stored job, all task ends that it counted are in the log.
+	t, done, next := &j.tasks[ref.Task], j.Done[ref.Task], phaseWaiting
+	if t.endedEarlier && s.awaitingRelease && (j.transient || !done) {
+		next = phaseUnknown
+	}
+	if done {
 		s.setPhase(j, int(ref.Task), phaseDone)
-		s.unblock(j, phaseWaiting)
-	} else if j.tasks[ref.Task].phase == phaseEnding {
-		s.setPhase(j, int(ref.Task), phaseWaiting)
+		s.unblock(j, next)
+	} else if t.phase == phaseEnding {
+		s.setPhase(j, int(ref.Task), next)
 	}
+	s.claimRuns(j)
 	s.enqueue(j)
 }
 
@@ -300,12 +333,9 @@
 	}
 	s.awaitingRelease = false
 	for _, j := range s.jobs {
-		for i := range j.tasks {
-			if j.tasks[i].phase == phaseUnknown {
-				s.setPhase(j, i, phaseWaiting)
-			}
+		if !j.settling {
+			s.releaseTasks(j)
 		}
-		s.enqueue(j)
 	}
 }
 
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -78,6 +78,10 @@
 	if attach {
 		s.reconcileRuns(now, w, r.Running)
 	}
+	if r.RecentSince > 0 {
+		counted = append(counted, s.reportRecent(now, r)...)
+		s.records.reported(r.Host, now-r.RecentSince)
+	}
 	return counted
 }
 
@@ -96,6 +100,7 @@
 	listed := make(map[contract.RunRef]bool, len(running))
 	for _, p := range running {
 		listed[p.RunRef] = true
+		s.past.noteJob(now, p.Job)
 		if w.runs[p.RunRef] == nil {
 			s.addRun(w, p.RunRef, &run{need: p.Demand, placedAt: now, takenOver: true})
 			s.markUnclaimed(w, p.RunRef)
@@ -191,6 +196,7 @@
 	if t.phase == phasePlaced && t.currentRun == ref.Run {
 		s.setPhase(j, int(ref.Task), phaseWaiting)
 		t.worker = nil
+		s.claimRuns(j)
 		s.enqueue(j)
 	}
 }
@@ -246,7 +252,7 @@
 	}
 	j := s.jobs[e.Job]
 	if j == nil {
-		s.keepUnclaimedEnd(now, e)
+		s.past.noteEnd(now, e)
 		return nil
 	}
 	if int(e.Task) >= len(j.tasks) {
@@ -254,12 +260,23 @@
 	}
 	t := &j.tasks[e.Task]
 	isCurrent := t.phase == phasePlaced && t.currentRun == e.Run && t.worker == w
+	if !isCurrent && e.Kind != contract.EndNotStarted {
+		s.past.noteJob(now, e.Job)
+	}
+	if !isCurrent && t.phase == phaseBlocked {
+		return s.claimReportedEnd(e)
+	}
 	if !isCurrent && t.phase != phaseUnknown {
 		return nil
 	}
 	switch e.Kind {
 	case contract.EndDone, contract.EndFailed:
+		if e.Kind == contract.EndFailed && !j.countFailure(e.Run) {
+			s.requeueTask(e.RunRef)
+			return nil
+		}
 		s.setPhase(j, int(e.Task), phaseEnding)
+		t.endedEarlier = !isCurrent
 		t.avoidHost = h
 		j.begun = true
 		return &TaskEnd{contract.DurableTask{Job: e.Job, Task: e.Task}, e.Kind == contract.EndDone}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -44,6 +44,11 @@
 	JobsEnded = factory.NewCounterVec(prometheus.CounterOpts{
 		Name: "caraway_jobs_ended_total", Help: "Jobs that ended, by state.",
 	}, []string{"state"})
+	// JobsSettled counts the transient jobs that an earlier leader may have started, by
+	// what became of them when all agents had reported.
+	JobsSettled = factory.NewCounterVec(prometheus.CounterOpts{
+		Name: "caraway_jobs_settled_total", Help: "Jobs of an earlier leader, by how they were settled.",
+	}, []string{"how"})
 	// JobSeconds is the time from a job's acceptance to its end.
 	JobSeconds = factory.NewHistogram(prometheus.HistogramOpts{
 		Name: "caraway_job_seconds", Help: "Time from a job's acceptance to its end.", Buckets: latencyBuckets,
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -64,6 +64,8 @@
 	session contract.WorkerSession
 	// draining is set when this process shuts down: the worker gets no new runs.
 	draining bool
+	// recent records the runs that have ended lately.
+	recent recentRuns
 }
 
 // New returns an Agent that does nothing until Run is called.
@@ -146,6 +148,7 @@
 // a.mu.
 func (a *Agent) newSession() {
 	a.session = contract.WorkerSession(contract.NewIncarnation())
+	a.recent.begin(boottime.Now())
 	a.report(true)
 }
 
@@ -179,6 +182,9 @@
 	if w := a.instance; w != nil && w.inSession {
 		w.fillReport(r)
 	}
+	if attach {
+		a.fillRecent(boottime.Now(), r)
+	}
 	a.send(r)
 }
 
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -138,6 +138,7 @@
 // agent.mu.
 func (w *workerInstance) stopTracking(why string) {
 	w.agent.log.Info("worker instance ended", "worker", w.id, "why", why, "runs", len(w.runs))
+	w.recordVoidRuns()
 	w.inSession = false
 	w.cancel()
 }
@@ -427,6 +428,7 @@
 	}
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
+	w.recordVoidRuns()
 	w.ackedSeq = w.lastSeq
 	w.clear()
 	if w.agent.instance == w {
@@ -554,6 +556,7 @@
 // The caller holds agent.mu.
 func (w *workerInstance) ackEnds(seq uint64) {
 	if seq > w.ackedSeq && seq <= w.lastSeq {
+		w.recordAckedEnds(seq)
 		w.ackedSeq = seq
 		w.wakeUp()
 	}
