--- a/workeragent/recent.go
+++ b/workeragent/recent.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/carawaylanding/carawaylanding/boottime"
 	"github.com/carawaylanding/carawaylanding/contract"
 )
 
@@ -69,10 +68,10 @@
 
 // recordAckedEnds records the ends that the leader newly acknowledges, up to seq. The
 // caller holds agent.mu and sets ackedSeq afterwards.
-func (w *workerInstance) recordAckedEnds(seq uint64) {
+func (w *workerInstance) recordAckedEnds(now time.Duration, seq uint64) {
 	for _, e := range w.unackedEnds {
 		if e.Seq > w.ackedSeq && e.Seq <= seq {
-			w.agent.recent.add(boottime.Now(), e)
+			w.agent.recent.add(now, e)
 		}
 	}
 }
@@ -98,8 +97,7 @@
 
 // recordVoidRuns records the runs of a session that is over. The caller holds
 // agent.mu.
-func (w *workerInstance) recordVoidRuns() {
-	now := boottime.Now()
+func (w *workerInstance) recordVoidRuns(now time.Duration) {
 	for _, e := range w.voidRuns() {
 		w.agent.recent.add(now, e)
 	}
