--- a/hub/agents.go
+++ b/hub/agents.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -150,6 +151,8 @@
 	if a.registered && (r.NoWorker || recorded.SameInstance(r.Worker) && recorded.Draining == r.Worker.Draining) {
 		return
 	}
+	// A removal of the agent that is not proposed yet would undo the registration.
+	h.leader.pending.batch.RemovedAgents = slices.DeleteFunc(h.leader.pending.batch.RemovedAgents, func(host contract.HostID) bool { return host == r.Host })
 	h.leader.pending.batch.RegisteredAgents = append(h.leader.pending.batch.RegisteredAgents, durable.AgentRegistration{Host: r.Host, Worker: r.Worker})
 }
 
--- a/hub/settle.go
+++ b/hub/settle.go
@@ -53,6 +53,12 @@
 	return max(ls.startedAt-m.Age-m.Age/contract.WorkerClockDriftDivisor, 0)
 }
 
+// neverBegun reports whether no run of a job that this leader has not started can have
+// begun under an earlier leader. An agent may have attached since the job was settled.
+func (ls *leaderState) neverBegun(now time.Duration, t *transientJob) bool {
+	return t.sentAfter != 0 && now-ls.startedAt <= schedule.PastRunTTL && ls.sched.NeverBegun(t.job.ID, t.sentAfter)
+}
+
 // settleResubmitted releases the tasks that may have had runs of an earlier leader, and
 // settles the transient jobs that were submitted again: it admits or refuses those that
 // have never begun.
@@ -60,10 +66,7 @@
 	ls := h.leader
 	var open []schedule.Resubmission
 	for id, t := range ls.transients.jobs {
-		if t.endedAt != 0 || !t.mayHaveStarted {
-			continue
-		}
-		if t.sentAfter != 0 {
+		if t.endedAt == 0 && t.mayHaveStarted && t.sentAfter != 0 {
 			open = append(open, schedule.Resubmission{ID: id, SentAfter: t.sentAfter})
 		}
 	}
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -86,7 +86,7 @@
 			continue
 		}
 		reply := contract.JobReply{Verdict: contract.VerdictOverload, RetryAfter: schedule.ShedRetryAfter, Reason: "no room within the objective"}
-		if t.mayHaveStarted {
+		if t.mayHaveStarted && !h.leader.neverBegun(now, t) {
 			reply.Verdict = contract.VerdictUnknown
 		}
 		h.log.Info("transient job shed: it would end too late", "job", id, "verdict", reply.Verdict, "ms", h.logClock.now(now)-t.job.AcceptedAt)
--- a/workeragent/recent.go
+++ b/workeragent/recent.go
@@ -57,7 +57,7 @@
 	}
 	if n > 0 {
 		r.since = max(r.since, r.runs[n-1].at)
-		r.runs = append(r.runs[:0], r.runs[n:]...)
+		r.runs = r.runs[n:]
 	}
 }
 
