Calls tell when their message was not sent

A transient job whose message was still queued when the link to its hub went down, or that found the link down, counted as possibly accepted and was answered with 504.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -22,8 +22,10 @@
 // fakeHub reports that it is the leader. It answers the first submission with
 // VerdictNotLeader and later ones with VerdictOverload.
 type fakeHub struct {
-	mu      sync.Mutex // guards submits
+	mu      sync.Mutex // guards the fields below
 	submits []contract.JobSubmit
+	// closeNext makes the hub close the link instead of its next answer.
+	closeNext bool
 }
 
 func (h *fakeHub) LinkUp(l *link.Link) {
@@ -40,6 +42,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.submits = append(h.submits, *sub)
+	if h.closeNext {
+		h.closeNext = false
+		l.Close()
+		return
+	}
 	verdict := contract.VerdictOverload
 	if len(h.submits) == 1 {
 		verdict = contract.VerdictNotLeader
@@ -86,6 +93,20 @@
 	must.Len(t, 2, h.submits)
 	must.False(t, h.submits[1].Resubmitted, must.Sprint("nothing can have been started"))
 	must.Positive(t, h.submits[1].Age)
+	must.Eq(t, 1, h.submits[1].Term)
+	must.Zero(t, h.submits[1].LastTerm)
+
+	h.mu.Lock()
+	h.closeNext = true
+	h.mu.Unlock()
+	must.True(t, g.Ask(ctx, &contract.JobSubmit{Host: "h", Path: "/q/b"}).PossiblyAccepted)
+	must.Len(t, 4, h.submits)
+	must.True(t, h.submits[3].Resubmitted)
+	must.Eq(t, 1, h.submits[3].LastTerm, must.Sprint("the first message may have been taken"))
+	l, _ := g.uplink.Leader()
+	l.Close()
+	_, sent := g.askHub(context.Background(), l, &contract.JobSubmit{}, nil)
+	must.False(t, sent, must.Sprint("nothing was sent on a link that is down"))
 }
 
 // TestWithoutALeaderForLongRequestsAreRefusedAtOnce covers the loss of a
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -147,3 +147,38 @@
 	cancel()
 	must.NoError(t, <-done)
 }
+
+// A call whose message was still queued when the link went down must say that the
+// message was not sent, and one whose message may have been written must not.
+func TestCallThatWasNotSent(t *testing.T) {
+	conn, peer := net.Pipe()
+	defer peer.Close()
+	l := newLink(conn, Config{}, contract.Hello{})
+	written := make(chan struct{})
+	go func() { l.writeLoop(); close(written) }()
+	state := func() (queued, taken uint64) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.queued, l.taken
+	}
+	call := func() chan error {
+		err := make(chan error, 1)
+		go func() {
+			_, e := l.Call(t.Context(), &contract.Heartbeat{})
+			err <- e
+		}()
+		return err
+	}
+	first := call()
+	for _, taken := state(); taken < 1; _, taken = state() {
+		time.Sleep(time.Millisecond)
+	}
+	second := call()
+	for queued, _ := state(); queued < 2; queued, _ = state() {
+		time.Sleep(time.Millisecond)
+	}
+	l.Close()
+	must.ErrorIs(t, <-first, ErrClosed)
+	must.ErrorIs(t, <-second, ErrDown)
+	<-written
+}
