--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -161,10 +161,7 @@
 		unclaimedRuns:    map[contract.DurableJobID]map[contract.RunRef]*Worker{},
 		awaitingRelease:  true,
 		checkedAt:        now,
-		records:          runRecords{},
-	}
-	for host := range s.Agents {
-		sch.records[host] = never
+		records:          newRunRecords(s.Agents),
 	}
 	for _, j := range s.Jobs {
 		if !j.State.Ended() {
--- a/schedule/settle.go
+++ b/schedule/settle.go
@@ -24,31 +24,56 @@
 // runRecords holds the time since which the record of each agent that may have had runs
 // of an earlier leader is complete: a run that was on its worker after that time has
 // been reported to this leader, or can only be one of this leader.
-type runRecords map[contract.HostID]time.Duration
+type runRecords struct {
+	since map[contract.HostID]time.Duration
+	// latest is the highest of these times; it is computed again when stale is set,
+	// since it is asked for at each submission.
+	latest time.Duration
+	stale  bool
+}
+
+func newRunRecords(hosts map[contract.HostID]contract.WorkerAnnouncement) runRecords {
+	r := runRecords{since: make(map[contract.HostID]time.Duration, len(hosts)), stale: true}
+	for host := range hosts {
+		r.since[host] = never
+	}
+	return r
+}
+
+// gone records that the session of an agent that is not registered was over at the
+// given time.
+func (r *runRecords) gone(host contract.HostID, at time.Duration) {
+	if _, known := r.since[host]; !known {
+		r.since[host], r.stale = at, true
+	}
+}
 
 // reported records that the agent's record is complete since the given time. What the
 // agent reported to this leader before still holds: it obeys no earlier leader since.
-func (r runRecords) reported(host contract.HostID, since time.Duration) {
-	if before, ok := r[host]; ok {
-		r[host] = min(before, since)
+func (r *runRecords) reported(host contract.HostID, since time.Duration) {
+	if before, ok := r.since[host]; ok && since < before {
+		r.since[host] = since
+		r.stale = r.stale || before == r.latest
 	}
 }
 
 // completeSince returns the time since which all records are complete.
-func (r runRecords) completeSince() time.Duration {
-	latest := always
-	for _, since := range r {
-		latest = max(latest, since)
+func (r *runRecords) completeSince() time.Duration {
+	if r.stale {
+		r.latest, r.stale = always, false
+		for _, since := range r.since {
+			if r.latest = max(r.latest, since); since == never {
+				break
+			}
+		}
 	}
-	return latest
+	return r.latest
 }
 
 // AgentGone tells the scheduler of a new leader that an agent was removed at the given
 // time, when no run could be alive on its worker any more.
 func (s *Scheduler) AgentGone(host contract.HostID, at time.Duration) {
-	if _, registered := s.records[host]; !registered {
-		s.records[host] = at
-	}
+	s.records.gone(host, at)
 }
 
 // MayHaveBegun reports whether a run of the job is known, or may have begun, that is
--- a/schedule/settle_test.go
+++ b/schedule/settle_test.go
@@ -134,6 +134,7 @@
 	}
 	submit("old", h.now-time.Second-ms)
 	submit("j", h.now)
+	must.False(t, h.sch.NeverBegun("0", h.now), must.Sprint("the agent has not reported"))
 	h.attach("a", nil, contract.WorkerReport{Recent: []contract.RunEnded{pastEndOf(0, 1, contract.EndStopped)}})
 	admitted := 0
 	settled := h.sch.Settle(h.now, all)
