A held job is admitted once

A resubmitted job that waits for the release was run through admission on arrival, with no effect but to count its demand a second time when it was settled.

--- a/hub/lead.go
+++ b/hub/lead.go
@@ -318,8 +318,11 @@
 	if m.Transient {
 		mayHaveStarted = h.mayHaveStarted(now, id, m)
 	}
-	if admission := h.leader.sched.Admit(now, now-m.Age, &job); !admission.OK && !mayHaveStarted {
-		return refusal(admission)
+	// settleResubmitted admits a transient job that may have started.
+	if !m.Transient || !mayHaveStarted || !h.leader.sched.AwaitingRelease() {
+		if admission := h.leader.sched.Admit(now, now-m.Age, &job); !admission.OK && !mayHaveStarted {
+			return refusal(admission)
+		}
 	}
 	if m.Transient {
 		h.startTransient(now, to, &job, m, mayHaveStarted)
--- a/hub/settle.go
+++ b/hub/settle.go
@@ -9,16 +9,21 @@
 )
 
 // The ways in which a job that an earlier leader may have started is settled, as in
-// telemetry.JobsSettled. A job that continues has runs or ends that agents reported.
+// telemetry.JobsSettled. A job counts as ended if it ends before the release, or later
+// by ends that were known when it arrived. A job that continues has runs or ends that
+// agents reported.
 const (
-	settledByEnds     = "ended"
-	settledContinues  = "continues"
-	settledAsNew      = "new"
-	settledRefused    = "refused"
-	settledAsUnknown  = "unknown"
-	maxResubmittedAge = 10 * time.Second
+	settledByEnds    = "ended"
+	settledContinues = "continues"
+	settledAsNew     = "new"
+	settledRefused   = "refused"
+	settledAsUnknown = "unknown"
 )
 
+// maxResubmittedAge is the age up to which it can be proved that a job has never begun.
+// It is below durable.GoneAgentRetention; callers wait up to 8 s.
+const maxResubmittedAge = 10 * time.Second
+
 // mayHaveStarted reports whether a run of a transient job that this leader does not
 // know may have begun, under an earlier leader or in an earlier submission.
 func (h *Hub) mayHaveStarted(now time.Duration, id contract.DurableJobID, m *contract.JobSubmit) bool {
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -72,7 +72,7 @@
 	for _, c := range h.leader.sched.AddTransient(t.job, now-m.Age, mayHaveStarted) {
 		h.endTransientTask(now, c.DurableTask, c.Done)
 	}
-	if t.endedAt != 0 {
+	if t.endedAt != 0 && !h.leader.sched.AwaitingRelease() {
 		telemetry.JobsSettled.WithLabelValues(settledByEnds).Inc()
 	}
 }
@@ -122,6 +122,9 @@
 // keeps the result of the job unless the job was cancelled.
 func (h *Hub) finishTransient(now time.Duration, t *transientJob) {
 	t.endedAt = now
+	if t.mayHaveStarted && h.leader.sched.AwaitingRelease() {
+		telemetry.JobsSettled.WithLabelValues(settledByEnds).Inc()
+	}
 	if t.job.State != contract.DurableCancelled {
 		h.leader.transients.ended = append(h.leader.transients.ended, t.job.ID)
 	}
