--- a/workeragent/attach_test.go
+++ b/workeragent/attach_test.go
@@ -41,7 +41,7 @@
 
 // TestOrdersOfAnEarlierAttachmentAreIgnored lets an agent change from one link to
 // another and back. Orders that were sent before the change may arrive after it; the
-// leader has counted them as lost.
+// leader has counted them as lost. Nor do orders of an earlier leader count.
 func TestOrdersOfAnEarlierAttachmentAreIgnored(t *testing.T) {
 	a := New(Config{Uplink: uplink.Config{Hello: contract.Hello{Host: "w"}, Log: logr.Discard()}})
 	a.session = 7
@@ -63,4 +63,13 @@
 	taken, ok := (<-received).(*contract.OrdersTaken)
 	must.True(t, ok)
 	must.Eq(t, now, taken.AttachID, must.Sprint("orders of the earlier attachment were taken"))
+
+	// Without a worker, the agent answers each order that counts with WorkerEnds.
+	must.Eq(t, contract.KindWorkerEnds, (<-received).MessageKind())
+	earlier := order(now)
+	earlier.Term = 2
+	a.Received(first, earlier)
+	a.Received(first, order(now))
+	must.Eq(t, contract.KindOrdersTaken, (<-received).MessageKind())
+	must.Eq(t, contract.KindOrdersTaken, (<-received).MessageKind(), must.Sprint("the order of an earlier leader was carried out"))
 }
