--- a/hub/agents.go
+++ b/hub/agents.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -150,6 +151,8 @@
 	if a.registered && (r.NoWorker || recorded.SameInstance(r.Worker) && recorded.Draining == r.Worker.Draining) {
 		return
 	}
+	// A removal of the agent that is not proposed yet would undo the registration.
+	h.leader.pending.batch.RemovedAgents = slices.DeleteFunc(h.leader.pending.batch.RemovedAgents, func(host contract.HostID) bool { return host == r.Host })
 	h.leader.pending.batch.RegisteredAgents = append(h.leader.pending.batch.RegisteredAgents, durable.AgentRegistration{Host: r.Host, Worker: r.Worker})
 }
 
@@ -290,7 +293,7 @@
 	a.session = r.Session
 	a.attached = true
 	if r.Attach {
-		h.log.Info("worker attached", "worker", a.host, "session", r.Session, "pool", r.Worker.Pool, "running", len(r.Running), "ends", len(r.Ends), "draining", r.Worker.Draining, "gone", r.NoWorker)
+		h.log.Info("worker attached", "worker", a.host, "session", r.Session, "pool", r.Worker.Pool, "running", len(r.Running), "ends", len(r.Ends), "recent", len(r.Recent), "recent_ms", r.RecentSince.Milliseconds(), "draining", r.Worker.Draining, "gone", r.NoWorker)
 	}
 	h.proposeEnds(now, a, r.Ends, h.leader.sched.WorkerReported(now, r))
 	a.unreachable = false
@@ -378,7 +381,7 @@
 	}
 	if allAttached && ls.sched.AwaitingRelease() {
 		h.log.Info("tasks of earlier leader released", "after_ms", (now - ls.startedAt).Milliseconds())
-		ls.sched.Release()
+		h.settleResubmitted(now)
 	}
 }
 
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"maps"
 	"net"
 	"slices"
@@ -147,3 +148,26 @@
 	cancel()
 	must.NoError(t, <-done)
 }
+
+// A call whose message was still queued when the link went down must say that the
+// message was not sent, and one whose message may have been written must not.
+func TestCallThatWasNotSent(t *testing.T) {
+	conn, peer := net.Pipe()
+	go io.Copy(io.Discard, peer)
+	l := newLink(conn, Config{}, contract.Hello{})
+	call := func() chan error {
+		done := make(chan error, 1)
+		go func() {
+			_, err := l.Call(t.Context(), &contract.Heartbeat{})
+			done <- err
+		}()
+		<-l.wake
+		return done
+	}
+	written := call()
+	must.NoError(t, l.flush())
+	queued := call()
+	l.Close()
+	must.ErrorIs(t, <-written, ErrClosed)
+	must.ErrorIs(t, <-queued, ErrDown)
+}
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -143,6 +143,7 @@
 // agent.mu.
 func (w *workerInstance) stopTracking(why string) {
 	w.agent.log.Info("worker instance ended", "worker", w.id, "why", why, "runs", len(w.runs))
+	w.recordVoidRuns(boottime.Now())
 	w.inSession = false
 	w.cancel()
 }
@@ -438,6 +439,7 @@
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
 	w.leaseRunsOut = false
+	w.recordVoidRuns(boottime.Now())
 	w.ackedSeq = w.lastSeq
 	w.clear()
 	if w.agent.instance == w {
@@ -575,6 +577,7 @@
 // The caller holds agent.mu.
 func (w *workerInstance) ackEnds(seq uint64) {
 	if seq > w.ackedSeq && seq <= w.lastSeq {
+		w.recordAckedEnds(boottime.Now(), seq)
 		w.ackedSeq = seq
 		w.wakeUp()
 	}
