Learn duration ratios from declared durations

Cause: a sample of a queue's duration ratio was relative to the ratio at the start of the task. At 1,200 ends per second of tasks of 200 ms the ratio moves by a factor before a change shows in the samples.

Change: a run keeps the ratio that its expected duration contains, and the sample is the actual duration divided by the declared one.

--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -31,14 +31,18 @@
 }
 
 // recordTaskDuration updates the queue's duration ratio with one task's actual
-// duration divided by its expected one, which is counted as 3 if it is more. It
-// ignores tasks of suspected workers.
-func (s *Scheduler) recordTaskDuration(queue string, actualToExpected float64, w *Worker) {
+// duration divided by its declared one, which is counted as three times the ratio if
+// it is more. It ignores tasks of suspected workers.
+//
+// The sample must not be relative to the ratio at the time of the start: at hundreds
+// of tasks per second, the ratio moves far while they run, and such samples make it
+// swing between its bounds.
+func (s *Scheduler) recordTaskDuration(queue string, actualToDeclared float64, w *Worker) {
 	if w.suspect() {
 		return
 	}
 	q := s.statsOf(queue)
-	q.durationRatio *= 1 + durationRatioWeight*(min(actualToExpected, 3)-1)
+	q.durationRatio += durationRatioWeight * (min(actualToDeclared, 3*q.durationRatio) - q.durationRatio)
 	q.durationRatio = min(max(q.durationRatio, 1.0/maxDurationRatio), maxDurationRatio)
 }
 
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -171,7 +171,7 @@
 		}
 		s.compareDuration(now-r.placedAt, w, s.jobs[e.Job])
 		if r.expectedDuration > 0 {
-			s.recordTaskDuration(r.queue, float64(now-r.placedAt)/float64(r.expectedDuration), w)
+			s.recordTaskDuration(r.queue, r.durationRatio*float64(now-r.placedAt)/float64(r.expectedDuration), w)
 		}
 	}
 }
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -525,3 +525,25 @@
 	h.now += attachGracePeriod
 	must.Eq(t, 0, admitted(5, 400), must.Sprint("no other worker has come"))
 }
+
+// TestDurationRatioIsStableAtHighRates guards against a duration ratio that swings
+// between its bounds: at 1,200 tasks of 200 ms per second, 240 ends that were started
+// under an earlier ratio arrive before a change of it shows.
+func TestDurationRatioIsStableAtHighRates(t *testing.T) {
+	h := newHarness(t)
+	h.worker("a", 1000)
+	var running []Order
+	for i := range 2000 {
+		h.submit(testJob(fmt.Sprint(i), step(1, 1, 200)))
+		running = append(running, h.place()...)
+		if len(running) > 240 {
+			h.end(running[0], contract.EndDone)
+			running = running[1:]
+			must.Between(t, 0.9, h.sch.statsOf("q").durationRatio, 1.6)
+		}
+		h.now += time.Second / 1200
+		if i == 1000 {
+			h.now += 100 * ms // the tasks that run now take 300 ms
+		}
+	}
+}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -16,7 +16,9 @@
 	// expectedDuration is how long the run should take on a worker that is not
 	// suspected; zero if the run's job is not known.
 	expectedDuration time.Duration
-	queue            string
+	// durationRatio is the queue's duration ratio that expectedDuration contains.
+	durationRatio float64
+	queue         string
 	// stopping is set once the worker has been ordered to stop the run.
 	stopping bool
 	// takenOver marks a run that an earlier leader ordered. The time of its
