Admit jobs late where the forecast is certain, and keep a margin for in-time ones

Cause: a job that would miss its objective was refused although room for a late result may open behind the jobs in time. And a job was admitted up to a tenth before its latest start: in a pool that stays full it waited that long, and was late whenever its tasks took longer than declared.

Change: AdmitLate takes a transient job that Admit has refused if the room that running tasks, waiting jobs and likely arrivals leave holds it for its whole run while its result is of use. Deferred jobs start in order of admission, behind all others, and are shed like late ones. The rates of each queue are averaged over 0.1 s, 1 s and 15 s; the last is frozen, all but a twentieth, in a shortage. The margin of admission is 40% of the estimate, within 10% to 75% of the allowed wait; it also protects jobs that wait.

TestLateAdmission shows the case in which there is some.

--- a/hub/lead.go
+++ b/hub/lead.go
@@ -303,9 +303,13 @@
 		ID: id, Queue: q.Name, Pool: q.Pool, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 		Slack: q.Slack, Target: q.Target, Spec: m.Spec, Steps: m.Steps,
 	}
+	admission := h.leader.sched.Admit(now, now-m.Age, &job)
+	if !admission.OK && m.Transient && !m.Resubmitted {
+		admission = h.leader.sched.AdmitLate(now, now-m.Age, &job, admission)
+	}
 	// A refusal tells the caller that the job has not run. That could be wrong
 	// for a resubmitted job, which an earlier leader may have started.
-	if admission := h.leader.sched.Admit(now, now-m.Age, &job); !admission.OK && !m.Resubmitted {
+	if !admission.OK && !m.Resubmitted {
 		verdict := contract.VerdictOverload
 		if admission.NeverFits {
 			verdict = contract.VerdictUnsupported
@@ -314,6 +318,11 @@
 	}
 	if m.Transient {
 		h.startTransient(now, to, &job, m)
+		if admission.Late {
+			telemetry.JobsAdmittedLate.Inc()
+			h.log.Info("job admitted late", "job", id, "wait_ms", admission.PredictedWait.Milliseconds())
+			h.leader.sched.Defer(id)
+		}
 		return nil
 	}
 	h.leader.submissions[id] = &submission{receivedAt: now, waiters: []replyTo{to}}
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -6,6 +6,7 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/durable"
 	"github.com/carawaylanding/carawaylanding/schedule"
+	"github.com/carawaylanding/carawaylanding/telemetry"
 )
 
 // transientRetention is how long the result of an ended transient job is kept. A
@@ -79,6 +80,7 @@
 		if t.mayHaveStarted {
 			reply.Verdict = contract.VerdictUnknown
 		}
+		telemetry.JobsShed.Inc()
 		h.log.Info("transient job shed: it would end too late", "job", id, "verdict", reply.Verdict, "ms", h.logClock.now(now)-t.job.AcceptedAt)
 		for _, r := range t.waiters {
 			h.reply(r.link, r.seq, &reply)
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -11,6 +11,8 @@
 // Admission is the decision on a submitted job.
 type Admission struct {
 	OK bool
+	// Late says that the job is admitted although it will miss its objective.
+	Late bool
 	// NeverFits says that the job has a task that no worker of the pool could
 	// run, even if idle.
 	NeverFits bool
@@ -52,6 +54,7 @@
 	}
 	j := &job{Job: &durable.Job{DurableJob: *d}, arrivedAt: arrived}
 	s.estimateJob(j)
+	s.recordOffer(now, j)
 	if j.latestStart < now {
 		return s.admitLate(now, j)
 	}
@@ -64,19 +67,32 @@
 		s.recordDemand(now, j)
 		return Admission{OK: true, PredictedWait: wait}
 	}
+	s.markShort(now, d.Pool)
 	return Admission{RetryAfter: wait, PredictedWait: wait, Reason: reason}
 }
 
-// admissionMarginShare is the share of a job's allowed waiting time that
-// admission keeps in reserve, because declared task durations are inexact.
-const admissionMarginShare = 0.1
+const (
+	// durationError is how far declared task durations are off, as a share of them.
+	durationError = 0.4
+	// minMarginShare and maxMarginShare bound the margin of admission, as shares of
+	// a job's allowed waiting time.
+	minMarginShare = 0.1
+	maxMarginShare = 0.75
+)
 
 // admissionMargin returns the part of the allowed waiting time that admission
-// keeps in reserve.
+// keeps in reserve for the error of the declared durations. A job that is admitted
+// without it, in a pool that stays full, waits until its latest start and then is late
+// if it takes longer than declared.
 func (j *job) admissionMargin() time.Duration {
-	return time.Duration(admissionMarginShare * float64(j.latestStart-j.arrivedAt))
+	wait := float64(j.latestStart - j.arrivedAt)
+	return time.Duration(min(max(durationError*float64(j.estimate), minMarginShare*wait), maxMarginShare*wait))
 }
 
+// safeStart is the latest start at which the job should still be in time although its
+// durations are inexact.
+func (j *job) safeStart() time.Duration { return j.latestStart - j.admissionMargin() }
+
 // admitLate decides on a job that can no longer meet its objective, usually
 // because it waited too long for a leader. It is admitted if its result is still
 // of use and it takes no capacity from jobs that can meet theirs.
@@ -109,7 +125,7 @@
 	}
 	withoutJob := f
 	wait := s.simulateJob(&f, j)
-	if now+wait > j.latestStart-j.admissionMargin() {
+	if now+wait > j.safeStart() {
 		return wait, "the work ahead takes too long"
 	}
 	for _, o := range s.viableJobs[index:] {
@@ -117,7 +133,7 @@
 			continue
 		}
 		waitWithout, waitWith := s.simulateJob(&withoutJob, o), s.simulateJob(&f, o)
-		if o.priorityClass == j.priorityClass && !o.begun && now+waitWith > o.latestStart && now+waitWithout <= o.latestStart {
+		if o.priorityClass == j.priorityClass && !o.begun && now+waitWith > o.safeStart() && now+waitWithout <= o.safeStart() {
 			return waitWith, "a job taken before would end too late"
 		}
 	}
--- a/schedule/joblist.go
+++ b/schedule/joblist.go
@@ -42,10 +42,10 @@
 }
 
 // enqueue adds a job that has waiting tasks to viableJobs unless it is in
-// lateJobs.
+// lateJobs or deferredJobs.
 func (s *Scheduler) enqueue(j *job) {
 	if j.waitingTasks > 0 && s.jobs[j.ID] == j {
-		if _, isLate := s.lateJobs.search(j); !isLate {
+		if _, isLate := s.lateJobs.search(j); !isLate && !slices.Contains(s.deferredJobs, j) {
 			s.viableJobs.add(j)
 		}
 	}
@@ -60,6 +60,7 @@
 		if j.latestStart >= now || j.begun {
 			return false
 		}
+		s.markShort(now, j.Pool)
 		s.lateJobs.add(j)
 		return true
 	})
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -21,7 +21,10 @@
 	s.demote(now)
 	misses := s.placeList(now, &s.viableJobs)
 	if len(s.lateJobs) > 0 && misses == 0 && s.freeCPUExceedsReserve() {
-		s.placeList(now, &s.lateJobs)
+		misses = s.placeList(now, &s.lateJobs)
+	}
+	if len(s.deferredJobs) > 0 && misses == 0 {
+		s.placeDeferred(now)
 	}
 }
 
--- /dev/null
+++ b/schedule/rates.go
@@ -0,0 +1,153 @@
+package schedule
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// The rates of what the queues submit address bursts of one queue, which last for
+// seconds: the usual rate tells which queue has caused a shortage, the recent one how
+// much it asks for now.
+
+const (
+	// fastWindow, recentWindow and usualWindow are the time constants of a queue's
+	// averages. The fast one tells within some 100 ms that a spike is over; the usual
+	// one hardly moves during a burst of some seconds.
+	fastWindow   = 100 * time.Millisecond
+	recentWindow = time.Second
+	usualWindow  = 15 * time.Second
+	// shortageFactor is how much slower the usual rate is learned during a shortage.
+	// A lasting change of the load becomes the usual one within minutes.
+	shortageFactor = 20
+	// shortageHold is how long after the last sign of it a pool counts as short.
+	shortageHold = time.Second
+)
+
+// queueKey identifies the jobs of one queue in a pool.
+type queueKey struct{ pool, queue string }
+
+// queueRate holds the averages of the work that a queue submits, in thousandths of a
+// core: the CPU that its tasks would use if all were run.
+type queueRate struct {
+	queue               string
+	priorityClass       int
+	fast, recent, usual float64
+	// seconds is the average duration of the submitted work, weighted by its CPU.
+	seconds   float64
+	updatedAt time.Duration
+	// usualTime is the time for which usual has been learned.
+	usualTime time.Duration
+}
+
+// advance decays the averages to now; short says that the pool is short of capacity.
+func (q *queueRate) advance(now time.Duration, short bool) {
+	elapsed := now - q.updatedAt
+	q.updatedAt = now
+	q.fast *= math.Exp(-float64(elapsed) / float64(fastWindow))
+	q.recent *= math.Exp(-float64(elapsed) / float64(recentWindow))
+	if short {
+		elapsed /= shortageFactor
+	}
+	q.usual *= math.Exp(-float64(elapsed) / float64(usualWindow))
+	q.usualTime += elapsed
+}
+
+// add counts work that has been submitted, in thousandths of a core-second.
+func (q *queueRate) add(work, seconds float64, short bool) {
+	q.fast += work / fastWindow.Seconds()
+	q.recent += work / recentWindow.Seconds()
+	if short {
+		work /= shortageFactor
+	}
+	q.usual += work / usualWindow.Seconds()
+	if q.seconds == 0 {
+		q.seconds = seconds
+	}
+	q.seconds += durationRatioWeight * (seconds - q.seconds)
+}
+
+// usualRate returns the usual rate, corrected for the time before it was learned.
+func (q *queueRate) usualRate() float64 {
+	return q.usual / max(1-math.Exp(-float64(q.usualTime)/float64(usualWindow)), 0.01)
+}
+
+// recordOffer adds a submitted job to its queue's rates.
+func (s *Scheduler) recordOffer(now time.Duration, j *job) {
+	if s.firstOfferAt == 0 {
+		s.firstOfferAt = now
+	}
+	k := queueKey{j.Pool, j.Queue}
+	q := s.queueRates[k]
+	if q == nil {
+		q = &queueRate{queue: j.Queue, updatedAt: now}
+		s.queueRates[k] = q
+	}
+	q.priorityClass = j.priorityClass
+	milliCPU, work := 0.0, 0.0
+	for step, st := range j.Steps {
+		n := float64(st.Count * st.Demand.MilliCPU)
+		milliCPU += n
+		work += n * s.expectedDuration(j, step).Seconds()
+	}
+	short := s.isShort(now, j.Pool)
+	q.advance(now, short)
+	q.add(work, work/max(milliCPU, 1), short)
+}
+
+// ratesKnown reports whether the rates of submitted jobs have been observed for long
+// enough to be relied on.
+func (s *Scheduler) ratesKnown(now time.Duration) bool {
+	return s.firstOfferAt != 0 && now-s.firstOfferAt >= ratesKnownAfter
+}
+
+// ratesKnownAfter is how long rates are observed before they are relied on: two time
+// constants of the recent rate.
+const ratesKnownAfter = 2 * recentWindow
+
+// ratesOf returns the rates of the pool's queues as of now, ordered by queue.
+func (s *Scheduler) ratesOf(now time.Duration, pool string) []*queueRate {
+	var rates []*queueRate
+	short := s.isShort(now, pool)
+	for k, q := range maps.All(s.queueRates) {
+		if k.pool == pool {
+			q.advance(now, short)
+			rates = append(rates, q)
+		}
+	}
+	slices.SortFunc(rates, func(a, b *queueRate) int { return strings.Compare(a.queue, b.queue) })
+	return rates
+}
+
+// markShort records a sign that the pool is short of capacity: a job was refused, or
+// one that waits has missed its latest start.
+func (s *Scheduler) markShort(now time.Duration, pool string) {
+	s.shortUntil[pool] = now + shortageHold
+}
+
+// isShort reports whether the pool is, or was just now, short of capacity.
+func (s *Scheduler) isShort(now time.Duration, pool string) bool { return now < s.shortUntil[pool] }
+
+// arrivals is work that is expected to be submitted: CPU that is requested, in
+// thousandths of a core per second, and that CPU times the durations of its tasks, in
+// thousandths of a core.
+type arrivals struct{ milliCPU, cpuWork float64 }
+
+// add adds work of a queue, in thousandths of a core.
+func (a *arrivals) add(q *queueRate, work float64) {
+	if q.seconds > 0 {
+		a.milliCPU += work / q.seconds
+		a.cpuWork += work
+	}
+}
+
+// likelyArrivals returns what all queues of the pool are expected to submit: their
+// usual rate, or more if they send more now.
+func (s *Scheduler) likelyArrivals(now time.Duration, pool string) (a arrivals) {
+	for _, q := range s.ratesOf(now, pool) {
+		a.add(q, max(q.fast, q.usualRate()))
+	}
+	return a
+}
--- /dev/null
+++ b/schedule/replay_test.go
@@ -0,0 +1,262 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/durable"
+)
+
+// replayQueues are the queues of docs/HARD-LOAD.md, at their usual rates of jobs per
+// second. On replayWorkers workers of 64 cores they use 71% of the room for tasks of
+// 4.7 cores.
+var replayQueues = []struct {
+	name                    string
+	priority, tasks, millis int
+	rate                    float64
+}{{"first", 0, 8, 60, 200}, {"short", 1, 2, 200, 600}, {"long", 2, 4, 900, 35}}
+
+const (
+	replayWorkers = 50
+	replayStep    = 2 * ms
+	// replayTroubleAt is when the load departs from the usual one; the time before
+	// lets the scheduler learn the usual rates.
+	replayTroubleAt = 6 * time.Second
+	replayLength    = 18 * time.Second
+)
+
+// replayLoad is a load pattern: for length from replayTroubleAt on, the queues send
+// factors times their usual rates, and the first lost workers are gone.
+type replayLoad struct {
+	name    string
+	length  time.Duration
+	factors [3]float64
+	lost    int
+}
+
+var (
+	longBurst     = replayLoad{"burst of long jobs", 6 * time.Second, [3]float64{1, 1, 2.3}, 0}
+	thirdLost     = replayLoad{"a third of the workers lost", 6 * time.Second, [3]float64{1, 1, 1}, replayWorkers / 3}
+	shortOverload = replayLoad{"short overload", 4 * time.Second, [3]float64{1.5, 1.5, 1.5}, 0}
+	burstAndLoss  = replayLoad{"burst of long jobs on three quarters of the pool", 6 * time.Second, [3]float64{1, 1, 2.3}, replayWorkers / 4}
+	firstBurst    = replayLoad{"burst of the first priority", 6 * time.Second, [3]float64{6, 1, 1}, 0}
+	spike         = replayLoad{"spike", 500 * ms, [3]float64{3, 3, 3}, 0}
+	nearlyFull    = replayLoad{"nearly full", 10 * time.Second, [3]float64{1.4, 1.4, 1.4}, 0}
+	underloaded   = replayLoad{"underloaded", 6 * time.Second, [3]float64{0.8, 0.8, 0.8}, 0}
+)
+
+// replayCounts are the outcomes of one queue's jobs that arrived during the trouble.
+// useless results came after three times the objective.
+type replayCounts struct{ arrived, inTime, late, useless, refused, shed, lateAdmitted, lateShed int }
+
+type replayJob struct {
+	contract.DurableJob
+	queue, left int
+	arrived     time.Duration
+	counted     bool
+	lateRun     bool
+}
+
+// replay feeds a load to a scheduler in fake time, as the leading hub would. The
+// same load has the same arrivals and task durations, whatever the scheduler decides:
+// durations are off by 40% for each job, and by 15% for each of its tasks.
+func replay(t *testing.T, load replayLoad, late bool) [3]replayCounts {
+	h := newHarness(t)
+	start := h.now
+	for i := range replayWorkers {
+		h.worker(fmt.Sprint("w", i), 64_000)
+	}
+	h.now += attachGracePeriod
+	var counts [3]replayCounts
+	jobs := map[contract.DurableJobID]*replayJob{}
+	ends := map[time.Duration][]Order{}
+	arrivals := rand.New(rand.NewPCG(1, 2))
+	next := [3]time.Duration{h.now, h.now, h.now}
+	troubleAt, troubleEnd := start+replayTroubleAt, start+replayTroubleAt+load.length
+	for ; h.now < start+replayLength; h.now += replayStep {
+		replayLoss(h, load, troubleAt, troubleEnd)
+		for _, o := range ends[h.now] {
+			if w := h.sch.workers[o.Host]; w == nil || w.unreachable {
+				continue
+			}
+			if c := h.sch.RunEnded(h.now, o.Host, contract.RunEnded{RunRef: o.Start.RunRef, Kind: contract.EndDone}); c != nil {
+				replayEnd(h, jobs[c.Job], c, &counts)
+			}
+		}
+		delete(ends, h.now)
+		trouble := h.now >= troubleAt && h.now < troubleEnd
+		for q, p := range replayQueues {
+			rate := p.rate
+			if trouble {
+				rate *= load.factors[q]
+			}
+			for ; next[q] <= h.now; next[q] += time.Duration(arrivals.ExpFloat64() / rate * float64(time.Second)) {
+				replaySubmit(h, jobs, q, trouble, late, &counts)
+			}
+		}
+		for _, id := range h.sch.JobsToShed(h.now) {
+			if c := &counts[jobs[id].queue]; jobs[id].counted {
+				c.shed++
+				if jobs[id].lateRun {
+					c.lateShed++
+				}
+			}
+			h.sch.JobEnded(id)
+		}
+		for _, o := range h.place() {
+			if o.Start != nil {
+				j := jobs[o.Start.Job]
+				r := rand.New(rand.NewPCG(uint64(len(j.ID)), hashOf(string(j.ID))))
+				actual := float64(j.Steps[0].Demand.DeclaredMillis) * (0.6 + 0.8*r.Float64())
+				for range o.Start.Task {
+					r.Float64()
+				}
+				at := h.now + time.Duration(actual*(0.85+0.3*r.Float64())*float64(ms))
+				at += replayStep - at%replayStep
+				ends[at] = append(ends[at], o)
+			}
+		}
+	}
+	for q, c := range counts {
+		t.Logf("%s: %s: worth %.3f, %+v", load.name, replayQueues[q].name, c.worth(), c)
+	}
+	return counts
+}
+
+// replayLoss takes the lost workers away and brings them back: the leader can't reach
+// them, their sessions end after a second, and new ones begin.
+func replayLoss(h *harness, load replayLoad, from, until time.Duration) {
+	for i := range load.lost {
+		host := contract.HostID(fmt.Sprint("w", i))
+		switch h.now {
+		case from:
+			h.sch.WorkerUnreachable(host)
+		case from + time.Second:
+			h.sch.SessionEnded(host)
+		case until:
+			h.worker(string(host), 64_000)
+		}
+	}
+}
+
+func replaySubmit(h *harness, jobs map[contract.DurableJobID]*replayJob, q int, counted, late bool, counts *[3]replayCounts) {
+	p := replayQueues[q]
+	j := &replayJob{queue: q, left: p.tasks, arrived: h.now, counted: counted}
+	j.DurableJob = testJob(fmt.Sprintf("%s-%d", p.name, len(jobs)), step(p.tasks, 4_700, p.millis))
+	j.Queue, j.Priority = p.name, p.priority
+	jobs[j.ID] = j
+	adm := h.sch.Admit(h.now, h.now, &j.DurableJob)
+	if !adm.OK && late {
+		adm = h.sch.AdmitLate(h.now, h.now, &j.DurableJob, adm)
+	}
+	c := &counts[q]
+	if counted {
+		c.arrived++
+	}
+	switch {
+	case adm.OK:
+		h.sch.AddTransient(durable.NewJob(&j.DurableJob, 0), h.now, false)
+		if adm.Late {
+			h.sch.Defer(j.ID)
+			if j.lateRun = true; counted {
+				c.lateAdmitted++
+			}
+		}
+	case counted:
+		c.refused++
+	}
+}
+
+func replayEnd(h *harness, j *replayJob, c *TaskEnd, counts *[3]replayCounts) {
+	if j.left--; j.left == 0 {
+		h.sch.JobEnded(j.ID)
+		took := h.now + networkOverhead - j.arrived
+		objective := time.Duration(j.Slack*float64(j.Steps[0].Demand.DeclaredMillis)*float64(ms)) + j.Target
+		if c := &counts[j.queue]; j.counted {
+			switch {
+			case took <= objective:
+				c.inTime++
+			case took <= expiryFactor*objective:
+				c.late++
+			default:
+				c.useless++
+			}
+		}
+		return
+	}
+	h.sch.jobs[c.Job].Done[c.Task] = true
+	h.sch.TaskEndApplied(c.DurableTask)
+}
+
+func hashOf(s string) uint64 {
+	x := uint64(14695981039346656037)
+	for _, b := range []byte(s) {
+		x = (x ^ uint64(b)) * 1099511628211
+	}
+	return x
+}
+
+// worth is the value of the counted jobs to their callers, each at most 1: a late
+// result keeps a fifth.
+func (c *replayCounts) worth() float64 {
+	return (float64(c.inTime) + 0.2*float64(c.late)) / float64(c.arrived)
+}
+
+// TestLateAdmissionTakesNothingFromJobsInTime guards against late jobs that cost others
+// their objective, and against jobs that are admitted and refused later. One job in 200
+// may end differently, because its tasks run elsewhere.
+func TestLateAdmissionTakesNothingFromJobsInTime(t *testing.T) {
+	for _, load := range []replayLoad{longBurst, thirdLost, shortOverload, burstAndLoss, spike, nearlyFull, underloaded} {
+		t.Run(load.name, func(t *testing.T) {
+			without, with := replay(t, load, false), replay(t, load, true)
+			for q := range with {
+				must.GreaterEq(t, without[q].inTime-max(1, with[q].arrived/200), with[q].inTime, must.Sprint(replayQueues[q].name))
+				must.LessEq(t, with[q].lateAdmitted/50, with[q].lateShed, must.Sprint(replayQueues[q].name))
+			}
+			if load.name == underloaded.name {
+				must.Eq(t, without, with)
+			}
+		})
+	}
+}
+
+// TestLateAdmission checks which of the jobs that a full worker can't serve in time are
+// admitted late, that they go after jobs in time, and that they are shed once their room
+// is lost.
+func TestLateAdmission(t *testing.T) {
+	h := newHarness(t)
+	h.worker("a", 10_000)
+	early := testJob("early", step(1, 1, 10))
+	h.sch.Admit(h.now, h.now, &early)
+	h.now += ratesKnownAfter
+	h.submit(testJob("running", step(2, 4000, 200)))
+	running := h.place()
+	admitted := 0
+	for i := range 6 {
+		j := testJob(fmt.Sprint("late", i), step(1, 4000, 100))
+		adm := h.sch.Admit(h.now, h.now, &j)
+		must.False(t, adm.OK)
+		if adm = h.sch.AdmitLate(h.now, h.now, &j, adm); adm.OK {
+			must.Eq(t, i, admitted, must.Sprint("a job was admitted behind one that was refused"))
+			admitted++
+			h.sch.AddTransient(durable.NewJob(&j, 0), h.now, false)
+			h.sch.Defer(j.ID)
+		}
+	}
+	must.Eq(t, 1, admitted, must.Sprint("the second would start after 360 ms, and has 485 ms of which it may wait 291"))
+	h.now += 200 * ms
+	h.submit(testJob("in time", step(2, 4000, 100)))
+	h.end(running[0], contract.EndDone)
+	h.end(running[1], contract.EndDone)
+	orders := h.place()
+	must.Len(t, 2, orders)
+	must.Eq(t, "in time", orders[1].Start.Job)
+	must.SliceEmpty(t, h.sch.JobsToShed(h.now))
+	h.now += 400 * ms
+	must.Eq(t, []contract.DurableJobID{"late0"}, h.sch.JobsToShed(h.now))
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -111,11 +111,22 @@
 	// lateJobs have waiting tasks, but missed their latest start before they
 	// began.
 	lateJobs jobList
+	// deferredJobs were admitted late and have waiting tasks, in the order of their
+	// admission. They go after lateJobs.
+	deferredJobs []*job
 	// statsByQueue holds the duration statistics of each queue.
 	statsByQueue map[string]*queueStats
 	// demandRates holds the recently admitted demand of each pool and priority
 	// class.
 	demandRates map[demandKey]*demandRate
+	// queueRates holds what each queue of a pool submits, also what is refused.
+	queueRates map[queueKey]*queueRate
+	// shortUntil says until when each pool counts as short of capacity.
+	shortUntil map[string]time.Duration
+	// firstOfferAt is when the first job was submitted; zero before.
+	firstOfferAt time.Duration
+	// lateRooms caches, by pool, what is left for late jobs.
+	lateRooms map[string]*lateRooms
 	// runningForecasts caches, by pool, what the running tasks will free.
 	runningForecasts map[string]*runningForecast
 	// lastShedCheck is when the late jobs were last examined for shedding.
@@ -147,6 +158,9 @@
 		expected:         maps.Clone(s.Agents),
 		statsByQueue:     map[string]*queueStats{},
 		demandRates:      map[demandKey]*demandRate{},
+		queueRates:       map[queueKey]*queueRate{},
+		shortUntil:       map[string]time.Duration{},
+		lateRooms:        map[string]*lateRooms{},
 		runningForecasts: map[string]*runningForecast{},
 		unclaimedRuns:    map[contract.DurableJobID]map[contract.RunRef]*Worker{},
 		awaitingRelease:  true,
@@ -255,6 +269,7 @@
 	delete(s.jobs, id)
 	s.viableJobs.remove(j)
 	s.lateJobs.remove(j)
+	s.removeDeferred(j)
 	for i := range j.tasks {
 		if t := &j.tasks[i]; t.phase == phasePlaced {
 			ref := contract.RunRef{Job: id, Task: uint32(i), Run: t.currentRun}
--- a/schedule/shed.go
+++ b/schedule/shed.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -28,13 +29,13 @@
 // be free in time, its caller should get a refusal at once rather than wait in
 // vain. JobsToShed returns nil if called again within shedCheckInterval.
 func (s *Scheduler) JobsToShed(now time.Duration) []contract.DurableJobID {
-	if len(s.lateJobs) == 0 || now-s.lastShedCheck < shedCheckInterval {
+	if len(s.lateJobs)+len(s.deferredJobs) == 0 || now-s.lastShedCheck < shedCheckInterval {
 		return nil
 	}
 	s.lastShedCheck = now
 	var shed []contract.DurableJobID
 	pools := map[string]*forecast{}
-	for _, j := range s.lateJobs {
+	for _, j := range slices.Concat(s.lateJobs, s.deferredJobs) {
 		if !j.transient || j.begun {
 			continue
 		}
--- a/schedule/summary.go
+++ b/schedule/summary.go
@@ -14,8 +14,8 @@
 	CapacityMilliCPU, UsedMilliCPU int
 	// ViableJobs is the number of jobs with waiting tasks that began in time or
 	// can still meet their objective. LateJobs is the number of jobs with waiting
-	// tasks that missed their latest start before they began. Both count the jobs
-	// of all pools.
+	// tasks that missed their latest start before they began, or were admitted late.
+	// Both count the jobs of all pools.
 	ViableJobs, LateJobs int
 	// Jobs is the number of jobs of all pools that have not ended.
 	Jobs int
@@ -34,7 +34,7 @@
 		if !ok {
 			i = len(out)
 			indexOf[w.Pool] = i
-			out = append(out, PoolSummary{Pool: w.Pool, ViableJobs: len(s.viableJobs), LateJobs: len(s.lateJobs), Jobs: len(s.jobs)})
+			out = append(out, PoolSummary{Pool: w.Pool, ViableJobs: len(s.viableJobs), LateJobs: len(s.lateJobs) + len(s.deferredJobs), Jobs: len(s.jobs)})
 		}
 		p := &out[i]
 		switch {
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -40,6 +40,14 @@
 	JobsRefused = factory.NewCounterVec(prometheus.CounterOpts{
 		Name: "caraway_jobs_refused_total", Help: "Jobs refused, by reason.",
 	}, []string{"reason"})
+	// JobsAdmittedLate counts jobs that were admitted although they miss their objective.
+	JobsAdmittedLate = factory.NewCounter(prometheus.CounterOpts{
+		Name: "caraway_jobs_admitted_late_total", Help: "Jobs admitted for a late result.",
+	})
+	// JobsShed counts transient jobs that were refused after their admission.
+	JobsShed = factory.NewCounter(prometheus.CounterOpts{
+		Name: "caraway_jobs_shed_total", Help: "Transient jobs refused after their admission.",
+	})
 	// JobsEnded counts jobs that ended, by their final state.
 	JobsEnded = factory.NewCounterVec(prometheus.CounterOpts{
 		Name: "caraway_jobs_ended_total", Help: "Jobs that ended, by state.",
