Share a pool that is short by what its queues usually send

Cause: in a shortage, the order by latest start lets the jobs of the queue with the longest objective fill the line, and refuses nearly all jobs of the queue with the shortest. A burst of priority 0 leaves the others nearly nothing.

Change: shares follow from the usual rates, with a guaranteed minimum for each queue. A queue over its share may use only room that the entitled work of the others leaves. Where priority 0 takes nearly all, jobs of a queue below its minimum go with those of priority 0.

Tests of schedule and hub pass.

--- a/hub/lead.go
+++ b/hub/lead.go
@@ -321,8 +321,8 @@
 		if admission.Late {
 			telemetry.JobsAdmittedLate.Inc()
 			h.log.Info("job admitted late", "job", id, "wait_ms", admission.PredictedWait.Milliseconds())
-			h.leader.sched.Defer(id)
 		}
+		h.leader.sched.Arrange(id, admission)
 		return nil
 	}
 	h.leader.submissions[id] = &submission{receivedAt: now, waiters: []replyTo{to}}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -13,6 +13,9 @@
 	OK bool
 	// Late says that the job is admitted although it will miss its objective.
 	Late bool
+	// Promoted says that the job goes with those of class 0, since its queue would
+	// not get its guaranteed minimum otherwise.
+	Promoted bool
 	// NeverFits says that the job has a task that no worker of the pool could
 	// run, even if idle.
 	NeverFits bool
@@ -58,19 +61,36 @@
 	if j.latestStart < now {
 		return s.admitLate(now, j)
 	}
+	promoted := s.isBelowMinimum(now, j)
+	if promoted {
+		j.priorityClass = 0
+	} else if s.exceedsShare(now, j) {
+		s.markShort(now, d.Pool)
+		return Admission{RetryAfter: ShedRetryAfter, PredictedWait: j.latestStart - now, Reason: "the queue is over its share"}
+	}
 	if len(s.viableJobs) == 0 && s.firstStepsFitNow(j) {
-		s.recordDemand(now, j)
-		return Admission{OK: true}
+		return s.admit(now, j, 0, promoted)
 	}
 	wait, reason := s.predictWait(now, j)
 	if reason == "" || s.expectedMilliCPU(now, d.Pool) > 0 && !j.wouldExpire(now+wait) {
-		s.recordDemand(now, j)
-		return Admission{OK: true, PredictedWait: wait}
+		return s.admit(now, j, wait, promoted)
 	}
 	s.markShort(now, d.Pool)
 	return Admission{RetryAfter: wait, PredictedWait: wait, Reason: reason}
 }
 
+// admit records the admission of a job that should be in time.
+func (s *Scheduler) admit(now time.Duration, j *job, wait time.Duration, promoted bool) Admission {
+	s.recordDemand(now, j)
+	_, work := s.workOf(j)
+	q := s.queueRates[queueKey{j.Pool, j.Queue}]
+	q.admitted += work / recentWindow.Seconds()
+	if promoted {
+		q.promoted += work / recentWindow.Seconds()
+	}
+	return Admission{OK: true, Promoted: promoted, PredictedWait: wait}
+}
+
 const (
 	// durationError is how far declared task durations are off, as a share of them.
 	durationError = 0.4
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -76,3 +76,17 @@
 		}
 	}
 }
+
+// BenchmarkReplay measures all decisions of 14 seconds of the three queues of
+// docs/HARD-LOAD.md, and reports the share of a core that they take.
+func BenchmarkReplay(b *testing.B) {
+	for _, load := range []replayLoad{underloaded, burstAndLoss, shortOverload} {
+		b.Run(load.name, func(b *testing.B) {
+			var counts [3]replayCounts
+			for b.Loop() {
+				replay(b, load, 1, true, &counts)
+			}
+			b.ReportMetric(b.Elapsed().Seconds()/float64(b.N)/replayLength.Seconds(), "cores")
+		})
+	}
+}
--- a/schedule/late.go
+++ b/schedule/late.go
@@ -21,9 +21,6 @@
 	// lateWaitShare is the share of the time until the latest useful start that the
 	// predicted wait of a late job may use.
 	lateWaitShare = 0.6
-	// lateReserveShare is the share of the pool that late jobs leave free. It is less
-	// than reserveShare, since the work to come is counted besides.
-	lateReserveShare = 0.03
 	// maxDeferredJobs bounds the work of one forecast.
 	maxDeferredJobs = 256
 )
@@ -40,7 +37,7 @@
 
 // AdmitLate decides on a transient job that Admit has refused as refused. It is
 // admitted if it can't be in time but is certain to end while its result is of use,
-// without room that jobs in time need. The caller adds it and then calls Defer.
+// without room that jobs in time need. The caller adds it and then calls Arrange.
 func (s *Scheduler) AdmitLate(now, arrived time.Duration, d *contract.DurableJob, refused Admission) Admission {
 	if refused.NeverFits || refused.PredictedWait == 0 || !s.ratesKnown(now) || len(s.deferredJobs) >= maxDeferredJobs {
 		return refused
@@ -80,7 +77,7 @@
 		return r
 	}
 	s.fillRoom(&r.free, now, j, s.viableJobs, s.likelyArrivals(now, j.Pool))
-	r.free.take(0, lateReserveShare*float64(s.poolMilliCPU(j.Pool)), forecastBuckets)
+	r.free.take(0, reserveShare*float64(s.poolMilliCPU(j.Pool)), forecastBuckets)
 	r.unclaimed, r.lastStart = r.free, 0
 	for _, late := range [][]*job{s.lateJobs, s.deferredJobs} {
 		for _, o := range late {
@@ -96,13 +93,22 @@
 	return r
 }
 
-// Defer moves a job that was admitted late behind all other jobs, unless it has begun.
-func (s *Scheduler) Defer(id contract.DurableJobID) {
-	if j := s.jobs[id]; j != nil && !j.begun && j.waitingTasks > 0 && !slices.Contains(s.deferredJobs, j) {
-		s.viableJobs.remove(j)
-		s.lateJobs.remove(j)
+// Arrange gives a job that was admitted its place: one that was admitted late goes
+// behind all others, and one that was promoted goes with those of class 0.
+func (s *Scheduler) Arrange(id contract.DurableJobID, a Admission) {
+	j := s.jobs[id]
+	if j == nil || j.begun || j.waitingTasks == 0 {
+		return
+	}
+	s.viableJobs.remove(j)
+	if a.Late {
 		s.deferredJobs = append(s.deferredJobs, j)
+		return
+	}
+	if a.Promoted {
+		j.priorityClass = 0
 	}
+	s.viableJobs.add(j)
 }
 
 // removeDeferred removes a job that has ended from the deferred jobs.
--- a/schedule/rates.go
+++ b/schedule/rates.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -35,6 +34,9 @@
 	queue               string
 	priorityClass       int
 	fast, recent, usual float64
+	// admitted is the recent average of the work that was admitted, promoted that of
+	// the work that was put before its class.
+	admitted, promoted float64
 	// seconds is the average duration of the submitted work, weighted by its CPU.
 	seconds   float64
 	updatedAt time.Duration
@@ -42,17 +44,21 @@
 	usualTime time.Duration
 }
 
-// advance decays the averages to now; short says that the pool is short of capacity.
-func (q *queueRate) advance(now time.Duration, short bool) {
+// at returns the averages as of now; short says that the pool is short of capacity.
+func (q queueRate) at(now time.Duration, short bool) queueRate {
 	elapsed := now - q.updatedAt
 	q.updatedAt = now
 	q.fast *= math.Exp(-float64(elapsed) / float64(fastWindow))
-	q.recent *= math.Exp(-float64(elapsed) / float64(recentWindow))
+	recentFactor := math.Exp(-float64(elapsed) / float64(recentWindow))
+	q.recent *= recentFactor
+	q.admitted *= recentFactor
+	q.promoted *= recentFactor
 	if short {
 		elapsed /= shortageFactor
 	}
 	q.usual *= math.Exp(-float64(elapsed) / float64(usualWindow))
 	q.usualTime += elapsed
+	return q
 }
 
 // add counts work that has been submitted, in thousandths of a core-second.
@@ -86,15 +92,21 @@
 		s.queueRates[k] = q
 	}
 	q.priorityClass = j.priorityClass
-	milliCPU, work := 0.0, 0.0
+	milliCPU, work := s.workOf(j)
+	short := s.isShort(now, j.Pool)
+	*q = q.at(now, short)
+	q.add(work, work/max(milliCPU, 1), short)
+}
+
+// workOf returns the CPU that all tasks of the job request, in thousandths of a core,
+// and that CPU times their expected durations, in thousandths of a core-second.
+func (s *Scheduler) workOf(j *job) (milliCPU, work float64) {
 	for step, st := range j.Steps {
 		n := float64(st.Count * st.Demand.MilliCPU)
 		milliCPU += n
 		work += n * s.expectedDuration(j, step).Seconds()
 	}
-	short := s.isShort(now, j.Pool)
-	q.advance(now, short)
-	q.add(work, work/max(milliCPU, 1), short)
+	return milliCPU, work
 }
 
 // ratesKnown reports whether the rates of submitted jobs have been observed for long
@@ -108,16 +120,15 @@
 const ratesKnownAfter = 2 * recentWindow
 
 // ratesOf returns the rates of the pool's queues as of now, ordered by queue.
-func (s *Scheduler) ratesOf(now time.Duration, pool string) []*queueRate {
-	var rates []*queueRate
+func (s *Scheduler) ratesOf(now time.Duration, pool string) []queueRate {
+	var rates []queueRate
 	short := s.isShort(now, pool)
-	for k, q := range maps.All(s.queueRates) {
+	for k, q := range s.queueRates {
 		if k.pool == pool {
-			q.advance(now, short)
-			rates = append(rates, q)
+			rates = append(rates, q.at(now, short))
 		}
 	}
-	slices.SortFunc(rates, func(a, b *queueRate) int { return strings.Compare(a.queue, b.queue) })
+	slices.SortFunc(rates, func(a, b queueRate) int { return strings.Compare(a.queue, b.queue) })
 	return rates
 }
 
@@ -136,7 +147,7 @@
 type arrivals struct{ milliCPU, cpuWork float64 }
 
 // add adds work of a queue, in thousandths of a core.
-func (a *arrivals) add(q *queueRate, work float64) {
+func (a *arrivals) add(q queueRate, work float64) {
 	if q.seconds > 0 {
 		a.milliCPU += work / q.seconds
 		a.cpuWork += work
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -121,6 +121,8 @@
 	demandRates map[demandKey]*demandRate
 	// queueRates holds what each queue of a pool submits, also what is refused.
 	queueRates map[queueKey]*queueRate
+	// queueLimits caches, for each queue, what it may use while its pool is short.
+	queueLimits map[queueKey]*limits
 	// shortUntil says until when each pool counts as short of capacity.
 	shortUntil map[string]time.Duration
 	// firstOfferAt is when the first job was submitted; zero before.
@@ -159,6 +161,7 @@
 		statsByQueue:     map[string]*queueStats{},
 		demandRates:      map[demandKey]*demandRate{},
 		queueRates:       map[queueKey]*queueRate{},
+		queueLimits:      map[queueKey]*limits{},
 		shortUntil:       map[string]time.Duration{},
 		lateRooms:        map[string]*lateRooms{},
 		runningForecasts: map[string]*runningForecast{},
