Spread the callers that were refused over the capacity to come

Cause: a refused caller was told its predicted wait, which answers round up to one second, whatever was refused before it. All came back into the same shortage.

Change: Retry-After is when the forecast has room for the job, and after the work that was refused before it has fitted into what the usual load leaves, at most 8 s. A job that is shed gets its delay in the same way.

Result: TestRetryAfterIsSpread.

--- a/hub/transient.go
+++ b/hub/transient.go
@@ -5,7 +5,6 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/durable"
-	"github.com/carawaylanding/carawaylanding/schedule"
 	"github.com/carawaylanding/carawaylanding/telemetry"
 )
 
@@ -76,7 +75,7 @@
 		if t == nil || t.endedAt != 0 {
 			continue
 		}
-		reply := contract.JobReply{Verdict: contract.VerdictOverload, RetryAfter: schedule.ShedRetryAfter, Reason: "no room within the objective"}
+		reply := contract.JobReply{Verdict: contract.VerdictOverload, RetryAfter: h.leader.sched.RetryAfter(now, id), Reason: "no room within the objective"}
 		if t.mayHaveStarted {
 			reply.Verdict = contract.VerdictUnknown
 		}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -65,8 +65,7 @@
 	if promoted {
 		j.priorityClass = 0
 	} else if s.exceedsShare(now, j) {
-		s.markShort(now, d.Pool)
-		return Admission{RetryAfter: ShedRetryAfter, PredictedWait: j.latestStart - now, Reason: "the queue is over its share"}
+		return s.refuse(now, j, j.latestStart-now, "the queue is over its share")
 	}
 	if len(s.viableJobs) == 0 && s.firstStepsFitNow(j) {
 		return s.admit(now, j, 0, promoted)
@@ -75,8 +74,13 @@
 	if reason == "" || s.expectedMilliCPU(now, d.Pool) > 0 && !j.wouldExpire(now+wait) {
 		return s.admit(now, j, wait, promoted)
 	}
-	s.markShort(now, d.Pool)
-	return Admission{RetryAfter: wait, PredictedWait: wait, Reason: reason}
+	return s.refuse(now, j, wait, reason)
+}
+
+// refuse records a refusal for lack of capacity. wait is the predicted wait.
+func (s *Scheduler) refuse(now time.Duration, j *job, wait time.Duration, reason string) Admission {
+	s.markShort(now, j.Pool)
+	return Admission{RetryAfter: s.retryAfter(now, j, max(wait, minRetryAfter)), PredictedWait: wait, Reason: reason}
 }
 
 // admit records the admission of a job that should be in time.
@@ -123,13 +127,9 @@
 	if s.expectedMilliCPU(now, j.Pool) > 0 && !j.wouldExpire(now+s.expectedDelay(now)) {
 		return Admission{OK: true}
 	}
-	return Admission{RetryAfter: ShedRetryAfter, Reason: "the objective has passed"}
+	return Admission{RetryAfter: s.retryAfter(now, j, minRetryAfter), Reason: "the objective has passed"}
 }
 
-// ShedRetryAfter is the retry delay for a job that is shed or refused because it
-// missed its objective.
-const ShedRetryAfter = time.Second
-
 // predictWait simulates the start of the pool's waiting jobs in scheduling
 // order, with the new job among them. It returns how long the new job would
 // wait, and why it has to be refused; an empty reason means that it can be
--- a/schedule/replay_test.go
+++ b/schedule/replay_test.go
@@ -326,3 +326,40 @@
 	}
 	return counts
 }
+
+// TestRetryAfterIsSpread guards against refused callers that come back all in one second,
+// and against callers that come back later than needed.
+func TestRetryAfterIsSpread(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// usual is the usual load of a pool of 100 cores, refused the refused work in
+		// core-seconds. Callers come back within the given seconds, and in none of
+		// them with more than most core-seconds.
+		usual, refused float64
+		within         int
+		most           float64
+	}{
+		{"a little work is back at once", 60, 10, 1, 10},
+		{"as much as fits is back each second", 60, 120, 4, 60},
+		{"no spare room", 110, 400, 8, 110},
+	} {
+		h := newHarness(t)
+		h.worker("a", 100_000)
+		h.sch.firstOfferAt = h.now
+		h.now += ratesKnownAfter
+		h.sch.queueRates[queueKey{"formula", "q"}] = &queueRate{queue: "q", usual: 1000 * c.usual, usualTime: time.Hour, seconds: 0.2, updatedAt: h.now}
+		perSecond := map[int]float64{}
+		for i := range int(c.refused * 5) {
+			d := testJob(fmt.Sprintf("job-%04d", i), step(1, 1000, 200))
+			j := &job{Job: durable.NewJob(&d, 0), arrivedAt: h.now}
+			h.sch.estimateJob(j)
+			after := h.sch.retryAfter(h.now, j, minRetryAfter)
+			must.Eq(t, 0, after%time.Second)
+			must.Between(t, minRetryAfter, after, time.Duration(c.within)*time.Second, must.Sprint(c.name))
+			perSecond[int(after/time.Second)] += 0.2
+		}
+		for second, work := range perSecond {
+			must.LessEq(t, c.most, work, must.Sprint(c.name, ": second ", second))
+		}
+	}
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -127,6 +127,8 @@
 	shortUntil map[string]time.Duration
 	// firstOfferAt is when the first job was submitted; zero before.
 	firstOfferAt time.Duration
+	// returnsUntil says, by pool, until when callers that were refused come back.
+	returnsUntil map[string]time.Duration
 	// lateRooms caches, by pool, what is left for late jobs.
 	lateRooms map[string]*lateRooms
 	// runningForecasts caches, by pool, what the running tasks will free.
@@ -162,6 +164,7 @@
 		demandRates:      map[demandKey]*demandRate{},
 		queueRates:       map[queueKey]*queueRate{},
 		queueLimits:      map[queueKey]*limits{},
+		returnsUntil:     map[string]time.Duration{},
 		shortUntil:       map[string]time.Duration{},
 		lateRooms:        map[string]*lateRooms{},
 		runningForecasts: map[string]*runningForecast{},
