Place deferred jobs after all late ones, and let them follow a wait for a leader

Cause: while the reserve was in use, late jobs were skipped and deferred ones could start before them. A deferred job of which some tasks had started needed room for all of them again. Jobs that came after their latest start, because they had waited for a leader, were never considered for late admission.

Change: deferred jobs start only after the late ones had their turn; a job that has begun needs room for its next task only; AdmitLate takes every job that is refused only because it would not be in time.

--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -28,6 +28,8 @@
 	PredictedWait time.Duration
 	// Reason says why the job is refused; empty if it is admitted.
 	Reason string
+	// mayBeLate says that the job is refused only because it would not be in time.
+	mayBeLate bool
 }
 
 const (
@@ -80,7 +82,7 @@
 // refuse records a refusal for lack of capacity. wait is the predicted wait.
 func (s *Scheduler) refuse(now time.Duration, j *job, wait time.Duration, reason string) Admission {
 	s.markShort(now, j.Pool)
-	return Admission{RetryAfter: s.retryAfter(now, j, max(wait, minRetryAfter)), PredictedWait: wait, Reason: reason}
+	return Admission{RetryAfter: s.retryAfter(now, j, max(wait, minRetryAfter)), PredictedWait: wait, Reason: reason, mayBeLate: true}
 }
 
 // admit records the admission of a job that should be in time.
@@ -127,7 +129,7 @@
 	if s.expectedMilliCPU(now, j.Pool) > 0 && !j.wouldExpire(now+s.expectedDelay(now)) {
 		return Admission{OK: true}
 	}
-	return Admission{RetryAfter: s.retryAfter(now, j, minRetryAfter), Reason: "the objective has passed"}
+	return Admission{RetryAfter: s.retryAfter(now, j, minRetryAfter), Reason: "the objective has passed", mayBeLate: true}
 }
 
 // predictWait simulates the start of the pool's waiting jobs in scheduling
--- a/schedule/late.go
+++ b/schedule/late.go
@@ -39,7 +39,7 @@
 // admitted if it can't be in time but is certain to end while its result is of use,
 // without room that jobs in time need. The caller adds it and then calls Arrange.
 func (s *Scheduler) AdmitLate(now, arrived time.Duration, d *contract.DurableJob, refused Admission) Admission {
-	if refused.NeverFits || refused.PredictedWait == 0 || !s.ratesKnown(now) || len(s.deferredJobs) >= maxDeferredJobs {
+	if !refused.mayBeLate || !s.ratesKnown(now) || len(s.deferredJobs) >= maxDeferredJobs {
 		return refused
 	}
 	j := &job{Job: &durable.Job{DurableJob: *d}, arrivedAt: arrived}
@@ -128,7 +128,7 @@
 			continue
 		}
 		r := s.lateRoomsOf(now, j)
-		if milliCPU := j.peakMilliCPU(); r.free.freeMilliCPU[0] < milliCPU || !s.placeJob(now, j) {
+		if milliCPU := j.peakMilliCPU(); !j.begun && r.free.freeMilliCPU[0] < milliCPU || !s.placeJob(now, j) {
 			blocked[j.Pool] = true
 		} else {
 			r.free.take(0, milliCPU, j.lateBuckets())
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -16,11 +16,14 @@
 // Place orders the start of waiting tasks that fit on a worker. When more tasks
 // wait than fit, viable jobs go first, in the order of jobList. Late jobs only
 // get what is left: they are placed only if every viable job was fully placed and
-// more than the reserve is free.
+// more than the reserve is free. Deferred jobs go after the late ones.
 func (s *Scheduler) Place(now time.Duration) {
 	s.demote(now)
 	misses := s.placeList(now, &s.viableJobs)
-	if len(s.lateJobs) > 0 && misses == 0 && s.freeCPUExceedsReserve() {
+	if len(s.lateJobs) > 0 && misses == 0 {
+		if !s.freeCPUExceedsReserve() {
+			return
+		}
 		misses = s.placeList(now, &s.lateJobs)
 	}
 	if len(s.deferredJobs) > 0 && misses == 0 {
