Limit a queue that bursts from its usual rate on

Change: limits also hold while the queues ask for more than the pool has. A queue that has grown a quarter more than all queues together is limited from its usual rate on and leaves 8% of the pool free. Class 0 is exempt from the latter.

--- a/schedule/shares.go
+++ b/schedule/shares.go
@@ -92,11 +92,26 @@
 
 func (q *share) weight() float64 { return max(q.usual, 1) }
 
+// totals returns what the queues ask for together, and what they usually do.
+func totals(shares []share) (recent, usual float64) {
+	for i := range shares {
+		recent += shares[i].recent
+		usual += shares[i].usual
+	}
+	return recent, usual
+}
+
 // limits is what the shares mean for a queue.
 type limits struct {
 	// limited says that the queue is over its share, room what the others leave.
 	limited bool
 	room    room
+	// short says that the queues ask for more than the pool has. Its line fills only
+	// after this is known.
+	short bool
+	// reserve is what the queue leaves free, in thousandths of a core: nothing, or,
+	// if its burst exceeds that of the others, what their loads vary by.
+	reserve float64
 	// minimum is the work that the queue may put before its class, in thousandths
 	// of a core: its guaranteed minimum if class 0 leaves it hardly more.
 	minimum float64
@@ -120,16 +135,24 @@
 	for i, q := range rates {
 		shares[i] = share{priorityClass: q.priorityClass, recent: q.recent, usual: q.usualRate()}
 	}
-	divide(s.usableMilliCPU(j), shares)
+	capacity := s.usableMilliCPU(j)
+	divide(capacity, shares)
 	var others arrivals
-	l.limited = false
+	l.limited, l.reserve = false, 0
+	recent, usual := totals(shares)
+	l.short = recent > capacity
+	growth := max(1, recent/max(usual, 1))
 	for i, q := range rates {
 		switch own := &shares[i]; {
 		case q.queue == j.Queue:
 			if l.minimum = 0; own.priorityClass > 0 && own.entitled < own.recent && own.entitled < minimumTolerance*own.guaranteed {
 				l.minimum = own.guaranteed
 			}
-			l.limited = own.recent > min(shareTolerance*own.usual, own.entitled) && q.admitted > limitFrom*own.entitled
+			allowed := own.entitled
+			if own.priorityClass > 0 && own.recent > shareTolerance*growth*own.usual {
+				allowed, l.reserve = min(allowed, own.usual), reserveShare*capacity
+			}
+			l.limited = own.recent > min(shareTolerance*own.usual, own.entitled) && q.admitted > limitFrom*allowed
 		case own.priorityClass <= j.priorityClass:
 			others.add(q, own.entitled)
 		default:
@@ -139,6 +162,7 @@
 	if l.limited {
 		index, _ := s.viableJobs.search(j)
 		s.fillRoom(&l.room, now, j, s.viableJobs[:index], others)
+		l.room.take(0, l.reserve, forecastBuckets)
 	}
 	return l
 }
@@ -168,11 +192,11 @@
 // share of a pool that is short of capacity, and the others leave no room for it in
 // time. If it does not, it takes its room.
 func (s *Scheduler) exceedsShare(now time.Duration, j *job) bool {
-	if !s.isShort(now, j.Pool) || !s.ratesKnown(now) {
+	if !s.ratesKnown(now) {
 		return false
 	}
 	l := s.limitsOf(now, j)
-	if !l.limited {
+	if !l.limited || !l.short && !s.isShort(now, j.Pool) {
 		return false
 	}
 	milliCPU, buckets := j.peakMilliCPU(), bucketCount(j.estimate)
