--- a/hub/lead.go
+++ b/hub/lead.go
@@ -318,14 +318,24 @@
 	if m.Transient {
 		mayHaveStarted = h.mayHaveStarted(now, id, m)
 	}
+	admission := schedule.Admission{OK: true}
 	// settleResubmitted admits a transient job that may have started.
 	if !m.Transient || !mayHaveStarted || !h.leader.sched.AwaitingRelease() {
-		if admission := h.leader.sched.Admit(now, now-m.Age, &job); !admission.OK && !mayHaveStarted {
+		admission = h.leader.sched.Admit(now, now-m.Age, &job)
+		if !admission.OK && m.Transient && !mayHaveStarted {
+			admission = h.leader.sched.AdmitLate(now, now-m.Age, &job, admission)
+		}
+		if !admission.OK && !mayHaveStarted {
 			return refusal(admission)
 		}
 	}
 	if m.Transient {
 		h.startTransient(now, to, &job, m, mayHaveStarted)
+		if admission.Late {
+			telemetry.JobsAdmittedLate.Inc()
+			h.log.Info("job admitted late", "job", id, "wait_ms", admission.PredictedWait.Milliseconds())
+		}
+		h.leader.sched.Arrange(id, admission)
 		return nil
 	}
 	h.leader.submissions[id] = &submission{receivedAt: now, waiters: []replyTo{to}}
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -5,7 +5,6 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/durable"
-	"github.com/carawaylanding/carawaylanding/schedule"
 	"github.com/carawaylanding/carawaylanding/telemetry"
 )
 
@@ -85,10 +84,11 @@
 		if t == nil || t.endedAt != 0 {
 			continue
 		}
-		reply := contract.JobReply{Verdict: contract.VerdictOverload, RetryAfter: schedule.ShedRetryAfter, Reason: "no room within the objective"}
+		reply := contract.JobReply{Verdict: contract.VerdictOverload, RetryAfter: h.leader.sched.RetryAfter(now, id), Reason: "no room within the objective"}
 		if t.mayHaveStarted && !h.leader.neverBegun(now, t) {
 			reply.Verdict = contract.VerdictUnknown
 		}
+		telemetry.JobsShed.Inc()
 		h.log.Info("transient job shed: it would end too late", "job", id, "verdict", reply.Verdict, "ms", h.logClock.now(now)-t.job.AcceptedAt)
 		h.dropTransient(t, &reply)
 	}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -11,6 +11,11 @@
 // Admission is the decision on a submitted job.
 type Admission struct {
 	OK bool
+	// Late says that the job is admitted although it will miss its objective.
+	Late bool
+	// Promoted says that the job goes with those of class 0, since its queue would
+	// not get its guaranteed minimum otherwise.
+	Promoted bool
 	// NeverFits says that the job has a task that no worker of the pool could
 	// run, even if idle.
 	NeverFits bool
@@ -23,6 +28,8 @@
 	PredictedWait time.Duration
 	// Reason says why the job is refused; empty if it is admitted.
 	Reason string
+	// mayBeLate says that the job is refused only because it would not be in time.
+	mayBeLate bool
 }
 
 const (
@@ -52,31 +59,66 @@
 	}
 	j := &job{Job: &durable.Job{DurableJob: *d}, arrivedAt: arrived}
 	s.estimateJob(j)
+	s.recordOffer(now, j)
 	if j.latestStart < now {
 		return s.admitLate(now, j)
 	}
+	promoted := s.isBelowMinimum(now, j)
+	if promoted {
+		j.priorityClass = 0
+	} else if s.exceedsShare(now, j) {
+		return s.refuse(now, j, j.latestStart-now, "the queue is over its share")
+	}
 	if len(s.viableJobs) == 0 && s.firstStepsFitNow(j) {
-		s.recordDemand(now, j)
-		return Admission{OK: true}
+		return s.admit(now, j, 0, promoted)
 	}
 	wait, reason := s.predictWait(now, j)
 	if reason == "" || s.expectedMilliCPU(now, d.Pool) > 0 && !j.wouldExpire(now+wait) {
-		s.recordDemand(now, j)
-		return Admission{OK: true, PredictedWait: wait}
+		return s.admit(now, j, wait, promoted)
 	}
-	return Admission{RetryAfter: wait, PredictedWait: wait, Reason: reason}
+	return s.refuse(now, j, wait, reason)
+}
+
+// refuse records a refusal for lack of capacity. wait is the predicted wait.
+func (s *Scheduler) refuse(now time.Duration, j *job, wait time.Duration, reason string) Admission {
+	s.markShort(now, j.Pool)
+	return Admission{RetryAfter: s.retryAfter(now, j, max(wait, minRetryAfter)), PredictedWait: wait, Reason: reason, mayBeLate: true}
+}
+
+// admit records the admission of a job that should be in time.
+func (s *Scheduler) admit(now time.Duration, j *job, wait time.Duration, promoted bool) Admission {
+	s.recordDemand(now, j)
+	_, work := s.workOf(j)
+	q := s.queueRates[queueKey{j.Pool, j.Queue}]
+	q.admitted += work / recentWindow.Seconds()
+	if promoted {
+		q.promoted += work / recentWindow.Seconds()
+	}
+	return Admission{OK: true, Promoted: promoted, PredictedWait: wait}
 }
 
-// admissionMarginShare is the share of a job's allowed waiting time that
-// admission keeps in reserve, because declared task durations are inexact.
-const admissionMarginShare = 0.1
+const (
+	// durationError is how far declared task durations are off, as a share of them.
+	durationError = 0.4
+	// minMarginShare and maxMarginShare bound the margin of admission, as shares of
+	// a job's allowed waiting time.
+	minMarginShare = 0.1
+	maxMarginShare = 0.75
+)
 
 // admissionMargin returns the part of the allowed waiting time that admission
-// keeps in reserve.
+// keeps in reserve for the error of the declared durations. A job that is admitted
+// without it, in a pool that stays full, waits until its latest start and then is late
+// if it takes longer than declared.
 func (j *job) admissionMargin() time.Duration {
-	return time.Duration(admissionMarginShare * float64(j.latestStart-j.arrivedAt))
+	wait := float64(j.latestStart - j.arrivedAt)
+	return time.Duration(min(max(durationError*float64(j.estimate), minMarginShare*wait), maxMarginShare*wait))
 }
 
+// safeStart is the latest start at which the job should still be in time although its
+// durations are inexact.
+func (j *job) safeStart() time.Duration { return j.latestStart - j.admissionMargin() }
+
 // admitLate decides on a job that can no longer meet its objective, usually
 // because it waited too long for a leader. It is admitted if its result is still
 // of use and it takes no capacity from jobs that can meet theirs.
@@ -87,13 +129,9 @@
 	if s.expectedMilliCPU(now, j.Pool) > 0 && !j.wouldExpire(now+s.expectedDelay(now)) {
 		return Admission{OK: true}
 	}
-	return Admission{RetryAfter: ShedRetryAfter, Reason: "the objective has passed"}
+	return Admission{RetryAfter: s.retryAfter(now, j, minRetryAfter), Reason: "the objective has passed", mayBeLate: true}
 }
 
-// ShedRetryAfter is the retry delay for a job that is shed or refused because it
-// missed its objective.
-const ShedRetryAfter = time.Second
-
 // predictWait simulates the start of the pool's waiting jobs in scheduling
 // order, with the new job among them. It returns how long the new job would
 // wait, and why it has to be refused; an empty reason means that it can be
@@ -109,7 +147,7 @@
 	}
 	withoutJob := f
 	wait := s.simulateJob(&f, j)
-	if now+wait > j.latestStart-j.admissionMargin() {
+	if now+wait > j.safeStart() {
 		return wait, "the work ahead takes too long"
 	}
 	for _, o := range s.viableJobs[index:] {
@@ -117,7 +155,7 @@
 			continue
 		}
 		waitWithout, waitWith := s.simulateJob(&withoutJob, o), s.simulateJob(&f, o)
-		if o.priorityClass == j.priorityClass && !o.begun && now+waitWith > o.latestStart && now+waitWithout <= o.latestStart {
+		if o.priorityClass == j.priorityClass && !o.begun && now+waitWith > o.safeStart() && now+waitWithout <= o.safeStart() {
 			return waitWith, "a job taken before would end too late"
 		}
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -16,12 +16,18 @@
 // Place orders the start of waiting tasks that fit on a worker. When more tasks
 // wait than fit, viable jobs go first, in the order of jobList. Late jobs only
 // get what is left: they are placed only if every viable job was fully placed and
-// more than the reserve is free.
+// more than the reserve is free. Deferred jobs go after the late ones.
 func (s *Scheduler) Place(now time.Duration) {
 	s.demote(now)
 	misses := s.placeList(now, &s.viableJobs)
-	if len(s.lateJobs) > 0 && misses == 0 && s.freeCPUExceedsReserve() {
-		s.placeList(now, &s.lateJobs)
+	if len(s.lateJobs) > 0 && misses == 0 {
+		if !s.freeCPUExceedsReserve() {
+			return
+		}
+		misses = s.placeList(now, &s.lateJobs)
+	}
+	if len(s.deferredJobs) > 0 && misses == 0 {
+		s.placeDeferred(now)
 	}
 }
 
@@ -108,7 +114,7 @@
 	j.begun = true
 	ref := contract.RunRef{Job: j.ID, Task: uint32(t), Run: tk.currentRun}
 	need := j.Steps[step].Demand
-	s.addRun(w, ref, &run{need: need, placedAt: now, expectedDuration: s.expectedDuration(j, step), queue: j.Queue})
+	s.addRun(w, ref, &run{need: need, placedAt: now, expectedDuration: s.expectedDuration(j, step), durationRatio: s.statsOf(j.Queue).durationRatio, queue: j.Queue})
 	w.recordStart(now)
 	s.pendingOrders = append(s.pendingOrders, Order{Host: w.Host, Session: w.Session, Start: &contract.RunStart{
 		PlacedRun: contract.PlacedRun{RunRef: ref, Demand: need}, Name: fmt.Sprintf("%s.0.%d.%d", j.ID, step, index), Spec: j.Spec,
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -118,11 +118,26 @@
 	// lateJobs have waiting tasks, but missed their latest start before they
 	// began.
 	lateJobs jobList
+	// deferredJobs were admitted late and have waiting tasks, in the order of their
+	// admission. They go after lateJobs.
+	deferredJobs []*job
 	// statsByQueue holds the duration statistics of each queue.
 	statsByQueue map[string]*queueStats
 	// demandRates holds the recently admitted demand of each pool and priority
 	// class.
 	demandRates map[demandKey]*demandRate
+	// queueRates holds what each queue of a pool submits, also what is refused.
+	queueRates map[queueKey]*queueRate
+	// queueLimits caches, for each queue, what it may use while its pool is short.
+	queueLimits map[queueKey]*limits
+	// shortUntil says until when each pool counts as short of capacity.
+	shortUntil map[string]time.Duration
+	// firstOfferAt is when the first job was submitted; zero before.
+	firstOfferAt time.Duration
+	// returnsUntil says, by pool, until when callers that were refused come back.
+	returnsUntil map[string]time.Duration
+	// lateRooms caches, by pool, what is left for late jobs.
+	lateRooms map[string]*lateRooms
 	// runningForecasts caches, by pool, what the running tasks will free.
 	runningForecasts map[string]*runningForecast
 	// lastShedCheck is when the late jobs were last examined for shedding.
@@ -157,6 +172,11 @@
 		expected:         maps.Clone(s.Agents),
 		statsByQueue:     map[string]*queueStats{},
 		demandRates:      map[demandKey]*demandRate{},
+		queueRates:       map[queueKey]*queueRate{},
+		queueLimits:      map[queueKey]*limits{},
+		returnsUntil:     map[string]time.Duration{},
+		shortUntil:       map[string]time.Duration{},
+		lateRooms:        map[string]*lateRooms{},
 		runningForecasts: map[string]*runningForecast{},
 		unclaimedRuns:    map[contract.DurableJobID]map[contract.RunRef]*Worker{},
 		awaitingRelease:  true,
@@ -267,6 +287,7 @@
 	delete(s.jobs, id)
 	s.viableJobs.remove(j)
 	s.lateJobs.remove(j)
+	s.removeDeferred(j)
 	for i := range j.tasks {
 		if j.tasks[i].phase == phasePlaced {
 			s.abandonRun(j, i)
