schedule: learn the speed of workers, and tell stragglers from illness

Cause: slowness was a moving average of durations over the fastest sibling, suspect above 2. With a quarter of the workers at 0.55 beside 1.2 the ratio is 2.18, and 3% of stragglers of factor 7 move an average: sound workers got one task at a time, and stragglers were stopped and rerun.

Change: a worker's slowness is the median of 15 samples, taken when a job ends against the median of its tasks on other workers. Late runs are judged by a distribution of durations for each queue and by the other runs of the worker: three late ones without a usual end between them make a worker suspect, a single one only if no tail of the queue explains it. A late run is stopped only where a new one should end sooner. The forecast frees what running tasks use by the speed of their worker and the tail.

--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -3,10 +3,12 @@
 import "time"
 
 // queueStats holds the correction of a queue's declared task durations, learned
-// from measured ones.
+// from measured ones, and their distribution.
 type queueStats struct {
-	// durationRatio is the ratio of actual to declared task durations.
+	// durationRatio is the ratio of actual to declared task durations on a worker
+	// of usual speed.
 	durationRatio float64
+	tail          durationTail
 }
 
 const (
@@ -24,35 +26,38 @@
 func (s *Scheduler) statsOf(queue string) *queueStats {
 	q := s.statsByQueue[queue]
 	if q == nil {
-		q = &queueStats{durationRatio: 1}
+		q = &queueStats{durationRatio: 1, tail: newDurationTail()}
 		s.statsByQueue[queue] = q
 	}
 	return q
 }
 
-// recordTaskDuration updates the queue's duration ratio with one task's actual
-// duration divided by its declared one, which is counted as 3 times the ratio if it is
-// more. It ignores tasks of suspected workers. The sample is compared with the declared
-// duration and not with the one expected when the task started: at 1,000 tasks a second
-// hundreds end before a correction shows in an end, and the ratio would swing ever
-// further.
-func (s *Scheduler) recordTaskDuration(queue string, actualToDeclared float64, w *Worker) {
-	if w.suspect() {
-		return
-	}
+// recordTaskDuration updates what is known of the queue's durations with that of one
+// task, as a multiple of its declared duration, on a worker of usual speed. It counts
+// at most 3 times the average. The samples are compared with the declared duration and
+// not with the one expected when the task started: at 1,000 tasks a second hundreds end
+// before a correction shows in an end, and the ratio would swing ever further.
+func (s *Scheduler) recordTaskDuration(queue string, ratio float64) {
 	q := s.statsOf(queue)
-	q.durationRatio += durationRatioWeight * (min(actualToDeclared, 3*q.durationRatio) - q.durationRatio)
+	q.durationRatio += durationRatioWeight * (min(ratio, 3*q.durationRatio) - q.durationRatio)
 	q.durationRatio = min(max(q.durationRatio, 1.0/maxDurationRatio), maxDurationRatio)
+	q.tail.record(ratio / q.durationRatio)
+	s.commonTail.record(ratio / q.durationRatio)
 }
 
-// expectedDuration returns how long a task of the step should take on a worker
-// that is not suspected: its declared duration, corrected by the queue's
-// duration ratio.
-func (s *Scheduler) expectedDuration(j *job, step int) time.Duration {
+// usualDuration returns how long a task of the step should take on a worker of usual
+// speed: its declared duration, corrected by the queue's duration ratio.
+func (s *Scheduler) usualDuration(j *job, step int) time.Duration {
 	ms := float64(j.Steps[step].Demand.DeclaredMillis)
 	return time.Duration(ms * s.statsOf(j.Queue).durationRatio * float64(time.Millisecond))
 }
 
+// expectedDuration returns how long a task of the step should take on the processors
+// of the job's pool, on average over their speeds.
+func (s *Scheduler) expectedDuration(j *job, step int) time.Duration {
+	return scale(s.usualDuration(j, step), s.poolSpeedOf(j.Pool).slowness)
+}
+
 // estimateJob sets the job's estimate, objective, latest start and priority
 // class.
 func (s *Scheduler) estimateJob(j *job) {
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -106,7 +106,7 @@
 	*r = runningForecast{computedAt: now}
 	for w := range s.availableWorkers(pool) {
 		for _, rn := range w.runs {
-			remaining := max(rn.placedAt+rn.expectedDuration-now, time.Duration(minRemainingShare*float64(rn.expectedDuration)))
+			remaining := s.remaining(now, w, rn)
 			if end := bucketCount(remaining); end < forecastBuckets {
 				r.freedMilliCPU[end] += float64(rn.need.MilliCPU)
 			} else {
@@ -117,6 +117,18 @@
 	return r
 }
 
+// remaining returns how much longer a run is expected to take, from the speed of its
+// worker. A run that has taken longer than expected is taken for a straggler if its
+// queue is known to have some.
+func (s *Scheduler) remaining(now time.Duration, w *Worker, r *run) time.Duration {
+	expected, elapsed := scale(r.usualDuration, w.roundedSlowness()), now-r.placedAt
+	if tail := s.tailOf(r.queue); elapsed > scale(expected, usualFactor) && tail.lateShare() > 0 {
+		ratio := float64(elapsed) / float64(expected)
+		return scale(expected, tail.expectedTotal(ratio)-ratio)
+	}
+	return max(expected-elapsed, scale(expected, minRemainingShare))
+}
+
 // bucketCount converts a duration to whole buckets, rounded down but at least
 // one.
 func bucketCount(d time.Duration) int { return max(1, int(d/bucketWidth)) }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -108,7 +108,7 @@
 	j.begun = true
 	ref := contract.RunRef{Job: j.ID, Task: uint32(t), Run: tk.currentRun}
 	need := j.Steps[step].Demand
-	s.addRun(w, ref, &run{need: need, placedAt: now, expectedDuration: s.expectedDuration(j, step), queue: j.Queue})
+	s.addRun(w, ref, &run{need: need, placedAt: now, usualDuration: s.usualDuration(j, step), queue: j.Queue})
 	w.recordStart(now)
 	s.pendingOrders = append(s.pendingOrders, Order{Host: w.Host, Session: w.Session, Start: &contract.RunStart{
 		PlacedRun: contract.PlacedRun{RunRef: ref, Demand: need}, Name: fmt.Sprintf("%s.0.%d.%d", j.ID, step, index), Spec: j.Spec,
@@ -180,7 +180,7 @@
 	if st.PerWorker > 0 && w.countStepRuns(j, step) >= st.PerWorker {
 		return false
 	}
-	return w.acceptsTask(now, len(w.runs))
+	return !w.suspect() || w.acceptsProbe(now)
 }
 
 // hasCapacityFor reports whether the worker's free resources cover the demand.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -50,6 +50,11 @@
 	// avoidHost is the worker that last failed the task or did not answer its
 	// start; the next start prefers other workers.
 	avoidHost contract.HostID
+	// ratio is the duration of the run that did the task, as a multiple of that on a
+	// worker of usual speed, and session that of its worker. The ratio is zero if it
+	// is not known.
+	ratio   float64
+	session contract.WorkerSession
 }
 
 // job is a job that has not ended, with the state of its tasks.
@@ -64,11 +69,11 @@
 	// transient marks a job that is not in the replicated log; it can be shed
 	// until it has begun.
 	transient bool
-	// shortestRun is the duration of the job's fastest task so far, which ran
-	// on shortestRunWorker. It is zero until the first task is done whose start
-	// time is known.
-	shortestRun       time.Duration
-	shortestRunWorker contract.HostID
+	// shortestRatio is the duration of the job's fastest task so far, as a multiple
+	// of that expected on its worker, and shortestWorker that worker. It is zero
+	// until the first task is done whose start time is known.
+	shortestRatio  float64
+	shortestWorker contract.HostID
 	// estimate is the expected duration of the job's critical path.
 	estimate time.Duration
 	// objective is the time within which the job should complete, counted from
@@ -113,11 +118,17 @@
 	lateJobs jobList
 	// statsByQueue holds the duration statistics of each queue.
 	statsByQueue map[string]*queueStats
+	// commonTail is the distribution of the durations of all queues, each as a
+	// multiple of what its queue expects.
+	commonTail durationTail
 	// demandRates holds the recently admitted demand of each pool and priority
 	// class.
 	demandRates map[demandKey]*demandRate
 	// runningForecasts caches, by pool, what the running tasks will free.
 	runningForecasts map[string]*runningForecast
+	// poolSpeeds holds, by pool, what the last CheckRuns derived from the workers'
+	// speeds.
+	poolSpeeds map[string]*poolSpeed
 	// lastShedCheck is when the late jobs were last examined for shedding.
 	lastShedCheck time.Duration
 	// pendingOrders holds the orders since the last TakeOrders.
@@ -148,6 +159,8 @@
 		statsByQueue:     map[string]*queueStats{},
 		demandRates:      map[demandKey]*demandRate{},
 		runningForecasts: map[string]*runningForecast{},
+		commonTail:       newDurationTail(),
+		poolSpeeds:       map[string]*poolSpeed{},
 		unclaimedRuns:    map[contract.DurableJobID]map[contract.RunRef]*Worker{},
 		awaitingRelease:  true,
 	}
@@ -252,6 +265,7 @@
 	if j == nil {
 		return
 	}
+	s.learnSpeeds(j)
 	delete(s.jobs, id)
 	s.viableJobs.remove(j)
 	s.lateJobs.remove(j)
--- a/schedule/shed.go
+++ b/schedule/shed.go
@@ -18,7 +18,12 @@
 // wouldExpire reports whether the job, if it began at the given time, would end
 // too late to be of use to its caller.
 func (j *job) wouldExpire(begin time.Duration) bool {
-	return begin+j.estimate > j.arrivedAt+time.Duration(expiryFactor*float64(j.objective))
+	return begin+j.estimate > j.expiry()
+}
+
+// expiry returns the time from which on the job's result is of no use to its caller.
+func (j *job) expiry() time.Duration {
+	return j.arrivedAt + time.Duration(expiryFactor*float64(j.objective))
 }
 
 // JobsToShed returns the transient jobs to shed: those that have not begun and
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -13,10 +13,12 @@
 	// placedAt is when the start was ordered, or, if takenOver is set, when the
 	// agent reported the run.
 	placedAt time.Duration
-	// expectedDuration is how long the run should take on a worker that is not
-	// suspected; zero if the run's job is not known.
-	expectedDuration time.Duration
-	queue            string
+	// usualDuration is how long the run should take on a worker of usual speed;
+	// zero if the run's job is not known.
+	usualDuration time.Duration
+	queue         string
+	// late is set once the run was found late, and counted against its worker.
+	late bool
 	// stopping is set once the worker has been ordered to stop the run.
 	stopping bool
 	// takenOver marks a run that an earlier leader ordered. The time of its
@@ -126,7 +128,7 @@
 	r := w.runs[ref]
 	step, _ := j.StepOf(ref.Task)
 	s.forgetUnclaimed(ref)
-	r.unclaimed, r.queue, r.expectedDuration = false, j.Queue, s.expectedDuration(j, step)
+	r.unclaimed, r.queue, r.usualDuration = false, j.Queue, s.usualDuration(j, step)
 	s.setPhase(j, int(ref.Task), phasePlaced)
 	t.worker, t.currentRun = w, ref.Run
 	j.begun = true
