schedule: place by the expected end in pools with slow workers

Cause: tasks went to the fastest worker with free capacity, then to any other. Fast workers were taken by tasks of 0.06 s, which are in time anywhere, and tasks of 0.9 s went to slow ones, where they are late.

Change: in a pool whose slowest worker is slower than the fastest fifth by 1.6 or more, a task takes a slow worker if it is about as likely in time there and the fast ones are in use by 60%, and waits for a fast one while it would rather be late on a slow one. Other pools are served as before.

--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -62,6 +62,7 @@
 // class.
 func (s *Scheduler) estimateJob(j *job) {
 	ends := make([]time.Duration, len(j.Steps))
+	j.stepEnds = ends
 	for i := range j.Steps {
 		var begin time.Duration
 		for _, earlier := range j.Steps[i].After {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -26,25 +26,40 @@
 }
 
 // placeList places the tasks of the jobs of one list in order. It returns the
-// number of jobs that could not be fully placed.
+// number of jobs that could not be fully placed. Jobs that wait for a fast worker don't
+// end the search as soon as others, since these may fit on slow ones.
 func (s *Scheduler) placeList(now time.Duration, list *jobList) int {
-	placed, misses := 0, 0
+	placed, misses, held := 0, 0, 0
 	for _, j := range *list {
-		if misses >= maxPlacementMisses {
+		if misses >= maxPlacementMisses || held >= maxHeldJobs {
 			break
 		}
-		if s.placeJob(now, j) {
+		switch s.placeJob(now, j) {
+		case placedAll:
 			placed++
-		} else {
+		case noCapacity:
 			misses++
+		case awaitsFast:
+			held++
 		}
 	}
 	if placed > 0 {
 		*list = slices.DeleteFunc(*list, func(j *job) bool { return j.waitingTasks == 0 })
 	}
-	return misses
+	return misses + held
 }
 
+// placement is the result of placing a job's waiting tasks, or one of them.
+type placement uint8
+
+const (
+	placedAll placement = iota
+	// noCapacity: a task fits on no worker.
+	noCapacity
+	// awaitsFast: a task fits only on slow workers, and is rather to wait.
+	awaitsFast
+)
+
 // reserveShare is the share of the CPU that is reserved for jobs that arrive
 // next: late jobs are placed only if more than this share is free.
 const reserveShare = 0.08
@@ -77,23 +92,23 @@
 	}
 }
 
-// placeJob places the job's waiting tasks in order until one fits no worker. It
-// reports whether all were placed.
-func (s *Scheduler) placeJob(now time.Duration, j *job) bool {
+// placeJob places the job's waiting tasks in order, up to the first that is not
+// placed.
+func (s *Scheduler) placeJob(now time.Duration, j *job) placement {
 	t := 0
 	for step := range j.Steps {
 		for index := range j.Steps[step].Count {
 			if j.tasks[t].phase == phaseWaiting {
-				w := s.pickWorker(now, j, step, &j.tasks[t])
+				w, result := s.pickWorker(now, j, step, &j.tasks[t])
 				if w == nil {
-					return false
+					return result
 				}
 				s.startTask(now, w, j, step, index, t)
 			}
 			t++
 		}
 	}
-	return true
+	return placedAll
 }
 
 // startTask orders the worker to start task t of the job, which is the task at
@@ -121,11 +136,14 @@
 const runCountBits = 30
 
 // pickWorker returns the eligible worker with the lowest cost, the one that is
-// expected to finish the task first. It returns nil if no worker is eligible.
-func (s *Scheduler) pickWorker(now time.Duration, j *job, step int, t *task) *Worker {
+// expected to finish the task first; in an uneven pool the one that outlook.choose
+// prefers. It returns nil, and why, if no worker is eligible or the task should wait for
+// a fast one.
+func (s *Scheduler) pickWorker(now time.Duration, j *job, step int, t *task) (*Worker, placement) {
 	st := &j.Steps[step]
-	var best *Worker
-	var bestCost float64
+	pool := s.poolSpeedOf(j.Pool)
+	var best, bestSlow *Worker
+	var bestCost, bestSlowCost float64
 	for _, w := range s.workerList {
 		if !s.eligible(now, w, j, step) {
 			continue
@@ -134,11 +152,22 @@
 		if w.Host == t.avoidHost {
 			cost += avoidCost
 		}
-		if best == nil || cost < bestCost {
+		if pool.uneven && pool.isSlow(w) {
+			if bestSlow == nil || cost < bestSlowCost {
+				bestSlow, bestSlowCost = w, cost
+			}
+		} else if best == nil || cost < bestCost {
 			best, bestCost = w, cost
 		}
 	}
-	return best
+	if best == nil && bestSlow == nil {
+		return nil, noCapacity
+	}
+	if bestSlow == nil {
+		return best, placedAll
+	}
+	o := s.outlookOf(now, j, step, pool)
+	return o.choose(now, best, bestSlow), awaitsFast
 }
 
 // avoidCost is added to the cost of the worker that a task should avoid, which
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -76,6 +76,9 @@
 	shortestWorker contract.HostID
 	// estimate is the expected duration of the job's critical path.
 	estimate time.Duration
+	// stepEnds holds, for each step, the expected time from the job's start to the
+	// step's end.
+	stepEnds []time.Duration
 	// objective is the time within which the job should complete, counted from
 	// its arrival.
 	objective time.Duration
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -153,6 +153,8 @@
 	fastest float64
 	// uneven is set if some worker is slow beside the fastest.
 	uneven bool
+	// pressed is set, in an uneven pool, if most CPU of the fast workers is in use.
+	pressed bool
 	// mostSlow is set if over half of the usable workers look ill: the cause is
 	// common to them, and other workers would not be faster.
 	mostSlow bool
@@ -190,6 +192,7 @@
 		work[w.Pool] += float64(w.cap.MilliCPU) / slowness
 	}
 	clear(s.poolSpeeds)
+	defer s.updatePressure()
 	for pool, list := range slownesses {
 		slices.Sort(list)
 		p := &poolSpeed{slowness: 1, fastest: list[len(list)/5], mostSlow: usable[pool] >= minCommonWorkers && 2*slow[pool] > usable[pool]}
@@ -200,3 +203,19 @@
 		s.poolSpeeds[pool] = p
 	}
 }
+
+// updatePressure sets for each uneven pool whether its fast workers are under pressure.
+func (s *Scheduler) updatePressure() {
+	for pool, p := range s.poolSpeeds {
+		if !p.uneven {
+			continue
+		}
+		used, capacity := 0, 0
+		for w := range s.availableWorkers(pool) {
+			if !p.isSlow(w) {
+				used, capacity = used+w.used.MilliCPU, capacity+w.cap.MilliCPU
+			}
+		}
+		p.pressed = float64(used) >= pressureShare*float64(capacity)
+	}
+}
--- a/schedule/tail.go
+++ b/schedule/tail.go
@@ -29,7 +29,7 @@
 	refreshAfter = 200
 	// tailStep and tailPoints are the distance and the number of the points of the
 	// table.
-	tailStep, tailPoints = 0.25, 64
+	tailStep, tailPoints = 0.125, 128
 	// minLateRuns and minLateShare say from when on late runs are taken for
 	// stragglers of the queue: single ones may be hung.
 	minLateRuns, minLateShare = 5, 0.003
