--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -122,9 +122,11 @@
 // queue is known to have some.
 func (s *Scheduler) remaining(now time.Duration, w *Worker, r *run) time.Duration {
 	expected, elapsed := scale(r.usualDuration, w.roundedSlowness()), now-r.placedAt
-	if tail := s.tailOf(r.queue); elapsed > scale(expected, usualFactor) && tail.lateShare() > 0 {
-		ratio := float64(elapsed) / float64(expected)
-		return scale(expected, tail.expectedTotal(ratio)-ratio)
+	if elapsed > scale(expected, usualFactor) && expected > 0 {
+		if tail := s.tailOf(r.queue); tail.lateShare() > 0 {
+			ratio := float64(elapsed) / float64(expected)
+			return scale(expected, tail.expectedTotal(ratio)-ratio)
+		}
 	}
 	return max(expected-elapsed, scale(expected, minRemainingShare))
 }
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -14,12 +14,6 @@
 // the other tasks of its job rather than with its declared duration, since all
 // tasks of a job share the error of one estimate.
 type health struct {
-	// slowness is the median of the last samples, each the duration of a task
-	// divided by that on a worker of usual speed; 1 is usual. See learnSpeeds.
-	slowness float64
-	// slownessSamples is the number of samples, and samples the ring of the last.
-	slownessSamples int
-	samples         [slownessWindow]float64
 	// failures counts the failed runs since the last one that succeeded. If the
 	// worker refuses a start as unhealthy, it is raised to at least
 	// suspectFailures.
@@ -31,8 +25,16 @@
 	// no tail of their queue explains, and lateRuns the evidence of all late ones.
 	overdueRuns int
 	lateRuns    lateRuns
+	// slowness is the median of the last samples, each the duration of a task
+	// divided by that on a worker of usual speed; 1 is usual. See learnSpeeds.
+	slowness float64
+	// slownessSamples is the number of samples, and samples the ring of the last
+	// slownessWindow; it is outside of the struct, which placement reads for all
+	// workers.
+	slownessSamples int
 	// slownessTolerated exempts the worker from suspicion for being slow.
 	slownessTolerated bool
+	samples           []float64
 	// nextProbe is the earliest time at which a suspected worker gets another
 	// task.
 	nextProbe time.Duration
--- a/schedule/late.go
+++ b/schedule/late.go
@@ -54,7 +54,7 @@
 	row      int
 	evidence float64
 	// tails holds the distributions of the first late runs of the row.
-	tails [maxCreditedRuns]*durationTail
+	tails []*durationTail
 }
 
 // usualRatio returns a duration as a multiple of that which the run's queue expects on
@@ -98,7 +98,7 @@
 	}
 	r.late = true
 	if w.lateRuns.row < maxCreditedRuns {
-		w.lateRuns.tails[w.lateRuns.row] = &s.statsOf(r.queue).tail
+		w.lateRuns.tails = append(w.lateRuns.tails, &s.statsOf(r.queue).tail)
 	}
 	w.lateRuns.row++
 	w.lateRuns.evidence -= math.Log(min(max(s.tailOf(r.queue).lateShare(), minLateProbability), maxLateProbability))
@@ -108,12 +108,12 @@
 // stragglers of their queues if they were few.
 func (s *Scheduler) noteUsualEnd(w *Worker) {
 	if w.lateRuns.row <= maxCreditedRuns {
-		for _, tail := range w.lateRuns.tails[:w.lateRuns.row] {
+		for _, tail := range w.lateRuns.tails {
 			tail.late++
 			s.commonTail.late++
 		}
 	}
-	w.lateRuns = lateRuns{}
+	w.lateRuns = lateRuns{tails: w.lateRuns.tails[:0]}
 }
 
 // recordDone updates what is known of the worker, the job and the queue from a
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -37,10 +37,13 @@
 	if h.slowness > suspectSlowness && sample <= recoveryShare*h.slowness {
 		h.slownessSamples = 0
 	}
+	if h.samples == nil {
+		h.samples = make([]float64, slownessWindow)
+	}
 	h.samples[h.slownessSamples%slownessWindow] = sample
 	h.slownessSamples++
-	window := h.samples
-	sorted := window[:min(h.slownessSamples, slownessWindow)]
+	var window [slownessWindow]float64
+	sorted := window[:copy(window[:], h.samples[:min(h.slownessSamples, slownessWindow)])]
 	slices.Sort(sorted)
 	h.slowness = sorted[(len(sorted)-1)/2]
 }
