schedule: order a stop again that may have been lost

Cause: a stop that was sent on a link which broke is never carried out: the run counts as being stopped, so no later check stops it, and it uses its worker until it ends.

Change: when an agent attaches and lists a run that was ordered to stop, it is ordered again. Agents ignore a stop of a run that they are stopping or don't know.

Result: TestLostStopIsOrderedAgain; without the change no second stop is ordered.

--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -239,6 +239,24 @@
 	must.Len(t, 1, h.place())
 }
 
+// TestLostStopIsOrderedAgain guards against a run that goes on although its job has
+// ended, since the order to stop it was lost with the agent's link.
+func TestLostStopIsOrderedAgain(t *testing.T) {
+	h := newHarness(t)
+	h.worker("a", 10)
+	h.submit(testJob("j", step(1, 10, 100)))
+	started := h.place()[0].Start.PlacedRun
+	h.apply(durable.Batch{Cancels: []contract.DurableJobID{"j"}})
+	must.Len(t, 1, h.place())
+	h.worker("a", 10, started)
+	orders := h.place()
+	must.Len(t, 1, orders)
+	must.Eq(t, started.RunRef, *orders[0].Stop)
+	h.worker("a", 10)
+	must.SliceEmpty(t, h.place())
+	must.Zero(t, h.sch.PoolSummaries()[0].UsedMilliCPU)
+}
+
 func TestSessionEndRequeuesTasks(t *testing.T) {
 	h := newHarness(t)
 	h.worker("a", 10)
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -98,7 +98,11 @@
 	listed := make(map[contract.RunRef]bool, len(running))
 	for _, p := range running {
 		listed[p.RunRef] = true
-		if w.runs[p.RunRef] == nil {
+		if r := w.runs[p.RunRef]; r != nil && r.stopping {
+			// The stop may have been lost with the earlier attachment.
+			r.stopping = false
+			s.stopRun(w, p.RunRef)
+		} else if r == nil {
 			s.addRun(w, p.RunRef, &run{need: p.Demand, placedAt: now, takenOver: true})
 			s.markUnclaimed(w, p.RunRef)
 			if j := s.jobs[p.Job]; j != nil {
