schedule: move long runs off an ill worker while that is in time

Cause: a run of 0.9 s is late after 1.9 s. On a worker that has turned slow it was moved only then, although short tasks had shown the illness long before.

Change: the runs of a worker that is suspected for late runs are stopped at the last moment at which a new run elsewhere can meet the objective of the job.

TestRunsOfAnIllWorkerAreRescuedInTime fails without it.

--- a/schedule/late.go
+++ b/schedule/late.go
@@ -39,6 +39,9 @@
 	// commonSlowFactor is the factor by which new runs are expected to take longer
 	// while most workers of the pool are slow: those that turn slow do so by 5.
 	commonSlowFactor = 6
+	// rescueMargin is the time left to the objective at which a run is moved off an
+	// ill worker: three intervals of CheckRuns.
+	rescueMargin = 60 * time.Millisecond
 	// stopMaxStarts limits the stops of late runs: once a task has been started
 	// this often, its run is left to end by itself.
 	stopMaxStarts = 3
@@ -175,6 +178,32 @@
 			s.stopRun(late[i].worker, late[i].ref)
 		}
 	}
+	s.rescueRuns(now)
+}
+
+// rescueRuns orders the runs of workers that are suspected for their late runs to stop
+// at the last moment at which a new run elsewhere can still meet the objective of its
+// job. Until then a usual end may show that the worker is sound.
+func (s *Scheduler) rescueRuns(now time.Duration) {
+	for _, w := range s.workerList {
+		pool := s.poolSpeedOf(w.Pool)
+		if w.lateRuns.evidence < suspectEvidence || w.slownessTolerated || pool.mostSlow {
+			continue
+		}
+		for ref, r := range w.runs {
+			j := s.jobs[ref.Job]
+			if j == nil || r.unclaimed || r.takenOver || r.late || int(ref.Task) >= len(j.tasks) || j.tasks[ref.Task].startCount >= stopMaxStarts {
+				continue
+			}
+			step, _ := j.StepOf(ref.Task)
+			newRun := restartOverhead + scale(r.usualDuration, pool.slowness)
+			spare := s.outlookOf(now, j, step, pool).budget - newRun
+			remaining := scale(r.usualDuration, max(w.slowness, suspectSlowness)) - (now - r.placedAt)
+			if spare >= 0 && spare < rescueMargin && newRun < remaining {
+				s.stopRun(w, ref)
+			}
+		}
+	}
 }
 
 // lateRun is a run that CheckRuns found late.
--- a/schedule/uneven_test.go
+++ b/schedule/uneven_test.go
@@ -288,3 +288,30 @@
 		})
 	}
 }
+
+// TestRunsOfAnIllWorkerAreRescuedInTime guards against long runs on a worker that has
+// turned slow which are moved only when they are late: they must be stopped while a new
+// run can still meet the objective, and not before.
+func TestRunsOfAnIllWorkerAreRescuedInTime(t *testing.T) {
+	h := newHarness(t)
+	for i := range 4 {
+		h.worker(fmt.Sprint("w", i), 100)
+	}
+	d := testJob("j", step(4, 10, 900))
+	h.sch.AddTransient(durable.NewJob(&d, 0), h.now, false)
+	orders := h.place()
+	must.Len(t, 4, orders)
+	ill := h.sch.workers[orders[0].Host]
+	ill.lateRuns.evidence = suspectEvidence
+	start, stoppedAt := h.now, time.Duration(0)
+	for ; stoppedAt == 0 && h.now < start+900*ms; h.now += 20 * ms {
+		h.sch.CheckRuns(h.now)
+		for _, o := range h.sch.TakeOrders() {
+			must.NotNil(t, o.Stop)
+			must.Eq(t, ill.Host, o.Host)
+			stoppedAt = h.now - start
+		}
+	}
+	// The objective is 1,500 ms and a new run takes 900 ms.
+	must.Between(t, 480*ms, stoppedAt, 560*ms)
+}
