--- a/hub/agents.go
+++ b/hub/agents.go
@@ -425,7 +425,7 @@
 	telemetry.RunsStopped.Inc()
 	next := h.leader.nextOrders(a)
 	next.Stops = append(next.Stops, *o.Stop)
-	h.log.Info("run stopped", "job", o.Stop.Job, "task", o.Stop.Task, "run", o.Stop.Run, "worker", o.Host)
+	h.log.Info("run stopped", "job", o.Stop.Job, "task", o.Stop.Task, "run", o.Stop.Run, "worker", o.Host, "why", o.Reason)
 }
 
 // sendOrders sends the agent its queued orders, if there are any and the agent has
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -121,7 +121,7 @@
 // leader yet.
 func poolFields(p schedule.PoolSummary, unattached int) []any {
 	return []any{
-		"pool", p.Pool, "workers", p.AvailableWorkers, "suspects", p.SuspectedWorkers, "away", p.UnavailableWorkers,
+		"pool", p.Pool, "workers", p.AvailableWorkers, "slow", p.SlowWorkers, "suspects", p.SuspectedWorkers, "away", p.UnavailableWorkers,
 		"unreachable", p.UnreachableWorkers, "unattached", unattached, "room", p.CapacityMilliCPU, "used", p.UsedMilliCPU,
 	}
 }
--- a/schedule/estimate_test.go
+++ b/schedule/estimate_test.go
@@ -27,9 +27,7 @@
 		}
 		d := testJob(fmt.Sprint("j", i), step(1, 10, 200))
 		h.sch.AddTransient(durable.NewJob(&d, 0), h.now, false)
-		for _, o := range h.place() {
-			running[h.now+160*ms] = append(running[h.now+160*ms], o)
-		}
+		running[h.now+160*ms] = append(running[h.now+160*ms], h.place()...)
 		if i > 1000 {
 			must.Between(t, 0.75, h.sch.statsOf("q").durationRatio, 0.85)
 		}
--- a/schedule/late.go
+++ b/schedule/late.go
@@ -175,7 +175,7 @@
 	s.updatePoolSpeeds()
 	for i := range late {
 		if s.stopHelps(now, &late[i]) {
-			s.stopRun(late[i].worker, late[i].ref)
+			s.stopRun(late[i].worker, late[i].ref, "late")
 		}
 	}
 	s.rescueRuns(now)
@@ -200,7 +200,7 @@
 			spare := s.outlookOf(now, j, step, pool).budget - newRun
 			remaining := scale(r.usualDuration, max(w.slowness, suspectSlowness)) - (now - r.placedAt)
 			if spare >= 0 && spare < rescueMargin && newRun < remaining {
-				s.stopRun(w, ref)
+				s.stopRun(w, ref, "worker ill")
 			}
 		}
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -97,6 +97,8 @@
 	// Exactly one of Start and Stop is set.
 	Start *contract.RunStart
 	Stop  *contract.RunRef
+	// Reason says why a run is stopped.
+	Reason string
 }
 
 // Scheduler schedules jobs on workers for one term of a leader. All times are
@@ -278,17 +280,17 @@
 			if t.worker.runs[ref] != nil {
 				s.markUnclaimed(t.worker, ref)
 			}
-			s.stopRun(t.worker, ref)
+			s.stopRun(t.worker, ref, "job ended")
 		}
 	}
 }
 
-// stopRun orders the worker to stop a run, unless the stop was ordered before or
+// stopRun orders the worker to stop a run for the given reason, unless the stop was ordered before or
 // the worker does not have the run.
-func (s *Scheduler) stopRun(w *Worker, ref contract.RunRef) {
+func (s *Scheduler) stopRun(w *Worker, ref contract.RunRef, reason string) {
 	if r := w.runs[ref]; r != nil && !r.stopping {
 		r.stopping = true
-		s.pendingOrders = append(s.pendingOrders, Order{Host: w.Host, Session: w.Session, Stop: &ref})
+		s.pendingOrders = append(s.pendingOrders, Order{Host: w.Host, Session: w.Session, Stop: &ref, Reason: reason})
 	}
 }
 
--- a/schedule/summary.go
+++ b/schedule/summary.go
@@ -9,6 +9,9 @@
 	AvailableWorkers, SuspectedWorkers, UnavailableWorkers int
 	// UnreachableWorkers counts those of UnavailableWorkers that the hub can't reach.
 	UnreachableWorkers int
+	// SlowWorkers counts those of AvailableWorkers that are slow beside the fastest of
+	// the pool.
+	SlowWorkers int
 	// CapacityMilliCPU is the total CPU of the workers counted in AvailableWorkers,
 	// and UsedMilliCPU the part of it that runs use, in thousandths of a core.
 	CapacityMilliCPU, UsedMilliCPU int
@@ -47,6 +50,9 @@
 			p.SuspectedWorkers++
 		default:
 			p.AvailableWorkers++
+			if s.poolSpeedOf(w.Pool).isSlow(w) {
+				p.SlowWorkers++
+			}
 			p.CapacityMilliCPU += w.cap.MilliCPU
 			p.UsedMilliCPU += w.used.MilliCPU
 		}
--- a/schedule/unclaimed.go
+++ b/schedule/unclaimed.go
@@ -60,7 +60,7 @@
 	for _, w := range s.workerList {
 		for ref, r := range w.runs {
 			if r.unclaimed && now-r.placedAt > unclaimedRunTTL {
-				s.stopRun(w, ref)
+				s.stopRun(w, ref, "no known job")
 			}
 		}
 	}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -101,7 +101,7 @@
 		if r := w.runs[p.RunRef]; r != nil && r.stopping {
 			// The stop may have been lost with the earlier attachment.
 			r.stopping = false
-			s.stopRun(w, p.RunRef)
+			s.stopRun(w, p.RunRef, "earlier stop may be lost")
 		} else if r == nil {
 			s.addRun(w, p.RunRef, &run{need: p.Demand, placedAt: now, takenOver: true})
 			s.markUnclaimed(w, p.RunRef)
