--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -53,6 +53,11 @@
 	// avoidHost is the worker that last failed the task or did not answer its
 	// start; the next start prefers other workers.
 	avoidHost contract.HostID
+	// ratio is the duration of the run that did the task, as a multiple of that on a
+	// worker of usual speed, and session that of its worker. The ratio is zero if it
+	// is not known.
+	ratio   float64
+	session contract.WorkerSession
 }
 
 // job is a job that has not ended, with the state of its tasks.
@@ -71,13 +76,16 @@
 	settling bool
 	// failedRuns holds the runs whose failure has been counted.
 	failedRuns map[uint64]bool
-	// shortestRun is the duration of the job's fastest task so far, which ran
-	// on shortestRunWorker. It is zero until the first task is done whose start
-	// time is known.
-	shortestRun       time.Duration
-	shortestRunWorker contract.HostID
+	// shortestRatio is the duration of the job's fastest task so far, as a multiple
+	// of that expected on its worker, and shortestWorker that worker. It is zero
+	// until the first task is done whose start time is known.
+	shortestRatio  float64
+	shortestWorker contract.HostID
 	// estimate is the expected duration of the job's critical path.
 	estimate time.Duration
+	// stepEnds holds, for each step, the expected time from the job's start to the
+	// step's end.
+	stepEnds []time.Duration
 	// objective is the time within which the job should complete, counted from
 	// its arrival.
 	objective time.Duration
@@ -96,6 +104,8 @@
 	// Exactly one of Start and Stop is set.
 	Start *contract.RunStart
 	Stop  *contract.RunRef
+	// Reason says why a run is stopped.
+	Reason string
 }
 
 // Scheduler schedules jobs on workers for one term of a leader. All times are
@@ -123,6 +133,9 @@
 	deferredJobs []*job
 	// statsByQueue holds the duration statistics of each queue.
 	statsByQueue map[string]*queueStats
+	// commonTail is the distribution of the durations of all queues, each as a
+	// multiple of what its queue expects.
+	commonTail durationTail
 	// demandRates holds the recently admitted demand of each pool and priority
 	// class.
 	demandRates map[demandKey]*demandRate
@@ -140,6 +153,9 @@
 	lateRooms map[string]*lateRooms
 	// runningForecasts caches, by pool, what the running tasks will free.
 	runningForecasts map[string]*runningForecast
+	// poolSpeeds holds, by pool, what the last CheckRuns derived from the workers'
+	// speeds.
+	poolSpeeds map[string]*poolSpeed
 	// lastShedCheck is when the late jobs were last examined for shedding.
 	lastShedCheck time.Duration
 	// pendingOrders holds the orders since the last TakeOrders.
@@ -178,6 +194,8 @@
 		shortUntil:       map[string]time.Duration{},
 		lateRooms:        map[string]*lateRooms{},
 		runningForecasts: map[string]*runningForecast{},
+		commonTail:       newDurationTail(),
+		poolSpeeds:       map[string]*poolSpeed{},
 		unclaimedRuns:    map[contract.DurableJobID]map[contract.RunRef]*Worker{},
 		awaitingRelease:  true,
 		checkedAt:        now,
@@ -284,6 +302,7 @@
 	if j == nil {
 		return
 	}
+	s.learnSpeeds(j)
 	delete(s.jobs, id)
 	s.viableJobs.remove(j)
 	s.lateJobs.remove(j)
@@ -306,15 +325,15 @@
 	if tk.worker.runs[ref] != nil {
 		s.markUnclaimed(tk.worker, ref)
 	}
-	s.stopRun(tk.worker, ref)
+	s.stopRun(tk.worker, ref, "job ended")
 }
 
-// stopRun orders the worker to stop a run, unless the stop was ordered before or
-// the worker does not have the run.
-func (s *Scheduler) stopRun(w *Worker, ref contract.RunRef) {
+// stopRun orders the worker to stop a run for the given reason, unless the stop was
+// ordered before or the worker does not have the run.
+func (s *Scheduler) stopRun(w *Worker, ref contract.RunRef, reason string) {
 	if r := w.runs[ref]; r != nil && !r.stopping {
 		r.stopping = true
-		s.pendingOrders = append(s.pendingOrders, Order{Host: w.Host, Session: w.Session, Stop: &ref})
+		s.pendingOrders = append(s.pendingOrders, Order{Host: w.Host, Session: w.Session, Stop: &ref, Reason: reason})
 	}
 }
 
