Keep the evacuated failure domains in the replicated state

The set must survive the loss of any leader and of two disks. WorkerAnnouncement and HubState get the fields that tell the domain of a worker, how long it stays cold, and which domains are evacuated.

The types that got a field decode arrays of any length (contract.DecodeArray).

go test ./durable ./contract ./link ./hub passes; without DecodeArray, TestEarlierSnapshotIsRestored fails.

--- a/contract/durable.go
+++ b/contract/durable.go
@@ -1,6 +1,10 @@
 package contract
 
-import "time"
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // DurableJobID identifies a durable job. It is chosen by the caller.
 type DurableJobID string
@@ -151,8 +155,18 @@
 	Capacity Capacity
 	Labels   []string
 	Draining bool
+	// FailureDomain is the failure domain of the worker. If the worker announces
+	// none, the hub fills in that of its agent.
+	FailureDomain string
+	// ColdLeftMillis is for how many milliseconds longer, counted from when the
+	// announcement was received, the worker is slower than usual.
+	ColdLeftMillis int64
 }
 
+// DecodeMsgpack implements msgpack.CustomDecoder. Announcements are part of stored log
+// entries, which earlier versions wrote with fewer fields.
+func (a *WorkerAnnouncement) DecodeMsgpack(dec *msgpack.Decoder) error { return DecodeArray(dec, a) }
+
 // SameInstance reports whether a and b come from the same instance of a worker.
 func (a WorkerAnnouncement) SameInstance(b WorkerAnnouncement) bool {
 	return a.ID == b.ID && a.StartedMillis == b.StartedMillis
--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -1,6 +1,10 @@
 package contract
 
-import "time"
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // The message kinds of durable jobs.
 const (
@@ -33,11 +37,18 @@
 	Hubs []string
 	// Leader is the link address of the leader; empty if unknown.
 	Leader string
+	// Evacuated lists the evacuated failure domains. Only a sender that leads sets it;
+	// the list of another hub may be out of date.
+	Evacuated []string
 }
 
 // MessageKind returns KindHubState.
 func (*HubState) MessageKind() MessageKind { return KindHubState }
 
+// DecodeMsgpack implements msgpack.CustomDecoder. Hubs of an earlier version send fewer
+// fields.
+func (s *HubState) DecodeMsgpack(dec *msgpack.Decoder) error { return DecodeArray(dec, s) }
+
 // JoinLog asks the leader to add a control host to the group.
 type JoinLog struct {
 	Member LogMember
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -28,15 +28,21 @@
 	RegisteredAgents []AgentRegistration
 	// RemovedAgents lists agents whose workers can no longer have runs.
 	RemovedAgents []contract.HostID
+	// Evacuations lists operators' orders in the order in which they came.
+	Evacuations []EvacuationOrder
 }
 
 // Empty reports whether the batch has no other effect than to advance the log
 // time and to remove ended jobs.
 func (b *Batch) Empty() bool {
 	return b.Tables == nil && len(b.Submits) == 0 && len(b.Cancels) == 0 && len(b.Ends) == 0 &&
-		len(b.RegisteredAgents) == 0 && len(b.RemovedAgents) == 0
+		len(b.RegisteredAgents) == 0 && len(b.RemovedAgents) == 0 && len(b.Evacuations) == 0
 }
 
+// DecodeMsgpack implements msgpack.CustomDecoder. A stored batch of an earlier version
+// has fewer fields.
+func (b *Batch) DecodeMsgpack(dec *msgpack.Decoder) error { return contract.DecodeArray(dec, b) }
+
 // AgentRegistration is an agent and the announcement of its worker.
 type AgentRegistration struct {
 	Host   contract.HostID
@@ -101,8 +107,15 @@
 	// Agents holds the announcement of each worker that may have runs, by the
 	// host of its agent.
 	Agents map[contract.HostID]contract.WorkerAnnouncement
+	// Evacuated lists the evacuated failure domains in ascending order. Their workers
+	// get no new work.
+	Evacuated []string
 }
 
+// DecodeMsgpack implements msgpack.CustomDecoder. A snapshot of an earlier version has
+// fewer fields.
+func (s *State) DecodeMsgpack(dec *msgpack.Decoder) error { return contract.DecodeArray(dec, s) }
+
 // New returns an empty state.
 func New() *State {
 	return &State{Jobs: map[contract.DurableJobID]*Job{}, Agents: map[contract.HostID]contract.WorkerAnnouncement{}}
@@ -151,6 +164,8 @@
 	Ended []*Job
 	// TablesChanged says that queue tables of a higher version took effect.
 	TablesChanged bool
+	// Evacuations lists the orders that changed the set of evacuated domains.
+	Evacuations []EvacuationOrder
 }
 
 // Apply applies one batch to the state.
@@ -180,6 +195,9 @@
 	for _, h := range b.RemovedAgents {
 		delete(s.Agents, h)
 	}
+	for _, o := range b.Evacuations {
+		s.applyEvacuation(o, &c)
+	}
 	s.forgetEndedJobs(b.ForgetBefore)
 	return c
 }
