Take, store and announce evacuations at the hub that leads

Operators need an order that holds through the loss of a leader. The leader puts it into its next batch and acknowledges it when the batch is applied; a hub that does not lead, or loses the lead before that, answers ErrNotLeader. HubState carries the evacuated domains at once on a change and with each broadcast. Workers are recorded with their failure domain, the agent's if they announce none; the time for which they stay cold is not recorded, since it changes with each report.

--- a/hub/agents.go
+++ b/hub/agents.go
@@ -118,6 +118,9 @@
 		if r.Term != ls.term {
 			return
 		}
+		if r.Worker.FailureDomain == "" && !r.NoWorker {
+			r.Worker.FailureDomain = l.Remote().FailureDomain
+		}
 		if r.Attach {
 			a = h.attachAgent(l, r)
 		}
@@ -144,13 +147,17 @@
 
 // registerWorker proposes to record the agent and its worker in the replicated
 // state, unless it lists them already. A later leader then waits for the agent,
-// and a restarted agent is told at once which worker it had.
+// and a restarted agent is told at once which worker it had. How long the worker stays
+// cold is not recorded: it would be out of date when it is read, and would need a
+// record for each report.
 func (h *Hub) registerWorker(a *agent, r *contract.WorkerReport) {
 	recorded := h.state.Agents[r.Host]
-	if a.registered && (r.NoWorker || recorded.SameInstance(r.Worker) && recorded.Draining == r.Worker.Draining) {
+	if a.registered && (r.NoWorker || recorded.SameInstance(r.Worker) && recorded.Draining == r.Worker.Draining && recorded.FailureDomain == r.Worker.FailureDomain) {
 		return
 	}
-	h.leader.pending.batch.RegisteredAgents = append(h.leader.pending.batch.RegisteredAgents, durable.AgentRegistration{Host: r.Host, Worker: r.Worker})
+	worker := r.Worker
+	worker.ColdLeftMillis = 0
+	h.leader.pending.batch.RegisteredAgents = append(h.leader.pending.batch.RegisteredAgents, durable.AgentRegistration{Host: r.Host, Worker: worker})
 }
 
 // isStale reports whether the agent has attached again, or has been restarted, since
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -31,6 +31,12 @@
 	Host contract.HostID
 	// Addr is the IP:port that the hub listens on for links.
 	Addr string
+	// FailureDomain is the failure domain of the host.
+	FailureDomain string
+	// FailureDomains returns the failure domains that the settings name; nil means
+	// none. A domain that neither they, nor a hub, nor a worker has can't be
+	// evacuated.
+	FailureDomains func() []string
 	// Seeds returns the link addresses of hubs that may be running.
 	Seeds func() []string
 	// AllowGroupFormation allows the hub to form the initial consensus group. It
@@ -127,8 +133,11 @@
 
 	// peers holds the hubs that this hub dials, by link address; inbound holds
 	// the links that other processes have dialled.
-	peers      map[string]*peer
-	inbound    map[*link.Link]bool
+	peers   map[string]*peer
+	inbound map[*link.Link]bool
+	// hubDomains holds the failure domains of the hubs that have dialled this hub
+	// since it started.
+	hubDomains map[string]bool
 	ctx        context.Context
 	goroutines *errgroup.Group
 
@@ -238,10 +247,12 @@
 		uncommittedWorkers: workersInEntries(cfg.Log, stored.Entries),
 		peers:              map[string]*peer{},
 		inbound:            map[*link.Link]bool{},
+		hubDomains:         map[string]bool{},
 		diskReplies:        map[string]contract.DiskReply{},
 	}
 	h.joinRequestedAt = now
 	h.logClock.set(state.LogTime, now)
+	h.countEvacuated()
 	timing := consensus.Timing{HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout, ElectionStagger: electionStagger}
 	h.node = consensus.New(h.self, timing, stored, now, func(d time.Duration) time.Duration { return rand.N(d) })
 	cfg.Log.Info("log store opened", "disk", store.disk, "fresh", fresh, "term", h.node.Term(), "last", h.node.LastIndex())
@@ -269,7 +280,9 @@
 }
 
 func (h *Hub) hello() contract.Hello {
-	return contract.Hello{Host: h.cfg.Host, Incarnation: contract.NewIncarnation(), Roles: []contract.Role{contract.RoleControl}}
+	return contract.Hello{
+		Host: h.cfg.Host, Incarnation: contract.NewIncarnation(), FailureDomain: h.cfg.FailureDomain, Roles: []contract.Role{contract.RoleControl},
+	}
 }
 
 // event is a function for the event loop, with the time at which it was posted.
@@ -406,6 +419,7 @@
 	}
 	h.state = state
 	h.logClock.set(state.LogTime, boottime.Now())
+	h.countEvacuated()
 	h.log.Info("state restored from the leader's snapshot", "index", s.Index, "jobs", len(state.Jobs))
 }
 
@@ -473,7 +487,7 @@
 			h.log.Error(err, "cannot decode log entry: run the same version on all hubs", "index", e.Index)
 			continue
 		}
-		h.state.Apply(b)
+		h.evacuationsChanged(h.state.Apply(b).Evacuations)
 		h.logClock.set(b.LogTime, now)
 	}
 }
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -33,7 +33,8 @@
 	batch         durable.Batch
 	endAcks       []endAck
 	cancelWaiters []replyTo
-	tablesWaiters []chan error
+	// waiters receive the result of operators' changes.
+	waiters []chan error
 }
 
 // submission is a submitted job that is not committed yet.
@@ -50,9 +51,9 @@
 	case h.leader != nil && (h.node.Role() != consensus.Leader || h.node.Term() != h.leader.term):
 		h.log.Info("leadership lost", "term", h.leader.term, "open_submits", len(h.leader.submissions))
 		for _, p := range h.leader.proposed {
-			p.failTablesWaiters()
+			p.failWaiters()
 		}
-		h.leader.pending.failTablesWaiters()
+		h.leader.pending.failWaiters()
 		h.leader = nil
 	case h.leader == nil && h.node.IsEstablishedLeader() && h.node.Applied() >= h.node.Commit():
 		h.leader = &leaderState{
@@ -75,13 +76,13 @@
 	}
 }
 
-// failTablesWaiters fails the table updates that wait for the proposal with
+// failWaiters fails the operators' changes that wait for the proposal with
 // ErrNotLeader.
-func (p *proposal) failTablesWaiters() {
-	for _, ch := range p.tablesWaiters {
+func (p *proposal) failWaiters() {
+	for _, ch := range p.waiters {
 		ch <- ErrNotLeader
 	}
-	p.tablesWaiters = nil
+	p.waiters = nil
 }
 
 // holdsLeaderLease reports whether this hub may answer requests and send orders
@@ -208,7 +209,8 @@
 	for _, r := range p.cancelWaiters {
 		h.reply(r.link, r.seq, &contract.JobReply{Verdict: contract.VerdictCancelled})
 	}
-	for _, ch := range p.tablesWaiters {
+	h.evacuationsChanged(changes.Evacuations)
+	for _, ch := range p.waiters {
 		ch <- nil
 	}
 	if changes.TablesChanged {
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -282,6 +282,7 @@
 	h := (*Hub)(i)
 	h.post(func() {
 		h.inbound[l] = true
+		h.recordHubDomain(l.Remote())
 		s := h.hubState(boottime.Now())
 		if err := l.Send(&s); err != nil {
 			h.log.V(1).Info("hub state not sent", "peer", l.Remote().Host, "err", err)
@@ -352,15 +353,27 @@
 
 // hubState returns the state that this hub announces on its inbound links.
 func (h *Hub) hubState(now time.Duration) contract.HubState {
-	return contract.HubState{Term: h.node.Term(), Leads: h.holdsLeaderLease(now), Hubs: h.knownHubs(), Leader: h.node.LeaderMember().Addr}
+	s := h.leadership(now)
+	s.Hubs = h.knownHubs()
+	return s
 }
 
-// broadcastState sends this hub's state on all inbound links when its leadership
-// or its known leader has changed, and every stateBroadcastInterval while it leads.
-func (h *Hub) broadcastState(now time.Duration) {
+// leadership returns this hub's state without the addresses of the hubs.
+func (h *Hub) leadership(now time.Duration) contract.HubState {
 	s := contract.HubState{Term: h.node.Term(), Leads: h.holdsLeaderLease(now), Leader: h.node.LeaderMember().Addr}
+	if s.Leads {
+		s.Evacuated = h.state.Evacuated
+	}
+	return s
+}
+
+// broadcastState sends this hub's state on all inbound links when its leadership,
+// its known leader or, on the leader, the evacuated domains have changed, and every
+// stateBroadcastInterval while it leads.
+func (h *Hub) broadcastState(now time.Duration) {
+	s := h.leadership(now)
 	changed := s.Leads != h.lastBroadcast.Leads || s.Leader != h.lastBroadcast.Leader || s.Leads && s.Term != h.lastBroadcast.Term
-	if !changed && !(s.Leads && now-h.lastBroadcastAt >= stateBroadcastInterval) {
+	if !changed && slices.Equal(s.Evacuated, h.lastBroadcast.Evacuated) && !(s.Leads && now-h.lastBroadcastAt >= stateBroadcastInterval) {
 		return
 	}
 	if changed {
--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -114,14 +115,21 @@
 
 func (c *cluster) uplinkConfig(name string, role contract.Role) uplink.Config {
 	return uplink.Config{
-		Hello: contract.Hello{Host: contract.HostID(name), Incarnation: contract.NewIncarnation(), Roles: []contract.Role{role}},
+		Hello: contract.Hello{Host: contract.HostID(name), Incarnation: contract.NewIncarnation(), FailureDomain: domainOf(name), Roles: []contract.Role{role}},
 		Seeds: c.seeds, Link: LinkConfig, RelayAfter: RelayAfter(role), Log: testLog(name),
 	}
 }
 
+// domainOf returns the failure domain of a process: the part of its name before the
+// hyphen, or none.
+func domainOf(name string) string {
+	domain, _, _ := strings.Cut(name, "-")
+	return domain
+}
+
 func (c *cluster) runHub(i int, ln net.Listener, allowGroupFormation bool) {
 	cfg := Config{
-		Host: contract.HostID(fmt.Sprint("hub", i)), Addr: c.addrs[i], Seeds: c.seeds, AllowGroupFormation: allowGroupFormation, DataDir: c.dirs[i],
+		Host: contract.HostID(fmt.Sprint("hub", i)), FailureDomain: fmt.Sprint("h", i), Addr: c.addrs[i], Seeds: c.seeds, AllowGroupFormation: allowGroupFormation, DataDir: c.dirs[i],
 		MaxLostDisks: (len(c.addrs) - 1) / 2, JobRetention: time.Minute, Log: testLog(c.addrs[i]),
 	}
 	c.hubProcesses[i] = c.startProcess(func(ctx context.Context) error {
@@ -486,7 +494,7 @@
 	accepted := make(acceptedLinks, 1)
 	server := &link.Server{Local: contract.Hello{Host: "hub"}, Config: LinkConfig, Handler: accepted}
 	go server.Serve(ctx, ln)
-	dialer := &link.Dialer{Addr: ln.Addr().String(), Local: contract.Hello{Host: "agent"}, Config: LinkConfig, Handler: make(acceptedLinks, 1)}
+	dialer := &link.Dialer{Addr: ln.Addr().String(), Local: contract.Hello{Host: "agent", FailureDomain: "a"}, Config: LinkConfig, Handler: make(acceptedLinks, 1)}
 	go dialer.Run(ctx)
 	return <-accepted
 }
--- a/hub/tables.go
+++ b/hub/tables.go
@@ -33,6 +33,12 @@
 func (h *Hub) PutTables(ctx context.Context, t *contract.QueueTables) error {
 	ch := make(chan error, 1)
 	h.post(func() { h.putTables(t, ch) })
+	return awaitCommit(ctx, ch)
+}
+
+// awaitCommit returns the result of a proposal that ch delivers, or ctx.Err() if ctx is
+// done first.
+func awaitCommit(ctx context.Context, ch <-chan error) error {
 	select {
 	case err := <-ch:
 		return err
@@ -55,27 +61,33 @@
 	if p.batch.Tables == nil || p.batch.Tables.Version < t.Version {
 		p.batch.Tables = t
 	}
-	p.tablesWaiters = append(p.tablesWaiters, ch)
+	p.waiters = append(p.waiters, ch)
 }
 
 // Tables returns the queue tables in force. It returns ErrNotLeader if this hub
 // does not lead, and ctx.Err() if ctx is done first.
 func (h *Hub) Tables(ctx context.Context) (contract.QueueTables, error) {
-	tables := make(chan contract.QueueTables, 1)
-	refused := make(chan error, 1)
+	return readAsLeader(ctx, h, func() contract.QueueTables { return h.state.Tables })
+}
+
+// readAsLeader returns what read returns in the event loop. It returns ErrNotLeader if
+// the hub does not lead, and ctx.Err() if ctx is done first.
+func readAsLeader[T any](ctx context.Context, h *Hub, read func() T) (T, error) {
+	value, refused := make(chan T, 1), make(chan error, 1)
 	h.post(func() {
 		if h.holdsLeaderLease(boottime.Now()) {
-			tables <- h.state.Tables
+			value <- read()
 		} else {
 			refused <- ErrNotLeader
 		}
 	})
+	var none T
 	select {
-	case t := <-tables:
-		return t, nil
+	case v := <-value:
+		return v, nil
 	case err := <-refused:
-		return contract.QueueTables{}, err
+		return none, err
 	case <-ctx.Done():
-		return contract.QueueTables{}, ctx.Err()
+		return none, ctx.Err()
 	}
 }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -36,6 +36,9 @@
 	IsLeader = factory.NewGauge(prometheus.GaugeOpts{Name: "caraway_leads", Help: "1 while this control host leads."})
 	// Term is the current term of the replicated log.
 	Term = factory.NewGauge(prometheus.GaugeOpts{Name: "caraway_term", Help: "Term of the replicated log."})
+	// EvacuatedDomains is the number of evacuated failure domains, as far as this host
+	// has applied the replicated log.
+	EvacuatedDomains = factory.NewGauge(prometheus.GaugeOpts{Name: "caraway_evacuated_domains", Help: "Evacuated failure domains."})
 	// JobsRefused counts refused jobs by reason.
 	JobsRefused = factory.NewCounterVec(prometheus.CounterOpts{
 		Name: "caraway_jobs_refused_total", Help: "Jobs refused, by reason.",
