Leave the workers of evacuated domains out of scheduling

Workers of an evacuated domain take no new work and are left out of admission, forecasts and Retry-After; their runs go on. A job for which only evacuated workers are large enough is refused for overload, with a Retry-After, also while a new leader waits for workers. Transient jobs that wait and lose their capacity are refused in the turn in which the evacuation takes effect, rather than once their objective has passed. An overdue run is not stopped if its task could start nowhere else.

Cold workers rank after all warm ones. The agent counts the announced time down and reports it only if it changes otherwise.

--- a/hub/evacuate.go
+++ b/hub/evacuate.go
@@ -93,6 +93,9 @@
 		h.log.Info(event, "domain", o.Domain, "leads", h.leader != nil, "evacuated", len(h.state.Evacuated))
 	}
 	h.countEvacuated()
+	if h.leader != nil {
+		h.leader.sched.SetEvacuated(h.state.Evacuated)
+	}
 }
 
 // recordHubDomain records the failure domain of a hub that has connected. The domain
--- a/hub/evacuate_test.go
+++ b/hub/evacuate_test.go
@@ -13,6 +13,9 @@
 	"github.com/carawaylanding/carawaylanding/boottime"
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/durable"
+	"github.com/carawaylanding/carawaylanding/gateway"
+	"github.com/carawaylanding/carawaylanding/internal/leasedworker"
+	"github.com/carawaylanding/carawaylanding/schedule"
 )
 
 // order sends an order to the leader until one has acknowledged it, as operators do.
@@ -157,3 +160,103 @@
 	must.One(t, report("b", 800))
 	c.waitFor("the new domain is recorded", func() bool { return recorded().FailureDomain == "b" })
 }
+
+// Once an order is acknowledged, no path may start a run in the domain: neither the
+// leader that took it, nor the next one, nor for a worker that joins later. Runs in
+// progress end as usual, and the domain gets work again once the order is taken back.
+func TestEvacuationHoldsThroughAChangeOfLeader(t *testing.T) {
+	c := newCluster(t, 3, "a-w1", "b-w1")
+	c.putTables(1)
+	running := func(worker string) func() bool { return func() bool { return c.workers[worker].Running() > 0 } }
+	c.submitUntilAccepted(testJob("before", 16, 800))
+	c.waitFor("the domain has runs", running("a-w1"))
+	c.order("a", true)
+	must.Positive(t, c.workers["a-w1"].Running(), must.Sprint("runs in progress were stopped"))
+	c.waitCompleted("before")
+	must.Eq(t, 16, c.runChecker.Starts())
+
+	stopWatching := c.watchForRuns("a-w1", "a-w2")
+	c.submitUntilAccepted(testJob("during", 30, 50))
+	leader := c.waitLeader()
+	c.stopHub(leader)
+	c.mu.Lock()
+	c.workers["a-w2"] = leasedworker.New("a-w2", c.runChecker)
+	c.mu.Unlock()
+	c.startAgent("a-w2")
+	c.waitLeader()
+	c.submitUntilAccepted(testJob("after", 30, 50))
+	c.waitCompleted("during")
+	c.waitCompleted("after")
+	c.waitFor("the new worker has attached", func() bool {
+		h := c.hubInstances[c.waitLeader()]
+		evacuated := 0
+		h.runInLoop(func() {
+			if h.leader != nil && len(h.leader.sched.PoolSummaries()) > 0 {
+				evacuated = h.leader.sched.PoolSummaries()[0].EvacuatedWorkers
+			}
+		})
+		return evacuated == 2
+	})
+	must.False(t, stopWatching(), must.Sprint("a run started in the evacuated domain"))
+
+	c.order("b", true)
+	refused := testJob("refused", 1, 50)
+	refused.Transient = true
+	answer := c.sendToLeader(refused)
+	must.Eq(t, contract.VerdictOverload, answer.Verdict, must.Sprint("the last domain of the pool"))
+	must.Positive(t, answer.RetryAfter)
+	c.order("a", false)
+	c.submitUntilAccepted(testJob("back", 4, 300))
+	c.waitFor("the domain has runs again", running("a-w1"))
+	c.waitCompleted("back")
+	must.Eq(t, nil, c.runChecker.Violations())
+}
+
+// watchForRuns watches the workers until the returned function is called, which reports
+// whether any of them had a run.
+func (c *cluster) watchForRuns(names ...string) func() bool {
+	stop, seen := make(chan struct{}), make(chan bool)
+	go func() {
+		found := false
+		for {
+			select {
+			case <-stop:
+				seen <- found
+				return
+			case <-time.After(time.Millisecond):
+			}
+			for _, n := range names {
+				c.mu.Lock()
+				w := c.workers[n]
+				c.mu.Unlock()
+				found = found || w != nil && w.Running() > 0
+			}
+		}
+	}()
+	return func() bool { close(stop); return <-seen }
+}
+
+// A caller that waits for a job whose capacity is evacuated must get its refusal at
+// once, with the time after which to come back.
+func TestWaitingCallerIsRefusedOnAnEvacuation(t *testing.T) {
+	c := newCluster(t, 1, "a-w1")
+	c.putTables(1)
+	c.submitUntilAccepted(testJob("runs", 10, 2000))
+	c.waitFor("the worker is full", func() bool { return c.workers["a-w1"].Running() == 10 })
+	waits := testJob("waits", 1, 10_000)
+	waits.Transient = true
+	answers := make(chan gateway.Answer, 1)
+	go func() { answers <- c.sendToLeader(waits) }()
+	h := c.hubInstances[c.waitLeader()]
+	c.waitFor("the job waits", func() bool {
+		known := false
+		h.runInLoop(func() { known = h.leader.transients.jobs["waits"] != nil })
+		return known
+	})
+	c.order("a", true)
+	answer := <-answers
+	must.Eq(t, contract.VerdictOverload, answer.Verdict)
+	must.Eq(t, schedule.EvacuatedReason, answer.Reason)
+	must.Eq(t, schedule.NoWorkerRetryAfter, answer.RetryAfter)
+	must.Positive(t, c.workers["a-w1"].Running(), must.Sprint("the refusal waited for the runs to end"))
+}
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -123,7 +123,7 @@
 func poolFields(p schedule.PoolSummary, unattached int) []any {
 	return []any{
 		"pool", p.Pool, "workers", p.AvailableWorkers, "suspects", p.SuspectedWorkers, "away", p.UnavailableWorkers,
-		"unreachable", p.UnreachableWorkers, "unattached", unattached, "room", p.CapacityMilliCPU, "used", p.UsedMilliCPU,
+		"unreachable", p.UnreachableWorkers, "evacuated", p.EvacuatedWorkers, "unattached", unattached, "room", p.CapacityMilliCPU, "used", p.UsedMilliCPU,
 	}
 }
 
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -75,11 +75,15 @@
 		if t == nil || t.endedAt != 0 {
 			continue
 		}
+		evacuated := h.leader.sched.BlockedByEvacuation(now, &t.job.DurableJob)
 		reply := contract.JobReply{Verdict: contract.VerdictOverload, RetryAfter: schedule.ShedRetryAfter, Reason: "no room within the objective"}
+		if evacuated {
+			reply.RetryAfter, reply.Reason = schedule.NoWorkerRetryAfter, schedule.EvacuatedReason
+		}
 		if t.mayHaveStarted {
 			reply.Verdict = contract.VerdictUnknown
 		}
-		h.log.Info("transient job shed: it would end too late", "job", id, "verdict", reply.Verdict, "ms", h.logClock.now(now)-t.job.AcceptedAt)
+		h.log.Info("transient job shed: it would end too late", "job", id, "verdict", reply.Verdict, "evacuated", evacuated, "ms", h.logClock.now(now)-t.job.AcceptedAt)
 		for _, r := range t.waiters {
 			h.reply(r.link, r.seq, &reply)
 		}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -26,10 +26,10 @@
 }
 
 const (
-	// noWorkerRetryAfter is the retry delay while no worker of the pool takes
+	// NoWorkerRetryAfter is the retry delay while no worker of the pool takes
 	// work. It allows for the heartbeats of the workers, which are sent every one
 	// or two seconds.
-	noWorkerRetryAfter = 2 * time.Second
+	NoWorkerRetryAfter = 2 * time.Second
 	// attachGracePeriod is how long agents may take to attach to a new leader.
 	// Until then, jobs are admitted even though no worker is known.
 	attachGracePeriod = time.Second
@@ -41,11 +41,14 @@
 // admitted job miss its own.
 func (s *Scheduler) Admit(now, arrived time.Duration, d *contract.DurableJob) Admission {
 	milliCPU := s.poolMilliCPU(d.Pool)
+	if s.BlockedByEvacuation(now, d) {
+		return Admission{RetryAfter: NoWorkerRetryAfter, Reason: EvacuatedReason}
+	}
 	if milliCPU == 0 && s.expectsWorkers(now) {
 		return Admission{OK: true}
 	}
 	if milliCPU == 0 {
-		return Admission{RetryAfter: noWorkerRetryAfter, Reason: "no worker of the pool takes work"}
+		return Admission{RetryAfter: NoWorkerRetryAfter, Reason: "no worker of the pool takes work"}
 	}
 	if !s.fitsIdleWorkers(now, d) {
 		return Admission{NeverFits: true, Reason: "no worker of the pool is large enough for a task, or has its label"}
@@ -139,28 +142,37 @@
 // or not, and those that are expected to attach.
 func (s *Scheduler) fitsIdleWorkers(now time.Duration, d *contract.DurableJob) bool {
 	for i := range d.Steps {
-		if !s.stepFitsIdleWorker(now, d.Pool, &d.Steps[i]) {
+		if remaining, evacuated := s.idleWorkersFor(now, d.Pool, &d.Steps[i]); !remaining && !evacuated {
 			return false
 		}
 	}
 	return true
 }
 
-func (s *Scheduler) stepFitsIdleWorker(now time.Duration, pool string, st *contract.DurableStep) bool {
+// idleWorkersFor reports whether a worker of the pool, when idle, could run a task of
+// the step: one that remains, or one in an evacuated domain. It looks no further than
+// the first worker that remains.
+func (s *Scheduler) idleWorkersFor(now time.Duration, pool string, st *contract.DurableStep) (remaining, evacuated bool) {
 	for _, w := range s.workerList {
 		if w.Pool == pool && stepFits(st, w.cap, w.labels) {
-			return true
+			if !w.evacuated {
+				return true, evacuated
+			}
+			evacuated = true
 		}
 	}
 	if !s.expectsWorkers(now) {
-		return false
+		return false, evacuated
 	}
 	for _, w := range s.expected {
 		if w.Pool == pool && stepFits(st, w.Capacity, w.Labels) {
-			return true
+			if !s.evacuated[w.FailureDomain] {
+				return true, evacuated
+			}
+			evacuated = true
 		}
 	}
-	return false
+	return false, evacuated
 }
 
 // stepFits reports whether an idle worker of the capacity and with the labels could
--- /dev/null
+++ b/schedule/evacuate_test.go
@@ -0,0 +1,183 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/durable"
+)
+
+// workerIn attaches a worker of a failure domain that stays cold for the given time.
+func (h *harness) workerIn(domain, host string, milliCPU int, cold time.Duration, labels ...string) {
+	h.sch.WorkerReported(h.now, &contract.WorkerReport{
+		Attach: true, Host: contract.HostID(host), Session: 1,
+		Worker: contract.WorkerAnnouncement{
+			Pool: "formula", Capacity: contract.Capacity{MilliCPU: milliCPU, MemoryMB: 1000}, Labels: labels,
+			FailureDomain: domain, ColdLeftMillis: cold.Milliseconds(),
+		},
+	})
+}
+
+// transient adds a job that can be shed.
+func (h *harness) transient(d contract.DurableJob) {
+	h.sch.AddTransient(durable.NewJob(&d, 0), h.now, false)
+}
+
+// admit returns the decision on a job that arrives now.
+func (h *harness) admit(d contract.DurableJob) Admission { return h.sch.Admit(h.now, h.now, &d) }
+
+// Nothing may start in an evacuated domain, also on workers that join it, and its runs
+// go on. Once the evacuation is taken back, its workers get work again.
+func TestEvacuatedDomainGetsNoWork(t *testing.T) {
+	h := newHarness(t)
+	h.workerIn("a", "a1", 10, 0)
+	h.workerIn("b", "b1", 10, 0)
+	h.submit(testJob("before", step(2, 5, 100)))
+	must.Eq(t, map[contract.HostID]int{"a1": 1, "b1": 1}, hosts(h.place()))
+	h.sch.SetEvacuated([]string{"a"})
+	h.workerIn("a", "a2", 10, 0)
+	h.submit(testJob("during", step(4, 5, 100)))
+	orders := h.place()
+	must.Eq(t, map[contract.HostID]int{"b1": 1}, hosts(orders))
+	must.Len(t, 1, orders, must.Sprint("a run in progress was stopped"))
+	summary := h.sch.PoolSummaries()[0]
+	must.Eq(t, []int{1, 2, 2, 10}, []int{summary.AvailableWorkers, summary.UnavailableWorkers, summary.EvacuatedWorkers, summary.CapacityMilliCPU})
+	h.sch.SetEvacuated(nil)
+	must.Eq(t, map[contract.HostID]int{"a1": 1, "a2": 2}, hosts(h.place()))
+}
+
+// Admission must count only what is left, and must not call a job impossible whose
+// workers are all evacuated.
+func TestAdmissionDuringAnEvacuation(t *testing.T) {
+	h := newHarness(t)
+	h.now += 2 * attachGracePeriod
+	h.workerIn("a", "a1", 10, 0, "big")
+	h.workerIn("b", "b1", 4, 0)
+	full := testJob("full", step(5, 2, 100))
+	labelled := testJob("labelled", contract.DurableStep{Count: 1, Label: "big"})
+	must.True(t, h.admit(full).OK)
+	must.True(t, h.admit(labelled).OK)
+	h.sch.SetEvacuated([]string{"a"})
+	must.False(t, h.admit(testJob("full", step(5, 2, 100))).OK, must.Sprint("the capacity of the evacuated worker was counted"))
+	must.True(t, h.admit(testJob("small", step(2, 2, 100))).OK)
+	for _, job := range []contract.DurableJob{labelled, testJob("large", step(1, 10, 100))} {
+		must.Eq(t, Admission{RetryAfter: NoWorkerRetryAfter, Reason: EvacuatedReason}, h.admit(job))
+	}
+	h.sch.SetEvacuated([]string{"a", "b"})
+	must.Eq(t, Admission{RetryAfter: NoWorkerRetryAfter, Reason: EvacuatedReason}, h.admit(full), must.Sprint("the last domain of the pool"))
+	h.sch.SetEvacuated([]string{"b"})
+	must.True(t, h.admit(full).OK)
+	h.submit(testJob("long", step(1, 10, 1000)))
+	must.Len(t, 1, h.place())
+	h.sch.SetEvacuated(nil)
+	h.submit(testJob("short", step(2, 2, 50)))
+	must.Len(t, 2, h.place())
+	must.True(t, h.admit(testJob("next", step(2, 2, 100))).OK)
+	h.sch.SetEvacuated([]string{"b"})
+	must.False(t, h.admit(testJob("next", step(2, 2, 100))).OK, must.Sprint("what ends on the evacuated worker frees nothing"))
+	must.True(t, h.admit(testJob("too large", step(1, 11, 100))).NeverFits)
+}
+
+// A new leader must know of an evacuation before any worker has attached: for what it
+// admits while it waits for them, and for what it places on the first that attaches.
+func TestNewLeaderHasTheEvacuations(t *testing.T) {
+	h := newHarness(t)
+	h.apply(durable.Batch{Evacuations: []durable.EvacuationOrder{{Domain: "a", Begin: true}}})
+	agent := func(host contract.HostID, domain string) durable.AgentRegistration {
+		return durable.AgentRegistration{Host: host, Worker: contract.WorkerAnnouncement{
+			Pool: "formula", FailureDomain: domain, Capacity: contract.Capacity{MilliCPU: 10, MemoryMB: 1000}}}
+	}
+	h.apply(durable.Batch{RegisteredAgents: []durable.AgentRegistration{agent("a1", "a")}})
+	h.sch = New(2, h.state, h.now)
+	must.Eq(t, Admission{RetryAfter: NoWorkerRetryAfter, Reason: EvacuatedReason}, h.admit(testJob("j", step(1, 5, 100))))
+	h.apply(durable.Batch{RegisteredAgents: []durable.AgentRegistration{agent("b1", "b")}})
+	h.sch = New(3, h.state, h.now)
+	must.True(t, h.admit(testJob("j", step(1, 5, 100))).OK)
+	must.Eq(t, 10, h.sch.expectedMilliCPU(h.now, "formula"))
+	h.workerIn("a", "a1", 10, 0)
+	h.submit(testJob("j", step(1, 5, 100)))
+	must.SliceEmpty(t, h.place())
+	h.workerIn("b", "b1", 10, 0)
+	must.Eq(t, map[contract.HostID]int{"b1": 1}, hosts(h.place()))
+}
+
+// A job that waits and loses its capacity must be refused at once, not when its
+// objective has passed. A job that has begun must not be called not run.
+func TestWaitingJobsAreRefusedOnAnEvacuation(t *testing.T) {
+	h := newHarness(t)
+	h.workerIn("a", "a1", 10, 0)
+	h.workerIn("b", "b1", 10, 0, "big")
+	h.submit(testJob("long", step(1, 10, 500)))
+	must.Eq(t, map[contract.HostID]int{"a1": 1}, hosts(h.place()))
+	h.transient(testJob("begun", step(2, 10, 80)))
+	must.Eq(t, map[contract.HostID]int{"b1": 1}, hosts(h.place()))
+	h.transient(testJob("waits", step(1, 10, 80)))
+	h.transient(testJob("labelled", contract.DurableStep{Count: 1, Label: "big", Demand: contract.Demand{MilliCPU: 10, DeclaredMillis: 900}}))
+	h.submit(testJob("stored", step(1, 10, 80)))
+	must.SliceEmpty(t, h.sch.JobsToShed(h.now))
+	h.sch.lastShedCheck = h.now
+	h.sch.SetEvacuated([]string{"b"})
+	must.Eq(t, []contract.DurableJobID{"waits", "labelled"}, h.sch.JobsToShed(h.now), must.Sprint("0.5 s of work are before a job of no use after 0.56 s"))
+	h.sch.JobEnded("waits")
+	h.sch.JobEnded("labelled")
+	h.now += 100 * ms
+	h.transient(testJob("patient", step(1, 10, 900)))
+	must.SliceEmpty(t, h.sch.JobsToShed(h.now))
+	h.sch.SetEvacuated([]string{"a", "b"})
+	must.Eq(t, []contract.DurableJobID{"patient"}, h.sch.JobsToShed(h.now), must.Sprint("the last domain"))
+}
+
+// A worker that left the last domain outside the evacuated ones leaves jobs without
+// capacity as well, without a change of the evacuations.
+func TestLastRemainingWorkerLost(t *testing.T) {
+	h := newHarness(t)
+	h.now += 2 * attachGracePeriod
+	h.workerIn("a", "a1", 10, 0)
+	h.workerIn("b", "b1", 5, 0)
+	h.sch.SetEvacuated([]string{"a"})
+	h.submit(testJob("runs", step(1, 5, 100)))
+	must.Len(t, 1, h.place())
+	h.transient(testJob("waits", step(1, 5, 900)))
+	must.SliceEmpty(t, h.sch.JobsToShed(h.now))
+	h.sch.SessionEnded("b1")
+	h.now += 2 * shedCheckInterval
+	must.Eq(t, []contract.DurableJobID{"waits"}, h.sch.JobsToShed(h.now))
+}
+
+// An overdue run is stopped so that its task can start elsewhere. Where the other
+// workers are evacuated, it would only be lost.
+func TestOverdueRunWithoutOtherWorkersGoesOn(t *testing.T) {
+	h := newHarness(t)
+	h.now += 2 * attachGracePeriod
+	h.workerIn("a", "a1", 10, 0)
+	h.submit(testJob("j", step(1, 5, 100)))
+	must.Len(t, 1, h.place())
+	h.sch.SetEvacuated([]string{"a"})
+	h.now += 2 * time.Second
+	h.sch.CheckRuns(h.now)
+	must.SliceEmpty(t, h.sch.TakeOrders())
+	h.workerIn("b", "b1", 10, 0)
+	h.sch.CheckRuns(h.now)
+	must.Len(t, 1, h.sch.TakeOrders())
+}
+
+// Workers that return to service may be cold. They must get tasks after all warm ones,
+// but not stay idle while tasks wait, and count as warm once the time has passed.
+func TestColdWorkersComeAfterWarmOnes(t *testing.T) {
+	h := newHarness(t)
+	h.workerIn("a", "cold", 10, 500*ms)
+	h.workerIn("b", "warm", 10, 0)
+	h.workerIn("c", "slow", 10, 0)
+	h.sch.workers["slow"].slowness, h.sch.workers["slow"].slownessSamples = 1.9, minSlownessSamples
+	h.submit(testJob("first", step(5, 4, 100)))
+	must.Eq(t, map[contract.HostID]int{"warm": 2, "slow": 2, "cold": 1}, hosts(h.place()))
+	h.now += 500 * ms
+	h.workerIn("d", "used", 10, 0)
+	h.submit(testJob("second", step(1, 4, 100)))
+	must.Len(t, 1, h.place())
+	h.submit(testJob("third", step(1, 4, 100)))
+	must.Eq(t, map[contract.HostID]int{"cold": 1}, hosts(h.place()), must.Sprint("still ranked as cold"))
+}
--- a/schedule/expected.go
+++ b/schedule/expected.go
@@ -29,7 +29,7 @@
 	}
 	total := 0
 	for _, w := range s.expected {
-		if w.Pool == pool && !w.Draining {
+		if w.Pool == pool && !w.Draining && !s.evacuated[w.FailureDomain] {
 			total += w.Capacity.MilliCPU
 		}
 	}
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -107,7 +107,7 @@
 	total := map[string]int{}
 	for _, w := range s.workerList {
 		w.slownessTolerated = false
-		if !w.usable || w.unreachable {
+		if !w.takesWork() {
 			continue
 		}
 		total[w.Pool]++
@@ -206,7 +206,7 @@
 }
 
 // CheckRuns orders overdue runs to stop, so that their tasks can start on other
-// workers, and updates which workers are suspected for being slow. It also
+// workers, unless these are all evacuated, and updates which workers are suspected for being slow. It also
 // stops unclaimed runs, and discards unclaimed ends, after their TTL.
 func (s *Scheduler) CheckRuns(now time.Duration) {
 	s.expireUnclaimed(now)
@@ -218,7 +218,7 @@
 				continue
 			}
 			w.overdueRuns++
-			if int(ref.Task) < len(j.tasks) && j.tasks[ref.Task].startCount < overdueStopMaxStarts {
+			if int(ref.Task) < len(j.tasks) && j.tasks[ref.Task].startCount < overdueStopMaxStarts && !s.BlockedByEvacuation(now, &j.DurableJob) {
 				s.stopRun(w, ref)
 			}
 		}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -63,8 +63,8 @@
 }
 
 // available reports whether the worker takes new work without restriction: it
-// is usable, reachable and not suspected.
-func (w *Worker) available() bool { return w.usable && !w.unreachable && !w.suspect() }
+// takes work and is not suspected.
+func (w *Worker) available() bool { return w.takesWork() && !w.suspect() }
 
 // availableWorkers iterates over the available workers of a pool.
 func (s *Scheduler) availableWorkers(pool string) iter.Seq[*Worker] {
@@ -131,6 +131,9 @@
 			continue
 		}
 		cost := w.cost(st)
+		if w.cold(now) {
+			cost += coldCost
+		}
 		if w.Host == t.avoidHost {
 			cost += avoidCost
 		}
@@ -141,6 +144,10 @@
 	return best
 }
 
+// coldCost is added to the cost of a cold worker, which ranks it after all warm ones:
+// their slowness is at most maxSlownessSample, and half more for data on another rack.
+const coldCost = 20
+
 // avoidCost is added to the cost of the worker that a task should avoid, which
 // ranks it after all others.
 const avoidCost = 100
@@ -171,7 +178,7 @@
 func (s *Scheduler) eligible(now time.Duration, w *Worker, j *job, step int) bool {
 	st := &j.Steps[step]
 	// Most workers fail the first check while the pool is full.
-	if !w.hasCapacityFor(&st.Demand) || !w.usable || w.unreachable || w.Pool != j.Pool {
+	if !w.hasCapacityFor(&st.Demand) || !w.takesWork() || w.Pool != j.Pool {
 		return false
 	}
 	if st.Label != "" && !slices.Contains(w.labels, st.Label) {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -111,6 +111,11 @@
 	// lateJobs have waiting tasks, but missed their latest start before they
 	// began.
 	lateJobs jobList
+	// evacuated holds the evacuated failure domains.
+	evacuated map[string]bool
+	// recheckViable is set when the evacuated domains have changed, until the jobs that
+	// wait have been examined for those that can no longer end in time.
+	recheckViable bool
 	// statsByQueue holds the duration statistics of each queue.
 	statsByQueue map[string]*queueStats
 	// demandRates holds the recently admitted demand of each pool and priority
@@ -151,6 +156,8 @@
 		unclaimedRuns:    map[contract.DurableJobID]map[contract.RunRef]*Worker{},
 		awaitingRelease:  true,
 	}
+	sch.SetEvacuated(s.Evacuated)
+	sch.recheckViable = false
 	for _, j := range s.Jobs {
 		if !j.State.Ended() {
 			age := time.Duration(s.LogTime-j.AcceptedAt) * time.Millisecond
--- a/schedule/shed.go
+++ b/schedule/shed.go
@@ -26,16 +26,21 @@
 // urgent jobs arrive and delay jobs that were admitted before. A late job only
 // gets capacity that the others leave free; if the forecast shows that none will
 // be free in time, its caller should get a refusal at once rather than wait in
-// vain. JobsToShed returns nil if called again within shedCheckInterval.
+// vain. The same holds for jobs whose workers are evacuated. JobsToShed returns nil if called again within shedCheckInterval,
+// unless the evacuated domains have changed.
 func (s *Scheduler) JobsToShed(now time.Duration) []contract.DurableJobID {
-	if len(s.lateJobs) == 0 || now-s.lastShedCheck < shedCheckInterval {
+	if !s.recheckViable && (len(s.lateJobs) == 0 && len(s.evacuated) == 0 || now-s.lastShedCheck < shedCheckInterval) {
 		return nil
 	}
 	s.lastShedCheck = now
-	var shed []contract.DurableJobID
+	shed := s.jobsToRefuse(now)
+	refused := make(map[contract.DurableJobID]bool, len(shed))
+	for _, id := range shed {
+		refused[id] = true
+	}
 	pools := map[string]*forecast{}
 	for _, j := range s.lateJobs {
-		if !j.transient || j.begun {
+		if !j.transient || j.begun || refused[j.ID] {
 			continue
 		}
 		f := pools[j.Pool]
--- a/schedule/summary.go
+++ b/schedule/summary.go
@@ -9,6 +9,9 @@
 	AvailableWorkers, SuspectedWorkers, UnavailableWorkers int
 	// UnreachableWorkers counts those of UnavailableWorkers that the hub can't reach.
 	UnreachableWorkers int
+	// EvacuatedWorkers counts those of UnavailableWorkers that are in evacuated failure
+	// domains.
+	EvacuatedWorkers int
 	// CapacityMilliCPU is the total CPU of the workers counted in AvailableWorkers,
 	// and UsedMilliCPU the part of it that runs use, in thousandths of a core.
 	CapacityMilliCPU, UsedMilliCPU int
@@ -38,11 +41,14 @@
 		}
 		p := &out[i]
 		switch {
-		case w.unreachable || !w.usable:
+		case !w.takesWork():
 			p.UnavailableWorkers++
 			if w.unreachable {
 				p.UnreachableWorkers++
 			}
+			if w.evacuated {
+				p.EvacuatedWorkers++
+			}
 		case w.suspect():
 			p.SuspectedWorkers++
 		default:
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -38,6 +38,11 @@
 	// usable says that, by its agent's last report, the worker takes new work: it
 	// is present, healthy and not draining.
 	usable bool
+	// domain is the worker's failure domain, and evacuated says that it is evacuated.
+	domain    string
+	evacuated bool
+	// coldUntil is until when the worker is slower than usual.
+	coldUntil time.Duration
 	// unreachable says that the hub can't reach the agent; the worker gets no new
 	// work.
 	unreachable bool
@@ -64,6 +69,8 @@
 		w.health = newHealth()
 	}
 	w.Pool, w.cap, w.labels = r.Worker.Pool, r.Worker.Capacity, r.Worker.Labels
+	w.domain, w.evacuated = r.Worker.FailureDomain, s.evacuated[r.Worker.FailureDomain]
+	w.coldUntil = now + time.Duration(r.Worker.ColdLeftMillis)*time.Millisecond
 	w.unreachable = false
 	w.usable = !r.Worker.Draining && !r.NoWorker && !r.Unhealthy
 	// Ends are processed before the list of active runs: a run that has ended
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -105,10 +105,11 @@
 		if ann.Seq < w.worker.Seq {
 			return
 		}
-		changed := ann.Draining != w.worker.Draining || ann.Capacity != w.worker.Capacity
+		changed := ann.Draining != w.worker.Draining || ann.Capacity != w.worker.Capacity || ann.FailureDomain != w.worker.FailureDomain
+		changed = w.updateCold(ann) || changed
 		w.worker = ann
 		if changed && w.inSession {
-			a.log.Info("worker changed", "worker", ann.ID, "draining", ann.Draining)
+			a.log.Info("worker changed", "worker", ann.ID, "draining", ann.Draining, "domain", ann.FailureDomain, "cold_ms", ann.ColdLeftMillis)
 			a.report(false)
 		}
 		return
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -81,7 +81,10 @@
 
 	// worker is the latest announcement, in which the agent may have changed Seq and
 	// Draining.
-	worker    contract.WorkerAnnouncement
+	worker contract.WorkerAnnouncement
+	// coldUntil is the boot time until which the worker is cold, by its latest
+	// announcement.
+	coldUntil time.Duration
 	inSession bool
 	// sessionEnding is set when the lease is no longer renewed; the session ends
 	// when it expires.
@@ -117,7 +120,7 @@
 }
 
 func newWorkerInstance(a *Agent, ann contract.WorkerAnnouncement) *workerInstance {
-	w := &workerInstance{agent: a, id: ann.ID, worker: ann, client: a.cfg.Connect(ann), wake: make(chan struct{}, 1)}
+	w := &workerInstance{agent: a, id: ann.ID, worker: ann, coldUntil: coldUntil(ann), client: a.cfg.Connect(ann), wake: make(chan struct{}, 1)}
 	w.ctx, w.cancel = context.WithCancel(a.ctx)
 	w.clear()
 	return w
@@ -147,6 +150,7 @@
 func (w *workerInstance) fillReport(r *contract.WorkerReport) {
 	r.NoWorker = false
 	r.Worker = w.worker
+	r.Worker.ColdLeftMillis = max(0, (w.coldUntil - boottime.Now()).Milliseconds())
 	for _, st := range w.pendingStarts {
 		r.Running = append(r.Running, st.PlacedRun)
 	}
