Operators' interface for evacuations, and carawayctl evacuate

A hub that does not lead redirects, or answers no-leader with a Retry-After; an unknown domain gets 422. carawayctl evacuate begin, end and list try the -admin hosts in turn until one answers for the leader.

--- a/cmd/carawayctl/client.go
+++ b/cmd/carawayctl/client.go
@@ -109,7 +109,7 @@
 		return fmt.Errorf("%s %s: check that -admin is a host's -admin-addr, and that its version supports the command", res.Request.URL, res.Status)
 	}
 	err := fmt.Errorf("%s: %s (%s)", body.Kind, body.Message, body.Remedy)
-	if body.Kind == contract.ErrEditUnknown.Name {
+	if body.Kind == contract.ErrEditUnknown.Name || body.Kind == contract.ErrNoLeader.Name {
 		return fmt.Errorf("%w: %w", errNoAnswer, err)
 	}
 	if body.Kind == "version-conflict" {
--- a/cmd/carawayctl/main.go
+++ b/cmd/carawayctl/main.go
@@ -69,6 +69,7 @@
 			upstreamsCommand(c),
 			statusCommand(c),
 			drainCommand(c),
+			evacuateCommand(c),
 			membersCommand(c),
 			memberCommand(c),
 			editsCommand(c),
--- a/contract/errors.go
+++ b/contract/errors.go
@@ -42,6 +42,8 @@
 	ErrCancelled     = ErrorKind{"cancelled", http.StatusConflict, OutcomeUnknown, "read the outcomes by task"}
 	ErrInvalidTables = ErrorKind{"invalid-tables", http.StatusUnprocessableEntity, OutcomeNotRun, "correct the edit"}
 	ErrConflict      = ErrorKind{"version-conflict", http.StatusConflict, OutcomeNotRun, "read the version in force, and make the edit again from it"}
+	ErrUnknownDomain = ErrorKind{"unknown-domain", http.StatusUnprocessableEntity, OutcomeNotRun, "name a failure domain of the settings, of a control host or of a worker that has reported"}
+	ErrNoLeader      = ErrorKind{"no-leader", http.StatusServiceUnavailable, OutcomeUnknown, "send the request again after Retry-After: repeating it does no harm"}
 	ErrInternal      = ErrorKind{"internal", http.StatusInternalServerError, OutcomeUnknown, "report it with the log line of the same job"}
 )
 
