--- a/durable/durable.go
+++ b/durable/durable.go
@@ -30,15 +30,21 @@
 	RegisteredAgents []AgentRegistration
 	// RemovedAgents lists agents whose workers can no longer have runs.
 	RemovedAgents []contract.HostID
+	// Evacuations lists operators' orders in the order in which they came.
+	Evacuations []EvacuationOrder
 }
 
 // Empty reports whether the batch has no other effect than to advance the log
 // time and to remove ended jobs.
 func (b *Batch) Empty() bool {
 	return b.Tables == nil && len(b.Submits) == 0 && len(b.Cancels) == 0 && len(b.Ends) == 0 &&
-		len(b.RegisteredAgents) == 0 && len(b.RemovedAgents) == 0
+		len(b.RegisteredAgents) == 0 && len(b.RemovedAgents) == 0 && len(b.Evacuations) == 0
 }
 
+// DecodeMsgpack implements msgpack.CustomDecoder. A stored batch of an earlier version
+// has fewer fields.
+func (b *Batch) DecodeMsgpack(dec *msgpack.Decoder) error { return contract.DecodeArray(dec, b) }
+
 // AgentRegistration is an agent and the announcement of its worker.
 type AgentRegistration struct {
 	Host   contract.HostID
@@ -106,12 +112,19 @@
 	// GoneAgents holds, by host, the log time in milliseconds at which an agent was
 	// removed from Agents. A later leader can't learn from it which jobs have run.
 	GoneAgents map[contract.HostID]int64
+	// Evacuated lists the evacuated failure domains in ascending order. Their workers
+	// get no new work.
+	Evacuated []string
 }
 
 // GoneAgentRetention is how long, in log time, the removal of an agent is kept. It
 // is longer than callers wait for a job.
 const GoneAgentRetention = 20 * time.Second
 
+// DecodeMsgpack implements msgpack.CustomDecoder. A snapshot of an earlier version has
+// fewer fields.
+func (s *State) DecodeMsgpack(dec *msgpack.Decoder) error { return contract.DecodeArray(dec, s) }
+
 // New returns an empty state.
 func New() *State {
 	return &State{
@@ -163,6 +176,8 @@
 	Ended []*Job
 	// TablesChanged says that queue tables of a higher version took effect.
 	TablesChanged bool
+	// Evacuations lists the orders that changed the set of evacuated domains.
+	Evacuations []EvacuationOrder
 }
 
 // Apply applies one batch to the state.
@@ -191,6 +206,9 @@
 		delete(s.GoneAgents, a.Host)
 	}
 	s.removeAgents(b.RemovedAgents)
+	for _, o := range b.Evacuations {
+		s.applyEvacuation(o, &c)
+	}
 	s.forgetEndedJobs(b.ForgetBefore)
 	return c
 }
