--- a/hub/transient.go
+++ b/hub/transient.go
@@ -5,6 +5,7 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/durable"
+	"github.com/carawaylanding/carawaylanding/schedule"
 	"github.com/carawaylanding/carawaylanding/telemetry"
 )
 
@@ -84,12 +85,18 @@
 		if t == nil || t.endedAt != 0 {
 			continue
 		}
-		reply := contract.JobReply{Verdict: contract.VerdictOverload, RetryAfter: h.leader.sched.RetryAfter(now, id), Reason: "no room within the objective"}
+		evacuated := h.leader.sched.BlockedByEvacuation(now, &t.job.DurableJob)
+		reply := contract.JobReply{Verdict: contract.VerdictOverload, Reason: "no room within the objective"}
+		if evacuated {
+			reply.RetryAfter, reply.Reason = schedule.NoWorkerRetryAfter, schedule.EvacuatedReason
+		} else {
+			reply.RetryAfter = h.leader.sched.RetryAfter(now, id)
+		}
 		if t.mayHaveStarted && !h.leader.neverBegun(now, t) {
 			reply.Verdict = contract.VerdictUnknown
 		}
 		telemetry.JobsShed.Inc()
-		h.log.Info("transient job shed: it would end too late", "job", id, "verdict", reply.Verdict, "ms", h.logClock.now(now)-t.job.AcceptedAt)
+		h.log.Info("transient job shed: it would end too late", "job", id, "verdict", reply.Verdict, "evacuated", evacuated, "ms", h.logClock.now(now)-t.job.AcceptedAt)
 		h.dropTransient(t, &reply)
 	}
 }
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -97,7 +97,7 @@
 	total := map[string]int{}
 	for _, w := range s.workerList {
 		w.slownessTolerated = false
-		if !w.usable || w.unreachable {
+		if !w.takesWork() {
 			continue
 		}
 		total[w.Pool]++
--- a/schedule/late.go
+++ b/schedule/late.go
@@ -150,8 +150,9 @@
 }
 
 // CheckRuns finds the runs that are late, updates which workers are suspected for
-// being slow, and orders late runs to stop where a new run helps. It also stops
-// unclaimed runs, and discards unclaimed ends, after their TTL.
+// being slow, and orders late runs to stop where a new run helps and not all workers
+// that could take it are evacuated. It also stops unclaimed runs, and discards
+// unclaimed ends, after their TTL.
 func (s *Scheduler) CheckRuns(now time.Duration) {
 	s.checkedAt = now
 	s.expireUnclaimed(now)
@@ -175,7 +176,7 @@
 	s.limitSlowSuspects()
 	s.updatePoolSpeeds()
 	for i := range late {
-		if s.stopHelps(now, &late[i]) {
+		if s.stopHelps(now, &late[i]) && !s.BlockedByEvacuation(now, &late[i].job.DurableJob) {
 			s.stopRun(late[i].worker, late[i].ref, "late")
 		}
 	}
@@ -200,7 +201,7 @@
 			newRun := restartOverhead + scale(r.usualDuration, pool.slowness)
 			spare := s.outlookOf(now, j, step, pool).budget - newRun
 			remaining := scale(r.usualDuration, max(w.slowness, suspectSlowness)) - (now - r.placedAt)
-			if spare >= 0 && spare < rescueMargin && newRun < remaining {
+			if spare >= 0 && spare < rescueMargin && newRun < remaining && !s.BlockedByEvacuation(now, &j.DurableJob) {
 				s.stopRun(w, ref, "worker ill")
 			}
 		}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -131,6 +131,11 @@
 	// deferredJobs were admitted late and have waiting tasks, in the order of their
 	// admission. They go after lateJobs.
 	deferredJobs []*job
+	// evacuated holds the evacuated failure domains.
+	evacuated map[string]bool
+	// recheckViable is set when the evacuated domains have changed, until the jobs that
+	// wait have been examined for those that can no longer end in time.
+	recheckViable bool
 	// statsByQueue holds the duration statistics of each queue.
 	statsByQueue map[string]*queueStats
 	// commonTail is the distribution of the durations of all queues, each as a
@@ -201,6 +206,8 @@
 		checkedAt:        now,
 		records:          newRunRecords(s.Agents),
 	}
+	sch.SetEvacuated(s.Evacuated)
+	sch.recheckViable = false
 	for _, j := range s.Jobs {
 		if !j.State.Ended() {
 			age := time.Duration(s.LogTime-j.AcceptedAt) * time.Millisecond
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -179,7 +179,7 @@
 	slownesses := map[string][]float64{}
 	capacity, work, usable, slow := map[string]float64{}, map[string]float64{}, map[string]int{}, map[string]int{}
 	for _, w := range s.workerList {
-		if !w.usable || w.unreachable {
+		if !w.takesWork() {
 			continue
 		}
 		usable[w.Pool]++
--- a/schedule/summary.go
+++ b/schedule/summary.go
@@ -12,6 +12,9 @@
 	// SlowWorkers counts those of AvailableWorkers that are slow beside the fastest of
 	// the pool.
 	SlowWorkers int
+	// EvacuatedWorkers counts those of UnavailableWorkers that are in evacuated failure
+	// domains.
+	EvacuatedWorkers int
 	// CapacityMilliCPU is the total CPU of the workers counted in AvailableWorkers,
 	// and UsedMilliCPU the part of it that runs use, in thousandths of a core.
 	CapacityMilliCPU, UsedMilliCPU int
@@ -41,11 +44,14 @@
 		}
 		p := &out[i]
 		switch {
-		case w.unreachable || !w.usable:
+		case !w.takesWork():
 			p.UnavailableWorkers++
 			if w.unreachable {
 				p.UnreachableWorkers++
 			}
+			if w.evacuated {
+				p.EvacuatedWorkers++
+			}
 		case w.suspect():
 			p.SuspectedWorkers++
 		default:
