schedule: no worker counts as slow after a few samples, or waits for what can't be

A task that only slow workers can run, by label or size, waited for a fast one.

Change: slow is a ratio of 1.7 over at least 8 samples; a task waits only for workers that could run it.

--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -16,9 +16,11 @@
 	// usual. Tasks of one job differ by 15%.
 	usualSlownessMin, usualSlownessMax = 0.85, 1.2
 	// unevenFactor is the ratio of slowness from which on a worker counts as slow
-	// beside the fast ones of its pool. Kinds of worker that differ by a third
-	// are served alike.
-	unevenFactor = 1.6
+	// beside the fast ones of its pool, and minUnevenSamples the number of samples
+	// that this takes. Kinds of worker that differ by a third are served alike, also
+	// where both slownesses are off by a tenth.
+	unevenFactor     = 1.7
+	minUnevenSamples = 8
 	// slowReferenceBand is the ratio within which samples that were compared with
 	// slow workers only are ignored: nothing else would stop these workers' common
 	// level from drifting.
@@ -176,7 +178,7 @@
 
 // updatePoolSpeeds works out the speeds of all pools.
 func (s *Scheduler) updatePoolSpeeds() {
-	slownesses := map[string][]float64{}
+	slownesses, slowest := map[string][]float64{}, map[string]float64{}
 	capacity, work, usable, slow := map[string]float64{}, map[string]float64{}, map[string]int{}, map[string]int{}
 	for _, w := range s.workerList {
 		if !w.usable || w.unreachable {
@@ -190,6 +192,9 @@
 			continue
 		}
 		slowness := w.roundedSlowness()
+		if w.slownessSamples >= minUnevenSamples {
+			slowest[w.Pool] = max(slowest[w.Pool], slowness)
+		}
 		slownesses[w.Pool] = append(slownesses[w.Pool], slowness)
 		capacity[w.Pool] += float64(w.cap.MilliCPU)
 		work[w.Pool] += float64(w.cap.MilliCPU) / slowness
@@ -199,7 +204,7 @@
 	for pool, list := range slownesses {
 		slices.Sort(list)
 		p := &poolSpeed{slowness: 1, fastest: list[len(list)/5], mostSlow: usable[pool] >= minCommonWorkers && 2*slow[pool] > usable[pool]}
-		p.uneven = list[len(list)-1] >= unevenFactor*p.fastest
+		p.uneven = slowest[pool] >= unevenFactor*p.fastest
 		if work[pool] > 0 {
 			p.slowness = capacity[pool] / work[pool]
 		}
--- a/schedule/uneven.go
+++ b/schedule/uneven.go
@@ -25,7 +25,9 @@
 )
 
 // isSlow reports whether the worker is slow beside the fastest of its pool.
-func (p *poolSpeed) isSlow(w *Worker) bool { return w.roundedSlowness() >= unevenFactor*p.fastest }
+func (p *poolSpeed) isSlow(w *Worker) bool {
+	return w.slownessSamples >= minUnevenSamples && w.roundedSlowness() >= unevenFactor*p.fastest
+}
 
 // chance returns the probability that a task of the queue takes at most the given
 // ratio of its expected duration. While no distribution is known, it assumes that
@@ -42,6 +44,7 @@
 	s    *Scheduler
 	pool *poolSpeed
 	job  *job
+	step int
 	// usual is the task's expected duration on a worker of usual speed, and budget
 	// the time in which it must end for its job to meet the objective.
 	usual, budget time.Duration
@@ -54,7 +57,7 @@
 	if step < len(j.stepEnds) {
 		end -= j.estimate - j.stepEnds[step]
 	}
-	o := outlook{s: s, pool: pool, job: j, usual: max(s.usualDuration(j, step), time.Millisecond), budget: end - now}
+	o := outlook{s: s, pool: pool, job: j, step: step, usual: max(s.usualDuration(j, step), time.Millisecond), budget: end - now}
 	o.fastChance = o.chanceAt(pool.fastest)
 	return o
 }
@@ -78,12 +81,27 @@
 		}
 		return fast
 	}
-	if slowChance >= waitChance*o.fastChance || o.fastChance < hopelessChance {
+	if slowChance >= waitChance*o.fastChance || o.fastChance < hopelessChance || !o.fitsFast() {
 		return slow
 	}
 	return nil
 }
 
+// fitsFast reports whether some fast worker could run the task once it has free
+// capacity. A limit of tasks per worker may keep them all closed to the task.
+func (o *outlook) fitsFast() bool {
+	st := &o.job.Steps[o.step]
+	if st.PerWorker > 0 {
+		return false
+	}
+	for w := range o.s.availableWorkers(o.job.Pool) {
+		if !o.pool.isSlow(w) && stepFits(st, w.cap, w.labels) {
+			return true
+		}
+	}
+	return false
+}
+
 // ofUse reports whether the result of the task is still of use if it runs on w.
 func (o *outlook) ofUse(now time.Duration, w *Worker) bool {
 	return !o.job.transient || now+scale(o.usual, w.roundedSlowness()) <= o.job.expiry()
--- a/schedule/uneven_test.go
+++ b/schedule/uneven_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 	// suspectMillis the time under suspicion.
 	inTimeOf, jobsOf        map[string]int
 	startsOn, suspectMillis [12]int
+	// unevenMillis is the time for which the pool counted as uneven.
+	unevenMillis int
 }
 
 // replayed is a replay in progress.
@@ -77,6 +80,9 @@
 		for i := range r.running {
 			r.work(i, l.speed(i, r.now-start))
 		}
+		if r.sch.poolSpeedOf("formula").uneven {
+			r.out.unevenMillis++
+		}
 		r.sch.Place(r.now)
 		for _, id := range r.sch.JobsToShed(r.now) {
 			r.sch.JobEnded(id)
@@ -215,6 +221,9 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			o := replay(t, tc.load)
+			if strings.HasPrefix(tc.name, "one speed") || strings.HasPrefix(tc.name, "1.0") {
+				must.Zero(t, o.unevenMillis, must.Sprint("time under the rules of uneven pools"))
+			}
 			sound := 0
 			for i, millis := range o.suspectMillis {
 				if i > 0 && i <= tc.ill {
@@ -234,6 +243,7 @@
 // samples for differences in speed: each worker must get its share of the starts.
 func TestPoolOfOneSpeedIsSharedEvenly(t *testing.T) {
 	o := replay(t, load{evenSpeed, 1.6, 0, 0})
+	must.Zero(t, o.unevenMillis)
 	total := 0
 	for _, n := range o.startsOn {
 		total += n
@@ -252,6 +262,7 @@
 		millis            int
 		waited            time.Duration
 		pressed, fastFree bool
+		label             string
 		want              contract.HostID
 	}{
 		{name: "short task", millis: 60, fastFree: true, want: "fast"},
@@ -259,6 +270,7 @@
 		{name: "short task, fast worker full", millis: 60, pressed: true, want: "slow"},
 		{name: "long task under pressure", millis: 900, pressed: true, fastFree: true, want: "fast"},
 		{name: "long task, fast worker full", millis: 900, pressed: true, want: ""},
+		{name: "long task that fits no fast worker", millis: 900, pressed: true, label: "rare", want: "slow"},
 		{name: "long task that is late anyway", millis: 900, pressed: true, waited: 1200 * ms, want: "slow"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -267,6 +279,7 @@
 			for i := range 3 {
 				h.worker(fmt.Sprint("fast", i), 100)
 			}
+			h.sch.workerList[0].labels = []string{"rare"}
 			h.sch.workerList[0].slownessSamples, h.sch.workerList[0].slowness = slownessWindow, 2.2
 			for i := range minTailSamples {
 				h.sch.recordTaskDuration("q", 0.9+0.002*float64(i))
@@ -277,6 +290,7 @@
 				w.used.MilliCPU = map[bool]int{true: 20, false: 95}[tc.fastFree]
 			}
 			d := testJob("j", step(1, 10, tc.millis))
+			d.Steps[0].Label = tc.label
 			j := durable.NewJob(&d, 0)
 			j.State = contract.DurableRunning
 			h.sch.AddAccepted(j, h.now-tc.waited)
