Direct starts: messages, the agent's sessions and links, direct runs in the scheduler

While no control host leads, all work stops although workers and entries run. An agent without a leader can now begin a direct session, offer its capacity to entries, and start runs for them; the scheduler of a later leader counts these runs and starts none of their tasks. Off by default; no entry uses it yet.

--- a/contract/durable.go
+++ b/contract/durable.go
@@ -1,6 +1,9 @@
 package contract
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // DurableJobID identifies a durable job. It is chosen by the caller.
 type DurableJobID string
@@ -35,6 +38,23 @@
 	Document []byte
 }
 
+// MatchQueue returns the queue for a request with the given host name and path,
+// and the rest of the path after the queue's prefix. If several queues match, the
+// one with the longest prefix is chosen; if none does, MatchQueue returns nil.
+func MatchQueue(queues []Queue, host, path string) (*Queue, string) {
+	var best *Queue
+	for i := range queues {
+		q := &queues[i]
+		if q.Host == host && strings.HasPrefix(path, q.PathPrefix) && (best == nil || len(q.PathPrefix) > len(best.PathPrefix)) {
+			best = q
+		}
+	}
+	if best == nil {
+		return nil, ""
+	}
+	return best, path[len(best.PathPrefix):]
+}
+
 // DurableStep is a set of identical tasks of a durable job.
 type DurableStep struct {
 	// Count is the number of tasks.
--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -33,6 +33,8 @@
 	Hubs []string
 	// Leader is the link address of the leader; empty if unknown.
 	Leader string
+	// Stamp is the sender's clock in nanoseconds, which entries echo (StateEcho).
+	Stamp int64
 }
 
 // MessageKind returns KindHubState.
@@ -82,6 +84,10 @@
 	// Unsupported names the features that the job requires and that are not
 	// implemented; empty means none.
 	Unsupported string
+	// Bound is set if an entry that has no leader might start the job directly. The
+	// leader drops a bound job when the submitting entry has been silent for
+	// BoundSilence.
+	Bound bool
 }
 
 // MessageKind returns KindJobSubmit.
@@ -155,6 +161,9 @@
 	RetryAfter time.Duration
 	// Reason explains in words why a job was refused.
 	Reason string
+	// TablesVersion is the version of the queue tables that the answer is based on;
+	// zero if it is based on none.
+	TablesVersion uint64
 }
 
 // MessageKind returns KindJobReply.
@@ -183,12 +192,20 @@
 	Unhealthy bool
 	// Unanswered is set if the worker gave no answer to the start call.
 	Unanswered bool
+	// Stale is set if the worker refused the start because a run of the task with a
+	// higher number has ended there. It would refuse the next start too.
+	Stale bool
 }
 
 // PlacedRun is a run that is, or may be, on a worker, with the demand of its task.
 type PlacedRun struct {
 	RunRef
 	Demand Demand
+	// Direct is set if an entry started the run while there was no leader. The leader
+	// neither stops the run nor starts its task until the run has ended.
+	Direct bool
+	// Bound is set if the run's job is bound to its entry; see JobSubmit.
+	Bound bool
 }
 
 // WorkerReport is the full state of a worker, as known to its agent. The agent
@@ -254,10 +271,18 @@
 
 // RunStart is an order to start a run of a task.
 type RunStart struct {
-	PlacedRun
+	RunRef
+	Demand Demand
 	// Name is the name by which the worker knows the task.
 	Name string
 	Spec string
+	// Bound is as in PlacedRun.
+	Bound bool
+}
+
+// Placed returns the run as reports list it.
+func (s *RunStart) Placed() PlacedRun {
+	return PlacedRun{RunRef: s.RunRef, Demand: s.Demand, Bound: s.Bound}
 }
 
 // WorkerOrders holds a leader's orders to one agent.
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -258,20 +258,7 @@
 	}
 }
 
-// MatchQueue returns the queue for a request with the given host name and path,
-// and the rest of the path after the queue's prefix. If several queues match, the
-// one with the longest prefix is chosen; if none does, MatchQueue returns nil.
+// MatchQueue returns the queue for a request, as contract.MatchQueue does.
 func (s *State) MatchQueue(host, path string) (*contract.Queue, string) {
-	var best *contract.Queue
-	for i := range s.Tables.Queues {
-		q := &s.Tables.Queues[i]
-		if q.Host == host && len(path) >= len(q.PathPrefix) && path[:len(q.PathPrefix)] == q.PathPrefix &&
-			(best == nil || len(q.PathPrefix) > len(best.PathPrefix)) {
-			best = q
-		}
-	}
-	if best == nil {
-		return nil, ""
-	}
-	return best, path[len(best.PathPrefix):]
+	return contract.MatchQueue(s.Tables.Queues, host, path)
 }
--- /dev/null
+++ b/schedule/direct.go
@@ -0,0 +1,41 @@
+package schedule
+
+import "github.com/carawaylanding/carawaylanding/contract"
+
+// Direct runs are those that entries started while there was no leader. The load
+// pattern: a leader comes back while agents still have such runs, and callers send
+// jobs again whose direct runs are alive. The capacity of a direct run counts as
+// used until the run has ended. It is never stopped, claimed or requeued, and no
+// task is started while a direct run of it is alive.
+
+// HasDirectRuns reports whether a direct run of the job may be alive on an attached
+// worker.
+func (s *Scheduler) HasDirectRuns(id contract.DurableJobID) bool {
+	for task := range s.directRuns {
+		if task.Job == id {
+			return true
+		}
+	}
+	return false
+}
+
+// directRunAlive reports whether a direct run of the job's task t may be alive.
+func (s *Scheduler) directRunAlive(j *job, t int) bool {
+	return len(s.directRuns) > 0 && s.directRuns[contract.DurableTask{Job: j.ID, Task: uint32(t)}] > 0
+}
+
+// countDirect adds delta to the number of direct runs of the run's task.
+func (s *Scheduler) countDirect(ref contract.RunRef, delta int) {
+	task := contract.DurableTask{Job: ref.Job, Task: ref.Task}
+	if s.directRuns[task] += delta; s.directRuns[task] <= 0 {
+		delete(s.directRuns, task)
+	}
+}
+
+// BindToEntry marks a job as bound to its entry: agents report its runs as such to
+// later leaders.
+func (s *Scheduler) BindToEntry(id contract.DurableJobID) {
+	if j := s.jobs[id]; j != nil {
+		j.bound = true
+	}
+}
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -214,7 +214,7 @@
 		w.overdueRuns = 0
 		for ref, r := range w.runs {
 			j := s.jobs[ref.Job]
-			if r.unclaimed || j == nil || !s.isOverdue(now, w, j, r) {
+			if r.unclaimed || r.direct || j == nil || !s.isOverdue(now, w, j, r) {
 				continue
 			}
 			w.overdueRuns++
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -78,12 +78,17 @@
 }
 
 // placeJob places the job's waiting tasks in order until one fits no worker. It
-// reports whether all were placed.
+// skips tasks that have a direct run. It reports whether all were placed.
 func (s *Scheduler) placeJob(now time.Duration, j *job) bool {
 	t := 0
+	all := true
 	for step := range j.Steps {
 		for index := range j.Steps[step].Count {
-			if j.tasks[t].phase == phaseWaiting {
+			switch {
+			case j.tasks[t].phase != phaseWaiting:
+			case s.directRunAlive(j, t):
+				all = false
+			default:
 				w := s.pickWorker(now, j, step, &j.tasks[t])
 				if w == nil {
 					return false
@@ -93,7 +98,7 @@
 			t++
 		}
 	}
-	return true
+	return all
 }
 
 // startTask orders the worker to start task t of the job, which is the task at
@@ -102,7 +107,7 @@
 	tk := &j.tasks[t]
 	tk.startCount++
 	s.runCount++
-	tk.currentRun = s.term<<runCountBits | s.runCount
+	tk.currentRun = s.term<<contract.RunCountBits | s.runCount
 	tk.worker = w
 	s.setPhase(j, t, phasePlaced)
 	j.begun = true
@@ -111,15 +116,10 @@
 	s.addRun(w, ref, &run{need: need, placedAt: now, expectedDuration: s.expectedDuration(j, step), queue: j.Queue})
 	w.recordStart(now)
 	s.pendingOrders = append(s.pendingOrders, Order{Host: w.Host, Session: w.Session, Start: &contract.RunStart{
-		PlacedRun: contract.PlacedRun{RunRef: ref, Demand: need}, Name: fmt.Sprintf("%s.0.%d.%d", j.ID, step, index), Spec: j.Spec,
+		RunRef: ref, Demand: need, Name: fmt.Sprintf("%s.0.%d.%d", j.ID, step, index), Spec: j.Spec, Bound: j.bound,
 	}})
 }
 
-// runCountBits is the width of the run counter in a run number. The bits above
-// it hold the leader's term, so that the run numbers of a later leader are
-// higher than those of an earlier one.
-const runCountBits = 30
-
 // pickWorker returns the eligible worker with the lowest cost, the one that is
 // expected to finish the task first. It returns nil if no worker is eligible.
 func (s *Scheduler) pickWorker(now time.Duration, j *job, step int, t *task) *Worker {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -64,6 +64,8 @@
 	// transient marks a job that is not in the replicated log; it can be shed
 	// until it has begun.
 	transient bool
+	// bound marks a transient job that is bound to its entry; see BindToEntry.
+	bound bool
 	// shortestRun is the duration of the job's fastest task so far, which ran
 	// on shortestRunWorker. It is zero until the first task is done whose start
 	// time is known.
@@ -127,6 +129,8 @@
 	// unclaimedEnds holds ends of runs whose job this leader doesn't know,
 	// oldest first.
 	unclaimedEnds []unclaimedEnd
+	// directRuns counts the direct runs that may be alive, by task.
+	directRuns map[contract.DurableTask]int
 	// runCount is the number of runs that this scheduler has started. Its value
 	// after a start is the lower part of that run's number.
 	runCount uint64
@@ -149,6 +153,7 @@
 		demandRates:      map[demandKey]*demandRate{},
 		runningForecasts: map[string]*runningForecast{},
 		unclaimedRuns:    map[contract.DurableJobID]map[contract.RunRef]*Worker{},
+		directRuns:       map[contract.DurableTask]int{},
 		awaitingRelease:  true,
 	}
 	for _, j := range s.Jobs {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -142,7 +142,7 @@
 	h := newHarness(t)
 	h.worker("a", 100)
 	h.submit(testJob("old", step(2, 1, 100)))
-	ran := h.place()[0].Start.PlacedRun
+	ran := h.place()[0].Start.Placed()
 	h.sch = New(2, h.state, h.now)
 	h.worker("a", 100, ran)
 	must.SliceEmpty(t, h.place(), must.Sprint("a task that may run on another worker was started"))
@@ -453,7 +453,7 @@
 	first := testJob("first", step(1, 10, 60))
 	must.True(t, h.sch.Admit(h.now, h.now, &first).OK)
 	h.submit(first)
-	h.sch.RunEnded(h.now, "a", contract.RunEnded{RunRef: contract.RunRef{Job: "busy", Run: 1<<runCountBits | 1}, Seq: 1, Kind: contract.EndDone})
+	h.sch.RunEnded(h.now, "a", contract.RunEnded{RunRef: contract.RunRef{Job: "busy", Run: 1<<contract.RunCountBits | 1}, Seq: 1, Kind: contract.EndDone})
 	orders := h.place()
 	must.Len(t, 1, orders)
 	must.Eq(t, "first", orders[0].Start.Job)
--- a/schedule/unclaimed.go
+++ b/schedule/unclaimed.go
@@ -13,6 +13,10 @@
 	unclaimedEndTTL = 3 * time.Second
 	// unclaimedRunTTL is how long a run that no job claims may continue.
 	unclaimedRunTTL = 1500 * time.Millisecond
+	// boundUnclaimedTTL applies to the runs of bound jobs: their caller may have sent
+	// the job to an entry without a leader, which starts it 1,300 ms after the first
+	// entry was lost. Entries that are alive submit the job again within 0.2 s.
+	boundUnclaimedTTL = contract.BoundSilence
 )
 
 // unclaimedEnd is the end of a run whose job this leader does not know.
@@ -50,7 +54,7 @@
 }
 
 // expireUnclaimed discards the ends that are older than unclaimedEndTTL, and
-// orders the unclaimed runs that are older than unclaimedRunTTL to stop.
+// orders the unclaimed runs that are older than their TTL to stop.
 func (s *Scheduler) expireUnclaimed(now time.Duration) {
 	n := 0
 	for n < len(s.unclaimedEnds) && now-s.unclaimedEnds[n].receivedAt > unclaimedEndTTL {
@@ -59,7 +63,11 @@
 	s.unclaimedEnds = s.unclaimedEnds[n:]
 	for _, w := range s.workerList {
 		for ref, r := range w.runs {
-			if r.unclaimed && now-r.placedAt > unclaimedRunTTL {
+			ttl := unclaimedRunTTL
+			if r.bound {
+				ttl = boundUnclaimedTTL
+			}
+			if r.unclaimed && now-r.placedAt > ttl {
 				s.stopRun(w, ref)
 			}
 		}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -25,6 +25,10 @@
 	// unclaimed marks a run that belongs to no job that this leader knows; the
 	// job has ended or has not been submitted again yet.
 	unclaimed bool
+	// direct marks a run that an entry started; see direct.go.
+	direct bool
+	// bound marks a run of a job that is bound to its entry.
+	bound bool
 }
 
 // Worker is a worker as its agent last reported it, with the runs that may be
@@ -97,7 +101,10 @@
 	for _, p := range running {
 		listed[p.RunRef] = true
 		if w.runs[p.RunRef] == nil {
-			s.addRun(w, p.RunRef, &run{need: p.Demand, placedAt: now, takenOver: true})
+			s.addRun(w, p.RunRef, &run{need: p.Demand, placedAt: now, takenOver: true, direct: p.Direct, bound: p.Bound})
+			if p.Direct {
+				continue
+			}
 			s.markUnclaimed(w, p.RunRef)
 			if j := s.jobs[p.Job]; j != nil {
 				s.claimRun(j, w, p.RunRef)
@@ -165,6 +172,9 @@
 // addRun adds a run and its resources to the worker.
 func (s *Scheduler) addRun(w *Worker, ref contract.RunRef, r *run) {
 	w.runs[ref] = r
+	if r.direct {
+		s.countDirect(ref, 1)
+	}
 	w.used.MilliCPU += r.need.MilliCPU
 	w.used.MemoryMB += r.need.MemoryMB
 	w.used.Accelerators += r.need.Accelerators
@@ -174,6 +184,9 @@
 func (s *Scheduler) removeRun(w *Worker, ref contract.RunRef, r *run) {
 	delete(w.runs, ref)
 	s.forgetUnclaimed(ref)
+	if r.direct {
+		s.countDirect(ref, -1)
+	}
 	w.used.MilliCPU -= r.need.MilliCPU
 	w.used.MemoryMB -= r.need.MemoryMB
 	w.used.Accelerators -= r.need.Accelerators
@@ -242,6 +255,11 @@
 	r := w.runs[e.RunRef]
 	if r != nil {
 		s.removeRun(w, e.RunRef, r)
+	}
+	if e.RunRef.Direct() {
+		return nil
+	}
+	if r != nil {
 		s.recordRunEnd(now, w, r, e)
 	}
 	j := s.jobs[e.Job]
@@ -265,7 +283,7 @@
 		return &TaskEnd{contract.DurableTask{Job: e.Job, Task: e.Task}, e.Kind == contract.EndDone}
 	}
 	if isCurrent {
-		if e.Unanswered {
+		if e.Unanswered || e.Stale {
 			t.avoidHost = h
 		}
 		s.requeueTask(e.RunRef)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -30,6 +30,26 @@
 	})
 )
 
+// Metrics of direct starts without a leader, at entries and agents.
+var (
+	// DirectOffers counts offers of agents that an entry received.
+	DirectOffers = factory.NewCounter(prometheus.CounterOpts{Name: "caraway_direct_offers_total", Help: "Offers of agents without a leader."})
+	// DirectStarts counts direct starts, by the side that counted: entry or agent.
+	DirectStarts = factory.NewCounterVec(prometheus.CounterOpts{
+		Name: "caraway_direct_starts_total", Help: "Runs started without a leader, by side.",
+	}, []string{"side"})
+	// DirectEnds counts ends of direct runs that an entry received, by kind.
+	DirectEnds = factory.NewCounterVec(prometheus.CounterOpts{
+		Name: "caraway_direct_ends_total", Help: "Ends of runs started without a leader, by kind.",
+	}, []string{"how"})
+	// DirectJobs counts jobs that an entry handled without a leader, by answer.
+	DirectJobs = factory.NewCounterVec(prometheus.CounterOpts{
+		Name: "caraway_direct_jobs_total", Help: "Jobs handled without a leader, by answer.",
+	}, []string{"answer"})
+	// DirectSessions counts direct sessions that an agent began.
+	DirectSessions = factory.NewCounter(prometheus.CounterOpts{Name: "caraway_direct_sessions_total", Help: "Direct sessions begun."})
+)
+
 // Metrics of a control host.
 var (
 	// IsLeader is 1 while this host is the leader, and 0 otherwise.
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -50,7 +50,19 @@
 	// through a relay; zero means that relays are not used. It should cover two
 	// intervals of the leader's messages.
 	RelayAfter time.Duration
-	Log        logr.Logger
+	// EchoState echoes the clock reading in each HubState of a leader, which shows
+	// the leader that this process is alive.
+	EchoState bool
+	Log       logr.Logger
+}
+
+// DirectLinkConfig is the configuration of links between agents and entries that are
+// open while there is no leader. A link goes down after the silence after which an
+// agent stops the runs of the entry.
+var DirectLinkConfig = link.Config{
+	HeartbeatInterval: 150 * time.Millisecond, SilenceTimeout: 700 * time.Millisecond,
+	DialTimeout: 250 * time.Millisecond, MaxRedialBackoff: 300 * time.Millisecond,
+	MaxBacklogBytes: 1 << 20,
 }
 
 // hubConn is one path to a hub, direct or through a relay, with the state that the
@@ -124,6 +136,13 @@
 	return u.notified, u.term
 }
 
+// Relays returns the addresses of the relays that a hub named last.
+func (u *Uplink) Relays() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.relays
+}
+
 // Connected reports whether a direct link to the hub at addr is open.
 func (u *Uplink) Connected(addr string) bool {
 	u.mu.Lock()
@@ -280,6 +299,10 @@
 		h.u.groupAddrs = s.Hubs
 	}
 	h.u.mu.Unlock()
+	if s.Leads && h.u.cfg.EchoState && s.Stamp != 0 {
+		// An echo that is lost with the link needs no repetition.
+		_ = l.Send(&contract.StateEcho{Stamp: s.Stamp})
+	}
 	h.u.dialAll(s.Hubs)
 	h.u.selectLeader(now)
 }
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -33,6 +33,11 @@
 	// AuthorityTTL is how long the leader's authority lasts, counted from the
 	// sending of the heartbeat that the leader echoed.
 	AuthorityTTL time.Duration
+	// DirectStarts lets entries start runs while no leader is known.
+	DirectStarts bool
+	// Evacuated reports whether no run may start in a failure domain; nil means that
+	// none is evacuated.
+	Evacuated func(domain string) bool
 	// Connect returns a client of the announced worker instance.
 	Connect func(contract.WorkerAnnouncement) WorkerClient
 }
@@ -62,13 +67,24 @@
 	// session is the latest session, which may be one without a worker; it is zero
 	// before the first session.
 	session contract.WorkerSession
+	// sessionReported is set once a report of the session was sent to a leader, which
+	// may then order runs in it.
+	sessionReported bool
+	// leaderLostAt and leaderFoundAt are when a leader was last lost and found.
+	// leaderLostAt is when the process started if there has been none.
+	leaderLostAt, leaderFoundAt time.Duration
+	// entries holds the links to entries that are up.
+	entries map[*link.Link]*entryLink
+	// offered is the last offer to entries, sent at offeredAt.
+	offered   contract.DirectOffer
+	offeredAt time.Duration
 	// draining is set when this process shuts down: the worker gets no new runs.
 	draining bool
 }
 
 // New returns an Agent that does nothing until Run is called.
 func New(cfg Config) *Agent {
-	a := &Agent{cfg: cfg, log: cfg.Uplink.Log}
+	a := &Agent{cfg: cfg, log: cfg.Uplink.Log, entries: map[*link.Link]*entryLink{}, leaderLostAt: boottime.Now()}
 	a.uplink = uplink.New(cfg.Uplink, a)
 	return a
 }
@@ -81,6 +97,9 @@
 	a.mu.Unlock()
 	a.group.Go(func() error { return a.uplink.Run(ctx) })
 	a.group.Go(func() error { return a.sendHeartbeats(ctx) })
+	if a.cfg.DirectStarts {
+		a.group.Go(func() error { return a.runDirect(ctx) })
+	}
 	return a.group.Wait()
 }
 
@@ -146,6 +165,7 @@
 // a.mu.
 func (a *Agent) newSession() {
 	a.session = contract.WorkerSession(contract.NewIncarnation())
+	a.sessionReported = false
 	a.report(true)
 }
 
@@ -157,6 +177,12 @@
 	if l != a.link {
 		a.attachID = max(a.attachID+1, int64(boottime.Now()))
 	}
+	switch {
+	case l == nil && a.link != nil:
+		a.leaderLostAt = boottime.Now()
+	case l != nil && a.link == nil:
+		a.leaderFoundAt = boottime.Now()
+	}
 	a.link = l
 	a.term = max(a.term, term)
 	if l != nil && term == a.term && a.session != 0 {
@@ -172,6 +198,7 @@
 	if a.link == nil || a.session == 0 {
 		return
 	}
+	a.sessionSeenByLeader()
 	r := &contract.WorkerReport{
 		Attach: attach, Term: a.term, Host: a.cfg.Uplink.Hello.Host, Session: a.session, NoWorker: true,
 		Stamp: int64(boottime.Now()), AttachID: a.attachID,
@@ -263,7 +290,7 @@
 	w := a.instance
 	if w == nil || !w.inSession {
 		for _, st := range o.Starts {
-			a.reportNotStarted(st.RunRef, false)
+			a.reportNotStarted(contract.RunEnded{RunRef: st.RunRef})
 		}
 		return
 	}
@@ -278,7 +305,7 @@
 	for _, st := range o.Starts {
 		if a.authorityEnd <= boottime.Now() || w.sessionEnding || w.worker.Draining {
 			a.log.Info("start refused: no authority, session ending or worker draining", "job", st.Job, "task", st.Task, "run", st.Run)
-			a.reportNotStarted(st.RunRef, false)
+			a.reportNotStarted(contract.RunEnded{RunRef: st.RunRef})
 			continue
 		}
 		if !w.leaseConfirmed() {
@@ -286,14 +313,15 @@
 			w.wakeUp()
 			continue
 		}
-		w.startRun(st)
+		w.startRun(st, nil)
 	}
 }
 
-// reportNotStarted tells the leader that a run did not start and never will. The
-// caller holds a.mu.
-func (a *Agent) reportNotStarted(ref contract.RunRef, unhealthy bool) {
-	a.send(&contract.WorkerEnds{Session: a.session, Ends: []contract.RunEnded{{RunRef: ref, Kind: contract.EndNotStarted, Unhealthy: unhealthy}}})
+// reportNotStarted tells the leader that the run of e did not start and never will.
+// The caller holds a.mu.
+func (a *Agent) reportNotStarted(e contract.RunEnded) {
+	e.Kind = contract.EndNotStarted
+	a.send(&contract.WorkerEnds{Session: a.session, Ends: []contract.RunEnded{e}})
 }
 
 // Drain refuses new starts and returns once no run is left and all run ends are
--- a/workeragent/runs.go
+++ b/workeragent/runs.go
@@ -4,18 +4,20 @@
 	"context"
 	"slices"
 
+	"github.com/carawaylanding/carawaylanding/boottime"
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/telemetry"
 )
 
 // startRun carries out an order to start a run; it does nothing if the run is
-// known. The caller holds agent.mu.
-func (w *workerInstance) startRun(st contract.RunStart) {
+// known. e is the entry that started it, or nil for a leader's run. The caller holds
+// agent.mu.
+func (w *workerInstance) startRun(st contract.RunStart, e *entryLink) {
 	name := NamedRun{Name: st.Name, Run: st.Run}
 	if w.runs[name] != nil {
 		return
 	}
-	w.runs[name] = &run{ref: st.RunRef, need: st.Demand}
+	w.runs[name] = &run{ref: st.RunRef, need: st.Demand, bound: st.Bound, entry: e}
 	w.nameByRef[st.RunRef] = name
 	c := StartCall{Name: st.Name, Run: st.Run, Spec: st.Spec, DeadlineMS: w.nextLeaseEndMS(), Token: w.agent.term}
 	w.agent.group.Go(func() error { w.callStart(name, c); return nil })
@@ -47,7 +49,11 @@
 	telemetry.StartsRefused.WithLabelValues(refusal.String()).Inc()
 	w.agent.log.Info("start refused by the worker", "name", name.Name, "run", name.Run, "worker", w.id, "why", refusal.String())
 	w.removeRun(name, r)
-	w.agent.reportNotStarted(r.ref, refusal == RefusedUnhealthy)
+	if r.entry != nil && refusal == RefusedUnhealthy {
+		w.unhealthyUntil = boottime.Now() + directUnhealthyTime
+	}
+	r.tellEntry(contract.EndNotStarted, refusal == RefusedNoCapacity)
+	w.agent.reportNotStarted(contract.RunEnded{RunRef: r.ref, Unhealthy: refusal == RefusedUnhealthy, Stale: refusal == RefusedStaleRun})
 }
 
 // resolveStart determines the result of a start call that got no answer. If the
@@ -80,7 +86,7 @@
 	for i, st := range w.pendingStarts {
 		if st.RunRef == ref {
 			w.pendingStarts = slices.Delete(w.pendingStarts, i, i+1)
-			w.agent.reportNotStarted(ref, false)
+			w.agent.reportNotStarted(contract.RunEnded{RunRef: ref})
 			return
 		}
 	}
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -64,6 +64,10 @@
 	// acknowledged the stop.
 	stopAckedAtPoll uint64
 	stopping        bool
+	// bound says that the run's job is bound to its entry. entry is the entry that
+	// started a direct run, and nil for a leader's run.
+	bound bool
+	entry *entryLink
 	// startUnanswered says that the start call got no answer.
 	startUnanswered bool
 }
@@ -112,6 +116,12 @@
 	confirmedLeaseEndMS, latestLeaseEndMS int64
 	// pendingStarts are start orders that wait until the lease is confirmed.
 	pendingStarts []contract.RunStart
+	// direct marks a direct session; see direct.go. directUntil is the end of the
+	// agent's own authority over its lease once sessionReported is set.
+	direct      bool
+	directUntil time.Duration
+	// unhealthyUntil is the boot time until which no direct start is offered.
+	unhealthyUntil time.Duration
 	// wake interrupts sleep.
 	wake chan struct{}
 }
@@ -132,6 +142,7 @@
 	w.unackedEnds = nil
 	w.pendingStarts = nil
 	w.sessionEnding = false
+	w.direct, w.directUntil = false, 0
 }
 
 // stopTracking stops tracking the instance; why goes into the log. The caller holds
@@ -139,6 +150,7 @@
 func (w *workerInstance) stopTracking(why string) {
 	w.agent.log.Info("worker instance ended", "worker", w.id, "why", why, "runs", len(w.runs))
 	w.inSession = false
+	w.failDirectRuns(contract.EndStopped)
 	w.cancel()
 }
 
@@ -148,10 +160,10 @@
 	r.NoWorker = false
 	r.Worker = w.worker
 	for _, st := range w.pendingStarts {
-		r.Running = append(r.Running, st.PlacedRun)
+		r.Running = append(r.Running, st.Placed())
 	}
 	for _, known := range w.runs {
-		r.Running = append(r.Running, contract.PlacedRun{RunRef: known.ref, Demand: known.need})
+		r.Running = append(r.Running, contract.PlacedRun{RunRef: known.ref, Demand: known.need, Direct: known.entry != nil, Bound: known.bound})
 	}
 	r.Ends = w.unackedEnds
 }
@@ -338,8 +350,10 @@
 func (w *workerInstance) nextPoll(answered bool) (PollCall, uint64, bool) {
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
-	if !w.sessionEnding && w.agent.authorityEnd <= boottime.Now() {
+	now := boottime.Now()
+	if !w.sessionEnding && w.leaseAuthorityEnd(now) <= now {
 		if w.leaseUnused() && w.pendingStops == 0 {
+			w.tryDirect(now)
 			return PollCall{}, 0, true
 		}
 		w.agent.log.Info("authority lost: letting the lease expire", "worker", w.id, "runs", len(w.runs))
@@ -384,10 +398,12 @@
 
 // nextLeaseEndMS returns the end, on the worker's clock in milliseconds, of a lease
 // granted now, and includes it in latestLeaseEndMS. A lease never outlasts the
-// leader's authority, so that the leader knows when no run is left on a worker that
-// it can't reach. The caller holds agent.mu.
+// leader's authority, or that of the agent in a direct session, so that the leader
+// knows when no run is left on a worker that it can't reach. The caller holds
+// agent.mu.
 func (w *workerInstance) nextLeaseEndMS() int64 {
-	duration := min(w.agent.cfg.Lease, leaseDuration, w.agent.authorityEnd-boottime.Now())
+	now := boottime.Now()
+	duration := min(w.agent.cfg.Lease, w.maxLease(), w.leaseAuthorityEnd(now)-now)
 	end := w.workerNowMS() + duration.Milliseconds()
 	w.latestLeaseEndMS = max(w.latestLeaseEndMS, end)
 	return end
@@ -408,6 +424,8 @@
 	if w.agent.instance != w {
 		return
 	}
+	w.failDirectRuns(contract.EndFailed)
+	clear(w.runs)
 	w.stopTracking(why)
 	w.agent.instance = nil
 	w.agent.newSession()
@@ -428,6 +446,10 @@
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
 	w.ackedSeq = w.lastSeq
+	w.failDirectRuns(contract.EndFailed)
+	if w.direct && !w.agent.sessionReported {
+		w.agent.log.Info("direct session ended", "worker", w.id, "session", w.agent.session, "why", "lease expired")
+	}
 	w.clear()
 	if w.agent.instance == w {
 		// No run is left, so the leader need not wait for the worker.
@@ -460,7 +482,7 @@
 	pending := w.pendingStarts
 	w.pendingStarts = nil
 	for _, st := range pending {
-		w.startRun(st)
+		w.startRun(st, nil)
 	}
 }
 
@@ -493,6 +515,7 @@
 		end := contract.RunEnded{Seq: e.Seq, Kind: e.Kind}
 		if r := w.runs[e.NamedRun]; r != nil {
 			end.RunRef = r.ref
+			r.tellEntry(directEndKind(e.Kind), false)
 			w.removeRun(e.NamedRun, r)
 		} else {
 			w.agent.log.Info("end of an unknown run", "name", e.Name, "run", e.Run, "how", e.Kind.String())
@@ -500,6 +523,11 @@
 		newEnds = append(newEnds, end)
 	}
 	w.unackedEnds = append(w.unackedEnds, newEnds...)
+	if w.direct && !w.agent.sessionReported {
+		// The results of transient jobs are stored nowhere, so nobody else confirms
+		// these ends.
+		w.ackEnds(w.lastSeq)
+	}
 	return newEnds
 }
 
@@ -518,6 +546,7 @@
 	for name, r := range w.runs {
 		if r.phase == phaseStopAcked && r.stopAckedAtPoll < pollNumber && !running[name] {
 			w.removeRun(name, r)
+			r.tellEntry(contract.EndNotStarted, false)
 			out = append(out, contract.RunEnded{RunRef: r.ref, Kind: contract.EndNotStarted, Unanswered: r.startUnanswered})
 		}
 	}
