Direct starts: the entry's dispatcher, bound jobs at the leader, option -direct-starts

An entry without a leader refused every request after 0.7 s. With -direct-starts it runs transient jobs of one step at agents that offer capacity. Jobs that could be started so are bound to their entry: the leader drops them when the entry is silent, since their callers may send them to an entry on the other side of a cut.

--- a/cmd/carawayd/main.go
+++ b/cmd/carawayd/main.go
@@ -29,14 +29,14 @@
 	os.Exit(run(os.Args[1:]))
 }
 
-// platformCommand is the first argument of a process on the users' platform. The
-// second is its role.
+// platformCommand is the first argument of a process on the users' platform. Its
+// flags and its role follow.
 const platformCommand = "platform"
 
 // run runs the daemon and returns the exit code.
 func run(args []string) int {
-	if len(args) == 2 && args[0] == platformCommand {
-		return runOnPlatform(args[1])
+	if len(args) > 0 && args[0] == platformCommand {
+		return runOnPlatform(args[1:])
 	}
 	cfg, err := settings.Parse(args, os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
@@ -66,11 +66,19 @@
 
 // runOnPlatform runs one role with the settings of the users' platform. The log
 // goes to stdout through a buffer that drops lines instead of blocking.
-func runOnPlatform(role string) int {
+func runOnPlatform(args []string) int {
+	options, err := platform.ParseOptions(args, os.Stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
 	out := asynclog.New(os.Stdout, telemetry.LogLinesDropped.Inc)
 	defer out.Close()
-	log := newLogger(out, role)
-	if err := platform.Run(role, log); err != nil {
+	log := newLogger(out, options.Role)
+	if err := platform.Run(options, log); err != nil {
 		log.Error(err, "process failed")
 		return exitFailed
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/carawaylanding/carawaylanding/boottime"
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -24,6 +25,8 @@
 type Gateway struct {
 	uplink *uplink.Uplink
 	log    logr.Logger
+	// direct runs jobs while there is no leader; nil if that is switched off.
+	direct *directStarts
 
 	mu sync.Mutex // guards the fields below
 	// leaderChanged is closed and replaced when the leader changes.
@@ -35,15 +38,27 @@
 	draining     bool
 }
 
-// New returns a gateway that connects to the hubs once Run is called.
-func New(cfg uplink.Config) *Gateway {
+// New returns a gateway that connects to the hubs once Run is called. directStarts lets
+// it run transient jobs at agents while there is no leader.
+func New(cfg uplink.Config, directStarts bool) *Gateway {
+	cfg.EchoState = directStarts
 	g := &Gateway{log: cfg.Log, leaderChanged: make(chan struct{}), leaderLostAt: boottime.Now()}
+	if directStarts {
+		g.direct = newDirectStarts(cfg)
+	}
 	g.uplink = uplink.New(cfg, g)
 	return g
 }
 
 // Run maintains the links to the hubs until ctx is done.
-func (g *Gateway) Run(ctx context.Context) error { return g.uplink.Run(ctx) }
+func (g *Gateway) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return g.uplink.Run(ctx) })
+	if g.direct != nil {
+		group.Go(func() error { return g.direct.run(ctx) })
+	}
+	return group.Wait()
+}
 
 // LeaderChanged records the new leader, and wakes all calls that wait for a
 // leader or for its answer. The link is nil if there is no leader.
@@ -60,8 +75,13 @@
 	}
 }
 
-// Received ignores messages that are not replies.
-func (g *Gateway) Received(*link.Link, contract.Message) {}
+// Received keeps the list of the queues, and ignores other messages that are not
+// replies.
+func (g *Gateway) Received(_ *link.Link, m contract.Message) {
+	if q, ok := m.(*contract.QueueList); ok && g.direct != nil {
+		g.direct.setQueues(q)
+	}
+}
 
 // Connected reports whether a direct link to the hub at addr is open.
 func (g *Gateway) Connected(addr string) bool { return g.uplink.Connected(addr) }
@@ -75,11 +95,12 @@
 
 // Ready reports whether the gateway should get new connections: it has had a
 // leader, is not draining, and has not been without a leader for
-// readyWithoutLeader.
+// readyWithoutLeader, unless agents offer direct starts.
 func (g *Gateway) Ready() bool {
+	offers := g.direct != nil && g.direct.offersAny()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.hadLeader && !g.draining && (g.leaderLostAt == 0 || boottime.Now()-g.leaderLostAt < readyWithoutLeader)
+	return g.hadLeader && !g.draining && (g.leaderLostAt == 0 || boottime.Now()-g.leaderLostAt < readyWithoutLeader || offers)
 }
 
 // Answer is the result of a request to the hubs.
@@ -88,6 +109,9 @@
 	// PossiblyAccepted is false if no hub can have accepted the request: none was
 	// asked, or each replied that it is not the leader.
 	PossiblyAccepted bool
+	// Direct is set if the job was given to direct starts. PossiblyAccepted then says
+	// that a task may have run.
+	Direct bool
 	// Answered is false if the leader gave no answer before ctx was done, or no
 	// leader was known.
 	Answered bool
@@ -96,25 +120,58 @@
 // Ask sends a JobSubmit or JobQuery to the leader, and sends it again when the
 // leader changes, which is safe for both. It returns when there is an answer,
 // when ctx is done, or when there has been no leader for longer than
-// maxLeaderlessWait and no hub can have accepted the request.
+// maxLeaderlessWait and no hub can have accepted the request. A transient job that no
+// hub can have accepted is given to direct starts if agents offer them; it is then
+// never sent to a hub.
 func (g *Gateway) Ask(ctx context.Context, m contract.Message) Answer {
+	a := g.ask(ctx, m)
+	if sub, ok := m.(*contract.JobSubmit); ok && g.bound(m) && !a.Direct && !a.Answered && a.PossiblyAccepted {
+		// The caller may send the job to an entry without a leader next.
+		g.SendToLeader(&contract.JobQuery{Action: contract.JobAbandon, Host: sub.Host, Path: sub.Path})
+	}
+	return a
+}
+
+// bound reports whether m is a job that might be started directly.
+func (g *Gateway) bound(m contract.Message) bool {
+	sub, ok := m.(*contract.JobSubmit)
+	return ok && g.direct != nil && bindable(sub)
+}
+
+func (g *Gateway) ask(ctx context.Context, m contract.Message) Answer {
 	var a Answer
 	began := boottime.Now()
+	bound := g.bound(m)
 	for {
+		if bound && ctx.Err() != nil {
+			return a
+		}
 		g.mu.Lock()
 		changed := g.leaderChanged
 		g.mu.Unlock()
 		if l, _ := g.uplink.Leader(); l != nil {
-			r := g.askHub(ctx, l, withAge(m, a.PossiblyAccepted, boottime.Now()-began), changed)
+			r := g.askHub(ctx, l, g.withAge(m, a.PossiblyAccepted, boottime.Now()-began), changed)
 			switch {
 			case r == nil:
 				a.PossiblyAccepted = true
 			case r.Verdict != contract.VerdictNotLeader:
 				a.JobReply, a.Answered = *r, true
+				if g.direct != nil {
+					g.direct.sawVersion(r.TablesVersion)
+				}
+				return a
+			}
+		} else if !a.PossiblyAccepted {
+			wait := maxLeaderlessWait
+			if bound {
+				if j, ok := g.direct.job(m.(*contract.JobSubmit)); ok {
+					return g.direct.ask(ctx, j, began)
+				}
+				wait = maxWaitForOffers
+			}
+			if g.leaderlessFor() > wait {
 				return a
 			}
-		} else if !a.PossiblyAccepted && g.leaderlessFor() > maxLeaderlessWait {
-			return a
 		}
 		select {
 		case <-ctx.Done():
@@ -130,6 +187,10 @@
 // after a restart of all processes.
 const maxLeaderlessWait = 700 * time.Millisecond
 
+// maxWaitForOffers replaces maxLeaderlessWait for jobs that can be started directly.
+// Agents offer direct starts 0.4 to 0.5 s after they have lost the leader.
+const maxWaitForOffers = time.Second
+
 // leaderlessFor returns how long there has been no leader, or zero if there is
 // one.
 func (g *Gateway) leaderlessFor() time.Duration {
@@ -144,13 +205,13 @@
 // withAge returns a copy of a JobSubmit with the time that its caller has
 // waited. resubmitted is set if a hub may have accepted the job before. Other
 // messages are returned unchanged.
-func withAge(m contract.Message, resubmitted bool, age time.Duration) contract.Message {
+func (g *Gateway) withAge(m contract.Message, resubmitted bool, age time.Duration) contract.Message {
 	sub, ok := m.(*contract.JobSubmit)
 	if !ok {
 		return m
 	}
 	out := *sub
-	out.Resubmitted, out.Age = resubmitted, age
+	out.Resubmitted, out.Age, out.Bound = resubmitted, age, g.bound(m)
 	return &out
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -51,7 +51,7 @@
 	g := New(uplink.Config{
 		Hello: contract.Hello{Host: "gw", Incarnation: contract.NewIncarnation(), Roles: []contract.Role{contract.RoleEntry}},
 		Seeds: func() []string { return seeds }, Link: link.Config{}, Log: logr.Discard(),
-	})
+	}, false)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/hub/bound.go
@@ -0,0 +1,55 @@
+package hub
+
+import (
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/link"
+)
+
+// A bound job is a transient job that an entry without a leader might start directly.
+// If its entry is lost, or cut off from this leader, the caller sends the job again
+// after 1,300 ms, perhaps to an entry that has no leader. By then no run of the job may
+// be alive here, so the leader drops the job contract.BoundSilence after the last proof
+// that the entry is alive. The proof is the entry's echo of this hub's clock, since a
+// message as such may have waited in a buffer.
+
+// recordEcho records an entry's echo of the clock reading stamp.
+func (h *Hub) recordEcho(l *link.Link, stamp int64) {
+	if h.inbound[l] {
+		h.entryAliveAt[l] = max(h.entryAliveAt[l], min(time.Duration(stamp), h.eventAt))
+	}
+}
+
+// entrySilent reports whether the entry at the other end of the link has been silent
+// for longer than a bound job allows.
+func (h *Hub) entrySilent(now time.Duration, l *link.Link) bool {
+	return now-h.entryAliveAt[l] > contract.BoundSilence
+}
+
+// dropSilentEntries drops the bound jobs all of whose entries have been silent for
+// longer than contract.BoundSilence. An entry that is alive nevertheless submits a job
+// again that has not begun, and answers that the outcome of others is unknown.
+func (h *Hub) dropSilentEntries(now time.Duration) {
+	for id, t := range h.leader.transients.jobs {
+		if !t.bound || t.endedAt != 0 {
+			continue
+		}
+		for _, w := range t.waiters {
+			t.entryAliveAt = max(t.entryAliveAt, h.entryAliveAt[w.link])
+		}
+		if now-t.entryAliveAt <= contract.BoundSilence {
+			continue
+		}
+		verdict := contract.VerdictNotLeader
+		if t.mayHaveStarted || h.leader.sched.Begun(id) {
+			verdict = contract.VerdictUnknown
+		}
+		h.log.Info("bound job dropped: its entry is silent", "job", id, "verdict", verdict, "silent_ms", (now - t.entryAliveAt).Milliseconds())
+		for _, r := range t.waiters {
+			h.reply(r.link, r.seq, &contract.JobReply{Verdict: verdict})
+		}
+		t.waiters = nil
+		h.abandonTransient(now, id)
+	}
+}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -144,10 +144,15 @@
 	// announced, at relaysAnnouncedAt.
 	relaysChanged     bool
 	relaysAnnouncedAt time.Duration
-	groupCheckedAt    time.Duration
-	joinRequestedAt   time.Duration
-	logClock          logClock
-	disksQueriedAt    time.Duration
+	// entryAliveAt holds, by inbound link, the latest reading of this hub's clock that
+	// the entry has echoed.
+	entryAliveAt map[*link.Link]time.Duration
+	// queuesAnnounced is the version of the queues that entries were sent last.
+	queuesAnnounced uint64
+	groupCheckedAt  time.Duration
+	joinRequestedAt time.Duration
+	logClock        logClock
+	disksQueriedAt  time.Duration
 	// diskReplies holds the other seeds' replies while the group is formed, by
 	// link address.
 	diskReplies map[string]contract.DiskReply
@@ -238,6 +243,7 @@
 		uncommittedWorkers: workersInEntries(cfg.Log, stored.Entries),
 		peers:              map[string]*peer{},
 		inbound:            map[*link.Link]bool{},
+		entryAliveAt:       map[*link.Link]time.Duration{},
 		diskReplies:        map[string]contract.DiskReply{},
 	}
 	h.joinRequestedAt = now
@@ -348,6 +354,7 @@
 	h.node.Flush(now)
 	h.handleReady()
 	h.applyCommitted(now)
+	h.announceQueues()
 	h.placeAndSendOrders(now)
 	h.broadcastState(now)
 }
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -99,6 +99,7 @@
 		h.checkAgents(now)
 		h.leader.sched.CheckRuns(now)
 		h.leader.transients.evictEnded(now)
+		h.dropSilentEntries(now)
 	}
 	if now-h.leader.lastSummaryAt >= summaryInterval {
 		h.leader.lastSummaryAt = now
@@ -285,6 +286,10 @@
 	if refusal != nil {
 		return refusal
 	}
+	if m.Bound && h.entrySilent(now, to.link) {
+		// The entry may be gone already. If it is not, it submits the job again.
+		return &contract.JobReply{Verdict: contract.VerdictNotLeader}
+	}
 	id := contract.DurableJobID(suffix)
 	if h.state.Jobs[id] != nil {
 		return &contract.JobReply{Verdict: contract.VerdictAccepted}
@@ -305,7 +310,7 @@
 	}
 	// A refusal tells the caller that the job has not run. That could be wrong
 	// for a resubmitted job, which an earlier leader may have started.
-	if admission := h.leader.sched.Admit(now, now-m.Age, &job); !admission.OK && !m.Resubmitted {
+	if admission := h.leader.sched.Admit(now, now-m.Age, &job); !admission.OK && !m.Resubmitted && !h.leader.sched.HasDirectRuns(id) {
 		verdict := contract.VerdictOverload
 		if admission.NeverFits {
 			verdict = contract.VerdictUnsupported
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -288,6 +288,7 @@
 		}
 		h.sendKnownWorker(l)
 		h.relayLinkUp(l)
+		h.sendQueues(l)
 	})
 }
 
@@ -313,6 +314,7 @@
 	h := (*Hub)(i)
 	h.post(func() {
 		delete(h.inbound, l)
+		delete(h.entryAliveAt, l)
 		h.relayLinkDown(l)
 		if h.leader != nil {
 			h.leader.agentLinkDown(h, l)
@@ -338,6 +340,8 @@
 		h.handleSubmit(now, replyTo{l, seq}, m)
 	case *contract.JobQuery:
 		h.handleQuery(now, replyTo{l, seq}, m)
+	case *contract.StateEcho:
+		h.recordEcho(l, m.Stamp)
 	case *contract.WorkerReport, *contract.WorkerEnds, *contract.AgentBeat, *contract.OrdersTaken:
 		h.handleAgentMessage(now, l, m)
 	}
@@ -345,6 +349,9 @@
 
 // reply answers the message that arrived on l with the sequence number seq.
 func (h *Hub) reply(l *link.Link, seq uint64, m contract.Message) {
+	if r, ok := m.(*contract.JobReply); ok && r.Verdict != contract.VerdictNotLeader {
+		r.TablesVersion = h.state.Tables.Version
+	}
 	if err := l.Reply(seq, m); err != nil {
 		h.log.V(1).Info("reply not sent", "peer", l.Remote().Host, "err", err)
 	}
@@ -352,7 +359,7 @@
 
 // hubState returns the state that this hub announces on its inbound links.
 func (h *Hub) hubState(now time.Duration) contract.HubState {
-	return contract.HubState{Term: h.node.Term(), Leads: h.holdsLeaderLease(now), Hubs: h.knownHubs(), Leader: h.node.LeaderMember().Addr}
+	return contract.HubState{Term: h.node.Term(), Leads: h.holdsLeaderLease(now), Hubs: h.knownHubs(), Leader: h.node.LeaderMember().Addr, Stamp: int64(now)}
 }
 
 // broadcastState sends this hub's state on all inbound links when its leadership
@@ -372,7 +379,7 @@
 		h.log.Info("leadership state changed", "term", s.Term, "leads", s.Leads, "leader", s.Leader, "role", h.node.Role().String())
 	}
 	h.lastBroadcast, h.lastBroadcastAt = s, now
-	s.Hubs = h.knownHubs()
+	s.Hubs, s.Stamp = h.knownHubs(), int64(now)
 	for l := range h.inbound {
 		if err := l.Send(&s); err != nil {
 			h.log.V(1).Info("hub state not sent", "peer", l.Remote().Host, "err", err)
--- a/hub/relayed_test.go
+++ b/hub/relayed_test.go
@@ -39,7 +39,7 @@
 	entryConfig := c.uplinkConfig("gw", contract.RoleEntry)
 	entryConfig.Seeds = func() []string { return []string{hubAddr} }
 	entryConfig.Hello.RelayAddr = relayListener.Addr().String()
-	c.gateway = gateway.New(entryConfig)
+	c.gateway = gateway.New(entryConfig, false)
 	entry := c.startProcess(c.gateway.Run)
 	relayServer := &relay.Server{
 		Allowed: func(addr string) bool { return addr == direct.Addr() },
--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -84,7 +84,7 @@
 		c.workers[name] = leasedworker.New(name, c.runChecker)
 		c.startAgent(name)
 	}
-	c.gateway = gateway.New(c.uplinkConfig("gw", contract.RoleEntry))
+	c.gateway = gateway.New(c.uplinkConfig("gw", contract.RoleEntry), false)
 	gw := c.startProcess(c.gateway.Run)
 	t.Cleanup(func() {
 		gw.stop()
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -22,6 +22,10 @@
 	endedAt time.Duration
 	// mayHaveStarted says that an earlier leader may have started the job.
 	mayHaveStarted bool
+	// bound says that the job is dropped when its entries are silent. entryAliveAt is
+	// the last proof that one of them was alive.
+	bound        bool
+	entryAliveAt time.Duration
 }
 
 // addWaiter adds a caller that waits for the job's end. If the job has ended, it
@@ -60,9 +64,14 @@
 // agents report, and starts the other tasks only when none of their earlier runs
 // can be alive.
 func (h *Hub) startTransient(now time.Duration, to replyTo, d *contract.DurableJob, m *contract.JobSubmit) {
-	t := &transientJob{job: durable.NewJob(d, h.logClock.now(now)), waiters: []replyTo{to}, mayHaveStarted: m.Resubmitted}
+	t := &transientJob{job: durable.NewJob(d, h.logClock.now(now)), waiters: []replyTo{to}, mayHaveStarted: m.Resubmitted || h.leader.sched.HasDirectRuns(d.ID)}
+	t.bound, t.entryAliveAt = m.Bound, h.entryAliveAt[to.link]
 	h.leader.transients.jobs[d.ID] = t
-	for _, c := range h.leader.sched.AddTransient(t.job, now-m.Age, m.Resubmitted) {
+	ends := h.leader.sched.AddTransient(t.job, now-m.Age, m.Resubmitted)
+	if t.bound {
+		h.leader.sched.BindToEntry(d.ID)
+	}
+	for _, c := range ends {
 		h.endTransientTask(now, c.DurableTask, c.Done)
 	}
 }
--- a/link/link.go
+++ b/link/link.go
@@ -314,12 +314,7 @@
 
 // handshake exchanges Hello messages with the peer.
 func (l *Link) handshake() error {
-	out, err := AppendFrame(nil, Frame{Message: &l.local})
-	if err != nil {
-		return err
-	}
-	l.conn.SetDeadline(time.Now().Add(l.cfg.SilenceTimeout))
-	if _, err := l.conn.Write(out); err != nil {
+	if err := l.sendHello(); err != nil {
 		return err
 	}
 	f, err := ReadFrame(l.conn)
@@ -330,6 +325,22 @@
 	if !ok {
 		return errors.New("the peer did not send Hello first: check that the address is a carawayd link address")
 	}
+	return l.acceptHello(hello)
+}
+
+// sendHello sends the local Hello. The handshake must end within SilenceTimeout.
+func (l *Link) sendHello() error {
+	out, err := AppendFrame(nil, Frame{Message: &l.local})
+	if err != nil {
+		return err
+	}
+	l.conn.SetDeadline(time.Now().Add(l.cfg.SilenceTimeout))
+	_, err = l.conn.Write(out)
+	return err
+}
+
+// acceptHello records the peer's Hello, which ends the handshake.
+func (l *Link) acceptHello(hello *contract.Hello) error {
 	l.remote = *hello
 	return l.conn.SetDeadline(time.Time{})
 }
--- a/link/listen.go
+++ b/link/listen.go
@@ -38,10 +38,25 @@
 
 // serveConn runs the link on an accepted connection until it is down.
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	s.serve(ctx, conn, (*Link).handshake)
+}
+
+// ServeAccepted runs the link on a connection whose first message, the peer's Hello,
+// has been read, until it is down.
+func (s *Server) ServeAccepted(ctx context.Context, conn net.Conn, hello *contract.Hello) {
+	s.serve(ctx, conn, func(l *Link) error {
+		if err := l.sendHello(); err != nil {
+			return err
+		}
+		return l.acceptHello(hello)
+	})
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn, handshake func(*Link) error) {
 	l := newLink(conn, s.Config, s.Local)
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
-	if err := l.handshake(); err != nil {
+	if err := handshake(l); err != nil {
 		l.closeWithError(err)
 		return
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,4 +1,5 @@
-// Package relay connects processes to control hosts that they can't reach directly.
+// Package relay connects processes to control hosts that they can't reach directly. On
+// the same address it passes on the links that agents open to the entry itself.
 // A relay copies the bytes of a link in both directions and does not look at them:
 // heartbeats, stamps and sequence numbers hold from end to end, and a link that
 // breaks at the relay is a link that went down for both ends.
@@ -8,6 +9,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +35,9 @@
 type Server struct {
 	// Allowed reports whether links to the control host at an address are relayed.
 	Allowed func(addr string) bool
+	// Links runs the link of an agent that sent Hello as its first message, until the
+	// link is down. Nil refuses such links.
+	Links func(ctx context.Context, conn net.Conn, hello *contract.Hello)
 	// Dial connects to a control host. The default dials TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// IdleTimeout is the time without bytes after which a direction, and with it the
@@ -77,7 +82,15 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	hub, err := s.open(ctx, conn)
+	first, err := s.readFirst(conn)
+	if hello, ok := first.(*contract.Hello); ok && s.Links != nil && slices.Contains(hello.Roles, contract.RoleAgent) {
+		s.Links(ctx, conn, hello)
+		return
+	}
+	var hub net.Conn
+	if err == nil {
+		hub, err = s.open(ctx, first)
+	}
 	if err != nil {
 		telemetry.RelayLinks.WithLabelValues("refused").Inc()
 		s.Log.V(1).Info("link not relayed", "from", conn.RemoteAddr().String(), "err", err)
@@ -97,17 +110,18 @@
 	<-done
 }
 
-// open reads the request of a new connection and connects to the control host that
-// it names.
-func (s *Server) open(ctx context.Context, conn net.Conn) (net.Conn, error) {
+// readFirst reads the first message of a new connection.
+func (s *Server) readFirst(conn net.Conn) (contract.Message, error) {
 	if err := conn.SetReadDeadline(time.Now().Add(openTimeout)); err != nil {
 		return nil, err
 	}
 	f, err := link.ReadFrame(conn)
-	if err != nil {
-		return nil, err
-	}
-	open, ok := f.Message.(*contract.RelayOpen)
+	return f.Message, err
+}
+
+// open connects to the control host that the first message names.
+func (s *Server) open(ctx context.Context, first contract.Message) (net.Conn, error) {
+	open, ok := first.(*contract.RelayOpen)
 	if !ok {
 		return nil, errors.New("the first message asks for no control host: dial the relay address only to reach one")
 	}
