--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -59,6 +59,10 @@
 	workers      map[string]*leasedworker.Worker
 	runChecker   *leasedworker.RunChecker
 	gateway      *gateway.Gateway
+	// directStarts switches direct starts on for agents that are started later.
+	directStarts bool
+	// agentSeeds replaces the seeds of agents by worker name.
+	agentSeeds map[string][]string
 }
 
 // newCluster starts the given number of hubs as a new group, an agent for each
@@ -154,9 +158,13 @@
 
 func (c *cluster) startAgent(name string) {
 	w := c.workers[name]
+	up := c.uplinkConfig(name, contract.RoleAgent)
+	if seeds := c.agentSeeds[name]; seeds != nil {
+		up.Seeds = func() []string { return seeds }
+	}
 	workerAgent := workeragent.New(workeragent.Config{
-		Uplink: c.uplinkConfig(name, contract.RoleAgent), Lease: leasedworker.MaxLease * 9 / 10, MaxLease: leasedworker.MaxLease,
-		AuthorityTTL: AgentAuthorityTTL, Connect: func(contract.WorkerAnnouncement) workeragent.WorkerClient { return w },
+		Uplink: up, Lease: leasedworker.MaxLease * 9 / 10, MaxLease: leasedworker.MaxLease,
+		AuthorityTTL: AgentAuthorityTTL, DirectStarts: c.directStarts, Connect: func(contract.WorkerAnnouncement) workeragent.WorkerClient { return w },
 	})
 	c.mu.Lock()
 	c.workerAgents[name] = workerAgent
