--- /dev/null
+++ b/schedule/direct_test.go
@@ -0,0 +1,80 @@
+package schedule
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/durable"
+)
+
+// TestDirectRunsAreOnlyCounted replays a leader's return: a worker attaches with a
+// direct run of a job that its caller has sent again. The run uses capacity, keeps its
+// task from starting, and is neither claimed nor stopped; its end counts for nothing.
+func TestDirectRunsAreOnlyCounted(t *testing.T) {
+	h := newHarness(t)
+	ref := contract.RunRef{Job: "a", Task: 0, Run: contract.DirectRunNumber(1, 5)}
+	must.True(t, ref.Direct())
+	h.worker("w", 40, contract.PlacedRun{RunRef: ref, Demand: contract.Demand{MilliCPU: 20, MemoryMB: 1}, Direct: true})
+	must.True(t, h.sch.HasDirectRuns("a"))
+	h.now += 2 * unclaimedRunTTL
+	h.sch.CheckRuns(h.now)
+	must.SliceEmpty(t, h.sch.TakeOrders(), must.Sprint("a direct run is never stopped"))
+	d := testJob("a", step(2, 10, 100))
+	must.SliceEmpty(t, h.sch.AddTransient(durable.NewJob(&d, 0), h.now, false))
+	orders := h.place()
+	must.Len(t, 1, orders)
+	must.Eq(t, 1, orders[0].Start.Task, must.Sprint("the task of the direct run must wait"))
+	must.False(t, orders[0].Start.RunRef.Direct())
+	must.Eq(t, 30, h.sch.PoolSummaries()[0].UsedMilliCPU)
+
+	must.Nil(t, h.sch.RunEnded(h.now, "w", contract.RunEnded{RunRef: ref, Seq: 1, Kind: contract.EndDone}))
+	must.False(t, h.sch.HasDirectRuns("a"))
+	orders = h.place()
+	must.Len(t, 1, orders)
+	must.Eq(t, 0, orders[0].Start.Task)
+}
+
+// TestDirectRunsEndWithTheirSession lets the session with a direct run expire: the task
+// may start elsewhere then, and only then.
+func TestDirectRunsEndWithTheirSession(t *testing.T) {
+	h := newHarness(t)
+	ref := contract.RunRef{Job: "a", Run: contract.DirectRunNumber(1, 5)}
+	h.worker("w", 40, contract.PlacedRun{RunRef: ref, Demand: contract.Demand{MilliCPU: 20}, Direct: true})
+	h.worker("other", 40)
+	d := testJob("a", step(1, 10, 100))
+	h.sch.AddTransient(durable.NewJob(&d, 0), h.now, false)
+	h.sch.WorkerUnreachable("w")
+	must.SliceEmpty(t, h.place())
+	h.sch.SessionEnded("w")
+	must.Len(t, 1, h.place())
+}
+
+// TestUnclaimedRunsOfBoundJobsEndSoon covers a change of leader after the loss of an
+// entry: nobody submits its jobs again, and their callers ask elsewhere after 1,300 ms.
+func TestUnclaimedRunsOfBoundJobsEndSoon(t *testing.T) {
+	h := newHarness(t)
+	need := contract.Demand{MilliCPU: 1}
+	bound := contract.RunRef{Job: "a", Run: 1}
+	h.worker("w", 40, contract.PlacedRun{RunRef: bound, Demand: need, Bound: true}, contract.PlacedRun{RunRef: contract.RunRef{Job: "b", Run: 2}, Demand: need})
+	h.now += contract.BoundSilence + ms
+	h.sch.CheckRuns(h.now)
+	orders := h.sch.TakeOrders()
+	must.Len(t, 1, orders)
+	must.Eq(t, bound, *orders[0].Stop)
+}
+
+// TestStaleRefusalAvoidsTheWorker covers a worker on which a direct run of the task with
+// a higher number has ended: it refuses each start of this leader, so the next one must
+// go elsewhere.
+func TestStaleRefusalAvoidsTheWorker(t *testing.T) {
+	h := newHarness(t)
+	h.worker("w1", 40)
+	h.worker("w2", 40)
+	d := testJob("a", step(1, 10, 100))
+	h.sch.AddTransient(durable.NewJob(&d, 0), h.now, false)
+	first := h.place()[0]
+	h.sch.RunEnded(h.now, first.Host, contract.RunEnded{RunRef: first.Start.RunRef, Kind: contract.EndNotStarted, Stale: true})
+	must.NotEq(t, first.Host, h.place()[0].Host)
+}
