--- a/hub/direct_test.go
+++ b/hub/direct_test.go
@@ -243,17 +243,21 @@
 }
 
 // TestWorkerThatDoesNotStopEndsWithItsLease covers an entry that dies while the worker
-// answers nothing: only the end of the lease stops the run.
+// gets no stops, or answers nothing: only the end of the lease stops the run.
 func TestWorkerThatDoesNotStopEndsWithItsLease(t *testing.T) {
-	c := newDirectCluster(t, nil, "w1")
-	c.stopHub(0)
-	c.waitDirect(c.entries[0])
-	c.entries[0].askAsync("a", 1, 5000)
-	c.waitRunning("w1", 1)
-	c.workers["w1"].SetMode(leasedworker.Mode{Unresponsive: true})
-	c.entries[0].stop()
-	time.Sleep(callerRetry)
-	must.Eq(t, 0, c.workers["w1"].Running())
+	for name, mode := range map[string]leasedworker.Mode{"stops lost": {LoseStops: true}, "unresponsive": {Unresponsive: true}} {
+		t.Run(name, func(t *testing.T) {
+			c := newDirectCluster(t, nil, "w1")
+			c.stopHub(0)
+			c.waitDirect(c.entries[0])
+			c.entries[0].askAsync("a", 1, 5000)
+			c.waitRunning("w1", 1)
+			c.workers["w1"].SetMode(mode)
+			c.entries[0].stop()
+			time.Sleep(callerRetry)
+			must.Eq(t, 0, c.workers["w1"].Running())
+		})
+	}
 }
 
 // TestLostAgentMakesTheOutcomeUnknown covers an agent that dies: its entry answers 504
--- a/internal/leasedworker/leasedworker.go
+++ b/internal/leasedworker/leasedworker.go
@@ -19,7 +19,8 @@
 // MaxLease is the longest time for which a call can extend the lease of a Worker.
 const MaxLease = time.Second
 
-// ErrAnswerLost is returned by Worker.Start if the worker's mode loses the answer.
+// ErrAnswerLost is returned by Worker.Start and Worker.Stop if the worker's mode loses
+// the answer.
 var ErrAnswerLost = errors.New("answer lost")
 
 // RunChecker records the starts and ends of runs on all workers and collects the
@@ -100,6 +101,8 @@
 	FailAll bool
 	// Unresponsive leaves every call unanswered, while active runs continue.
 	Unresponsive bool
+	// LoseStops loses each stop, which then has no effect.
+	LoseStops bool
 	// Exited refuses connections, as if the worker's process had exited.
 	Exited bool
 }
@@ -316,6 +319,10 @@
 		return err
 	}
 	w.mu.Lock()
+	if w.mode.LoseStops {
+		w.mu.Unlock()
+		return ErrAnswerLost
+	}
 	if token < w.highestToken {
 		w.mu.Unlock()
 		return workeragent.ErrFenced
