Direct starts: stamps of a leader to entries, tests of the entry, abandoned jobs keep other callers

A leader that paused for 0.25 s would have dropped all bound jobs, since entries echo a stamp every 200 ms; it is sent every 100 ms to them now. An abandoned job is not cancelled while callers at another entry wait for it.

--- a/hub/bound.go
+++ b/hub/bound.go
@@ -14,6 +14,26 @@
 // that the entry is alive. The proof is the entry's echo of this hub's clock, since a
 // message as such may have waited in a buffer.
 
+// stampInterval is how often a leader sends its clock to the entries that echo it. With
+// contract.BoundSilence it leaves time for a pause of this process of 0.25 s, after
+// which it is still the leader.
+const stampInterval = 100 * time.Millisecond
+
+// stampEntries sends this hub's state, and with it its clock, to the entries that echo
+// it, while this hub leads.
+func (h *Hub) stampEntries(now time.Duration) {
+	if now-h.stampedAt < stampInterval || !h.holdsLeaderLease(now) {
+		return
+	}
+	h.stampedAt = now
+	s := h.hubState(now)
+	for l := range h.entryAliveAt {
+		if err := l.Send(&s); err != nil {
+			h.log.V(1).Info("hub state not sent", "peer", l.Remote().Host, "err", err)
+		}
+	}
+}
+
 // recordEcho records an entry's echo of the clock reading stamp.
 func (h *Hub) recordEcho(l *link.Link, stamp int64) {
 	if h.inbound[l] {
@@ -50,6 +70,6 @@
 			h.reply(r.link, r.seq, &contract.JobReply{Verdict: verdict})
 		}
 		t.waiters = nil
-		h.abandonTransient(now, id)
+		h.abandonTransient(now, nil, id)
 	}
 }
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -147,6 +147,8 @@
 	// entryAliveAt holds, by inbound link, the latest reading of this hub's clock that
 	// the entry has echoed.
 	entryAliveAt map[*link.Link]time.Duration
+	// stampedAt is when the entries that echo it were last sent this hub's clock.
+	stampedAt time.Duration
 	// queuesAnnounced is the version of the queues that entries were sent last.
 	queuesAnnounced uint64
 	groupCheckedAt  time.Duration
@@ -357,6 +359,7 @@
 	h.announceQueues()
 	h.placeAndSendOrders(now)
 	h.broadcastState(now)
+	h.stampEntries(now)
 }
 
 // logRoleChange logs a change of this hub's role in the consensus group.
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -345,7 +345,7 @@
 	}
 	id := contract.DurableJobID(suffix)
 	if m.Action == contract.JobAbandon {
-		h.abandonTransient(now, id)
+		h.abandonTransient(now, to.link, id)
 		return nil
 	}
 	j := h.state.Jobs[id]
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -1,10 +1,12 @@
 package hub
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/durable"
+	"github.com/carawaylanding/carawaylanding/link"
 	"github.com/carawaylanding/carawaylanding/schedule"
 )
 
@@ -130,9 +132,16 @@
 	}
 }
 
-// abandonTransient cancels a transient job whose callers no longer wait for it.
-func (h *Hub) abandonTransient(now time.Duration, id contract.DurableJobID) {
-	if t := h.leader.transients.jobs[id]; t != nil && t.endedAt == 0 {
+// abandonTransient cancels a transient job whose callers at the entry on link l no
+// longer wait for it, unless callers at other entries do. An entry that was frozen may
+// send this after its caller has sent the job to another entry.
+func (h *Hub) abandonTransient(now time.Duration, l *link.Link, id contract.DurableJobID) {
+	t := h.leader.transients.jobs[id]
+	if t == nil || t.endedAt != 0 {
+		return
+	}
+	t.waiters = slices.DeleteFunc(t.waiters, func(r replyTo) bool { return r.link == l || !h.inbound[r.link] })
+	if len(t.waiters) == 0 {
 		t.job.State = contract.DurableCancelled
 		h.finishTransient(now, t)
 	}
--- a/schedule/direct_test.go
+++ b/schedule/direct_test.go
@@ -58,7 +58,7 @@
 	need := contract.Demand{MilliCPU: 1}
 	bound := contract.RunRef{Job: "a", Run: 1}
 	h.worker("w", 40, contract.PlacedRun{RunRef: bound, Demand: need, Bound: true}, contract.PlacedRun{RunRef: contract.RunRef{Job: "b", Run: 2}, Demand: need})
-	h.now += contract.BoundSilence + ms
+	h.now += boundUnclaimedTTL + ms
 	h.sch.CheckRuns(h.now)
 	orders := h.sch.TakeOrders()
 	must.Len(t, 1, orders)
--- a/schedule/unclaimed.go
+++ b/schedule/unclaimed.go
@@ -16,7 +16,7 @@
 	// boundUnclaimedTTL applies to the runs of bound jobs: their caller may have sent
 	// the job to an entry without a leader, which starts it 1,300 ms after the first
 	// entry was lost. Entries that are alive submit the job again within 0.2 s.
-	boundUnclaimedTTL = contract.BoundSilence
+	boundUnclaimedTTL = 300 * time.Millisecond
 )
 
 // unclaimedEnd is the end of a run whose job this leader does not know.
