--- a/schedule/direct_test.go
+++ b/schedule/direct_test.go
@@ -31,6 +31,10 @@
 
 	must.Nil(t, h.sch.RunEnded(h.now, "w", contract.RunEnded{RunRef: ref, Seq: 1, Kind: contract.EndDone}))
 	must.False(t, h.sch.HasDirectRuns("a"))
+	must.Nil(t, h.sch.RunEnded(h.now, "w", contract.RunEnded{RunRef: contract.RunRef{Job: "b", Run: ref.Run}, Seq: 2, Kind: contract.EndDone}))
+	later := testJob("b", step(1, 10, 100))
+	must.SliceEmpty(t, h.sch.AddTransient(durable.NewJob(&later, 0), h.now, false), must.Sprint("a direct run's end counted for a job"))
+	h.sch.JobEnded("b")
 	orders = h.place()
 	must.Len(t, 1, orders)
 	must.Eq(t, 0, orders[0].Start.Task)
