--- a/directstart/directstart.go
+++ b/directstart/directstart.go
@@ -46,6 +46,9 @@
 	// requests of that time may still wait in its buffers.
 	frozenTime  = 400 * time.Millisecond
 	afterFreeze = 500 * time.Millisecond
+	// expireInterval is how often the jobs are checked for timeouts. Offers and ends
+	// arrive about a thousand times a second.
+	expireInterval = 5 * time.Millisecond
 	// resultTTL is how long the result of a job is kept for a caller that sends it
 	// again, as at a leader.
 	resultTTL = 20 * time.Second
@@ -185,6 +188,8 @@
 	// lastEvent is when the last event was handled, and closedUntil the time until
 	// which jobs are refused after a freeze.
 	lastEvent, closedUntil time.Duration
+	// expiredAt is when expire last looked at the jobs.
+	expiredAt time.Duration
 	actions                []Action
 }
 
@@ -211,7 +216,10 @@
 		d.endFreeze(now)
 	}
 	d.lastEvent = now
-	d.expire(now)
+	if now-d.expiredAt >= expireInterval {
+		d.expiredAt = now
+		d.expire(now)
+	}
 	switch e := e.(type) {
 	case Offer:
 		d.handleOffer(now, e)
--- a/hub/bound.go
+++ b/hub/bound.go
@@ -51,8 +51,10 @@
 // longer than contract.BoundSilence. An entry that is alive nevertheless submits a job
 // again that has not begun, and answers that the outcome of others is unknown.
 func (h *Hub) dropSilentEntries(now time.Duration) {
-	for id, t := range h.leader.transients.jobs {
-		if !t.bound || t.endedAt != 0 {
+	transients := h.leader.transients
+	for id, t := range transients.bound {
+		if t.endedAt != 0 || transients.jobs[id] != t {
+			delete(transients.bound, id)
 			continue
 		}
 		for _, w := range t.waiters {
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -24,9 +24,7 @@
 	endedAt time.Duration
 	// mayHaveStarted says that an earlier leader may have started the job.
 	mayHaveStarted bool
-	// bound says that the job is dropped when its entries are silent. entryAliveAt is
-	// the last proof that one of them was alive.
-	bound        bool
+	// entryAliveAt is the last proof that one of a bound job's entries was alive.
 	entryAliveAt time.Duration
 }
 
@@ -43,12 +41,15 @@
 // transientJobs holds the transient jobs of one term as leader.
 type transientJobs struct {
 	jobs map[contract.DurableJobID]*transientJob
+	// bound holds the bound jobs that have not ended, and some that have; see
+	// dropSilentEntries.
+	bound map[contract.DurableJobID]*transientJob
 	// ended lists the jobs that have ended, oldest first.
 	ended []contract.DurableJobID
 }
 
 func newTransientJobs() *transientJobs {
-	return &transientJobs{jobs: map[contract.DurableJobID]*transientJob{}}
+	return &transientJobs{jobs: map[contract.DurableJobID]*transientJob{}, bound: map[contract.DurableJobID]*transientJob{}}
 }
 
 // evictEnded removes the jobs that ended more than transientRetention ago.
@@ -67,10 +68,11 @@
 // can be alive.
 func (h *Hub) startTransient(now time.Duration, to replyTo, d *contract.DurableJob, m *contract.JobSubmit) {
 	t := &transientJob{job: durable.NewJob(d, h.logClock.now(now)), waiters: []replyTo{to}, mayHaveStarted: m.Resubmitted || h.leader.sched.HasDirectRuns(d.ID)}
-	t.bound, t.entryAliveAt = m.Bound, h.entryAliveAt[to.link]
 	h.leader.transients.jobs[d.ID] = t
 	ends := h.leader.sched.AddTransient(t.job, now-m.Age, m.Resubmitted)
-	if t.bound {
+	if m.Bound {
+		t.entryAliveAt = h.entryAliveAt[to.link]
+		h.leader.transients.bound[d.ID] = t
 		h.leader.sched.BindToEntry(d.ID)
 	}
 	for _, c := range ends {
