An agent that stops reports no end of runs that may be alive

When the process ended, the wait for the expiry of the lease was cut short, and a new session (and now ends of direct runs) was reported as if it had passed: the tasks could start elsewhere up to 0.5 s too early. Seen in TestLostAgentMakesTheOutcomeUnknown under the race detector; TestStoppingAgentReportsNoEndOfLiveRuns fails without the change.

--- a/workeragent/direct_test.go
+++ b/workeragent/direct_test.go
@@ -126,3 +126,20 @@
 	a.LeaderChanged(e.link, 6)
 	must.LessEq(t, reported+a.cfg.AuthorityTTL, w.leaseAuthorityEnd(far))
 }
+
+// TestStoppingAgentReportsNoEndOfLiveRuns lets the process end while a run is alive on
+// the worker, whose lease goes on for a while. Neither a new session nor the end of the
+// run may be reported: its task would start elsewhere at the same time.
+func TestStoppingAgentReportsNoEndOfLiveRuns(t *testing.T) {
+	a, w, e := newDirectAgent(t)
+	var ends chan contract.Message
+	e.link, ends = newLeaderLink(t)
+	a.handleDirectStart(boottime.Now(), e, directStart("a"))
+	must.MapLen(t, 1, w.runs)
+	w.cancel()
+	w.awaitLeaseExpiry()
+	must.Eq(t, contract.WorkerSession(7), a.session)
+	must.NoError(t, e.link.Send(&contract.DirectBeat{Stamp: 1}))
+	_, first := (<-ends).(*contract.DirectBeat)
+	must.True(t, first, must.Sprint("the end of a run was reported before its lease had ended"))
+}
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -445,6 +445,10 @@
 	}
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
+	if boottime.Now() < expiry {
+		// The instance was replaced or this process ends: runs may still be alive.
+		return
+	}
 	w.ackedSeq = w.lastSeq
 	w.failDirectRuns(contract.EndFailed)
 	if w.direct && !w.agent.sessionReported {
