--- a/directstart/directstart.go
+++ b/directstart/directstart.go
@@ -190,7 +190,7 @@
 	lastEvent, closedUntil time.Duration
 	// expiredAt is when expire last looked at the jobs.
 	expiredAt time.Duration
-	actions                []Action
+	actions   []Action
 }
 
 // result is the result of an ended job, and when it ended.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,8 +188,9 @@
 const maxLeaderlessWait = 700 * time.Millisecond
 
 // maxWaitForOffers replaces maxLeaderlessWait for jobs that can be started directly.
-// Agents offer direct starts 0.4 to 0.5 s after they have lost the leader.
-const maxWaitForOffers = time.Second
+// Agents offer direct starts 0.5 s after they have noticed that a leader is silent, and
+// 1 s after its links were reset, since their authority goes on until then.
+const maxWaitForOffers = 1200 * time.Millisecond
 
 // leaderlessFor returns how long there has been no leader, or zero if there is
 // one.
--- a/workeragent/direct.go
+++ b/workeragent/direct.go
@@ -22,7 +22,8 @@
 //     since that report was sent. A leader that took the report declares the session
 //     expired later than that.
 //  4. The demands of all runs that are or may be on the worker, including those that
-//     are being stopped, never exceed its announced capacity.
+//     are being stopped, never exceed its announced capacity. If the worker lists a
+//     run that was not ordered in this session, none is started.
 //  5. A direct run starts and continues only until directSilence after a reading of
 //     the agent's clock that its entry has echoed, and while the link to it is up.
 //     If its stop is not acknowledged directStopGrace later, the lease is no longer
@@ -82,7 +83,7 @@
 // holds agent.mu.
 func (w *workerInstance) directOpen(now time.Duration) bool {
 	a := w.agent
-	return w.inSession && w.direct && a.link == nil && !a.sessionReported && !w.sessionEnding &&
+	return w.inSession && w.direct && a.link == nil && !a.sessionReported && !w.sessionEnding && len(w.unknownRuns) == 0 &&
 		!w.worker.Draining && !a.evacuated() && w.unhealthyUntil <= now && w.leaseConfirmed()
 }
 
