--- a/hub/direct_test.go
+++ b/hub/direct_test.go
@@ -10,10 +10,12 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/carawaylanding/carawaylanding/boottime"
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/gateway"
 	"github.com/carawaylanding/carawaylanding/internal/leasedworker"
 	"github.com/carawaylanding/carawaylanding/internal/testbed"
+	"github.com/carawaylanding/carawaylanding/link"
 	"github.com/carawaylanding/carawaylanding/relay"
 	"github.com/carawaylanding/carawaylanding/workeragent"
 )
@@ -175,6 +177,11 @@
 // its capacity, and the next leader takes over.
 func TestJobsAreStartedDirectlyWhileThereIsNoLeader(t *testing.T) {
 	c := newDirectCluster(t, nil, "w1", "w2")
+	// An entry that has seen newer tables than its list of queues starts nothing.
+	c.putTables(2)
+	for _, e := range c.entries {
+		must.Eq(t, 2, e.ask("tables", 1, 1).TablesVersion)
+	}
 	c.stopHub(0)
 	c.waitDirect(c.entries[0])
 	c.waitDirect(c.entries[1])
@@ -359,3 +366,30 @@
 	must.Eq(t, contract.DurableCompleted, a.State)
 	must.Eq(t, nil, c.runChecker.Violations())
 }
+
+// TestAbandonedJobGoesOnForOtherCallers covers an entry that was frozen: it abandons a
+// job after its caller has sent the job to another entry, which waits for it.
+func TestAbandonedJobGoesOnForOtherCallers(t *testing.T) {
+	c := newCluster(t, 1)
+	c.putTables(1)
+	h := c.hubInstances[c.waitLeader()]
+	first, second := newTestLink(t), newTestLink(t)
+	m := testJob("a", 1, 1000)
+	m.Transient, m.Resubmitted = true, true
+	var both, one, none bool
+	h.runInLoop(func() {
+		known := func() bool { return h.leader.transients.jobs["a"] != nil }
+		for _, l := range []*link.Link{first, second} {
+			h.inbound[l] = true
+			h.handleSubmit(boottime.Now(), replyTo{l, 1}, m)
+		}
+		both = known()
+		h.abandonTransient(boottime.Now(), first, "a")
+		one = known()
+		h.abandonTransient(boottime.Now(), second, "a")
+		none = !known()
+	})
+	must.True(t, both)
+	must.True(t, one, must.Sprint("the job of the second caller was cancelled"))
+	must.True(t, none)
+}
