--- a/directstart/admit.go
+++ b/directstart/admit.go
@@ -9,6 +9,8 @@
 	// minRetryAfter is the least time after which a refused caller should come back.
 	// Callers get it in whole seconds.
 	minRetryAfter = time.Second
+	// maxRetryAfter is the longest such time: a leader may be back by then.
+	maxRetryAfter = 2 * time.Second
 	// freedWindow is the time constant of freedRate.
 	freedWindow = time.Second
 )
@@ -64,7 +66,7 @@
 	}
 	wait := d.forecastWait(now, j, free)
 	if now+wait > max(j.latestStart, now) {
-		return "the work ahead takes too long", max(wait, minRetryAfter)
+		return "the work ahead takes too long", min(max(wait, minRetryAfter), maxRetryAfter)
 	}
 	return "", 0
 }
--- a/directstart/directstart_test.go
+++ b/directstart/directstart_test.go
@@ -155,6 +155,9 @@
 	must.Len(t, 4, h.starts)
 	refused := len(h.answers)
 	must.Between(t, 65, refused, 76)
+	for _, a := range h.answers {
+		must.Between(t, minRetryAfter, a.RetryAfter, maxRetryAfter)
+	}
 	for i := 0; i < len(h.starts); i++ {
 		if i%4 == 0 {
 			h.now += 20 * ms
--- a/schedule/direct.go
+++ b/schedule/direct.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "github.com/carawaylanding/carawaylanding/contract"
+import (
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+)
 
 // Direct runs are those that entries started while there was no leader. The load
 // pattern: a leader comes back while agents still have such runs, and callers send
@@ -19,6 +23,13 @@
 	return false
 }
 
+// addDirectRun adds a direct run that an agent has reported. Its queue is not known, so
+// forecasts use its declared duration.
+func (s *Scheduler) addDirectRun(now time.Duration, w *Worker, p contract.PlacedRun) {
+	declared := time.Duration(p.Demand.DeclaredMillis) * time.Millisecond
+	s.addRun(w, p.RunRef, &run{need: p.Demand, placedAt: now, expectedDuration: declared, takenOver: true, direct: true})
+}
+
 // directRunAlive reports whether a direct run of the job's task t may be alive.
 func (s *Scheduler) directRunAlive(j *job, t int) bool {
 	return len(s.directRuns) > 0 && s.directRuns[contract.DurableTask{Job: j.ID, Task: uint32(t)}] > 0
--- a/schedule/direct_test.go
+++ b/schedule/direct_test.go
@@ -82,3 +82,13 @@
 	h.sch.RunEnded(h.now, first.Host, contract.RunEnded{RunRef: first.Start.RunRef, Kind: contract.EndNotStarted, Stale: true})
 	must.NotEq(t, first.Host, h.place()[0].Host)
 }
+
+// TestDirectRunsDelayForecasts covers a full worker at the return of a leader: a job is
+// not admitted into room that direct runs still use.
+func TestDirectRunsDelayForecasts(t *testing.T) {
+	h := newHarness(t)
+	ref := contract.RunRef{Job: "a", Run: contract.DirectRunNumber(1, 5)}
+	h.worker("w", 10, contract.PlacedRun{RunRef: ref, Demand: contract.Demand{MilliCPU: 10, DeclaredMillis: 900}, Direct: true})
+	d := testJob("b", step(1, 10, 60))
+	must.False(t, h.sch.Admit(h.now, h.now, &d).OK)
+}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -101,10 +101,11 @@
 	for _, p := range running {
 		listed[p.RunRef] = true
 		if w.runs[p.RunRef] == nil {
-			s.addRun(w, p.RunRef, &run{need: p.Demand, placedAt: now, takenOver: true, direct: p.Direct, bound: p.Bound})
 			if p.Direct {
+				s.addDirectRun(now, w, p)
 				continue
 			}
+			s.addRun(w, p.RunRef, &run{need: p.Demand, placedAt: now, takenOver: true, bound: p.Bound})
 			s.markUnclaimed(w, p.RunRef)
 			if j := s.jobs[p.Job]; j != nil {
 				s.claimRun(j, w, p.RunRef)
