A stop is ordered again when its run is still listed at an attachment

A stop that was lost with the link to an agent was never repeated: the run went on to its end although its job had been cancelled or dropped. TestLostStopIsOrderedAgain fails without the change.

--- a/schedule/direct_test.go
+++ b/schedule/direct_test.go
@@ -92,3 +92,20 @@
 	d := testJob("b", step(1, 10, 60))
 	must.False(t, h.sch.Admit(h.now, h.now, &d).OK)
 }
+
+// TestLostStopIsOrderedAgain covers a stop that is lost with the link to an agent, which
+// attaches again within its authority. Without another stop the run of a dropped job
+// would go on, while its caller asks an entry beyond a cut.
+func TestLostStopIsOrderedAgain(t *testing.T) {
+	h := newHarness(t)
+	h.worker("w", 40)
+	d := testJob("a", step(1, 10, 100))
+	h.sch.AddTransient(durable.NewJob(&d, 0), h.now, false)
+	start := h.place()[0].Start
+	h.sch.JobEnded("a")
+	must.Len(t, 1, h.sch.TakeOrders())
+	h.worker("w", 40, start.Placed())
+	orders := h.sch.TakeOrders()
+	must.Len(t, 1, orders)
+	must.Eq(t, start.RunRef, *orders[0].Stop)
+}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -95,11 +95,17 @@
 
 // reconcileRuns makes the worker's runs match the list that its agent reported.
 // It adds the listed runs that are not known, and removes the runs that are not
-// listed, whose start orders were lost, and requeues their tasks.
+// listed, whose start orders were lost, and requeues their tasks. Listed runs that were
+// ordered to stop are ordered so again.
 func (s *Scheduler) reconcileRuns(now time.Duration, w *Worker, running []contract.PlacedRun) {
 	listed := make(map[contract.RunRef]bool, len(running))
 	for _, p := range running {
 		listed[p.RunRef] = true
+		if r := w.runs[p.RunRef]; r != nil && r.stopping {
+			// The stop may have been lost with the earlier link.
+			r.stopping = false
+			s.stopRun(w, p.RunRef)
+		}
 		if w.runs[p.RunRef] == nil {
 			if p.Direct {
 				s.addDirectRun(now, w, p)
