Entries with bound jobs dial a relay after 0.25 s of silence

The leader drops bound jobs after 0.4 s, and entries dialled a relay after 0.45 s, so each cut of an entry cost its jobs.

--- a/hub/direct_test.go
+++ b/hub/direct_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +40,8 @@
 	hubProxy *testbed.Relay
 	hubAddr  string
 	entries  []*directEntry
+	// relaying lets entries that reach the hub relay links to it.
+	relaying atomic.Bool
 }
 
 // newDirectCluster starts a hub, two entries, and an agent for each worker. Those in
@@ -102,10 +105,14 @@
 	if reachHub {
 		cfg.Seeds = func() []string { return []string{c.hubAddr} }
 	}
-	cfg.Hello.RelayAddr = proxy.Addr()
+	cfg.Hello.RelayAddr, cfg.RelayAfter = proxy.Addr(), BoundRelayAfter
 	g := gateway.New(cfg, true)
 	server := &relay.Server{
-		Allowed: func(string) bool { return false }, Links: g.ServeAgent, IdleTimeout: LinkConfig.SilenceTimeout, Log: testLog(string(cfg.Hello.Host)),
+		Allowed: func(string) bool { return reachHub && c.relaying.Load() },
+		Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", c.hubAddr)
+		},
+		Links: g.ServeAgent, IdleTimeout: LinkConfig.SilenceTimeout, Log: testLog(string(cfg.Hello.Host)),
 	}
 	p := c.startProcess(func(ctx context.Context) error {
 		var wg sync.WaitGroup
@@ -367,6 +374,21 @@
 	must.Eq(t, nil, c.runChecker.Violations())
 }
 
+// TestBoundJobOutlivesTheCutOfItsEntry cuts an entry off from the leader, while another
+// entry relays: the first one must be back before its jobs are dropped.
+func TestBoundJobOutlivesTheCutOfItsEntry(t *testing.T) {
+	c := newDirectCluster(t, map[string]bool{"e1": true, "w1": true}, "w1")
+	c.relaying.Store(true)
+	// The relays are announced at most every relayAnnounceInterval.
+	time.Sleep(relayAnnounceInterval + 200*time.Millisecond)
+	starts := c.runChecker.Starts()
+	answer := c.entries[0].askAsync("a", 2, 3000)
+	c.waitRunning("w1", 2)
+	c.hubProxy.Cut(testbed.Forward, testbed.Backward)
+	must.Eq(t, contract.DurableCompleted, (<-answer).State)
+	must.Eq(t, starts+2, c.runChecker.Starts(), must.Sprint("the job was dropped and begun again"))
+}
+
 // TestAbandonedJobGoesOnForOtherCallers covers an entry that was frozen: it abandons a
 // job after its caller has sent the job to another entry, which waits for it.
 func TestAbandonedJobGoesOnForOtherCallers(t *testing.T) {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -84,6 +84,11 @@
 	MaxBacklogBytes: maxLinkBacklogBytes,
 }
 
+// BoundRelayAfter replaces RelayAfter for an entry whose jobs are bound to it: the leader
+// sends it its clock every stampInterval, and drops its jobs contract.BoundSilence after
+// the last echo. The relayed path must be up before that.
+const BoundRelayAfter = 2*stampInterval + 50*time.Millisecond
+
 // RelayAfter returns how long the leader may be silent towards a process of the role
 // before the process also dials it through a relay. The leader answers the heartbeats
 // of agents, and announces itself to entries every stateBroadcastInterval.
