--- a/directstart/jobs.go
+++ b/directstart/jobs.go
@@ -99,6 +99,10 @@
 	}
 	j := newJob(s)
 	d.jobs[j.ID] = j
+	if d.hasRuns(j.ID) {
+		d.answer(now, j, Answer{Result: Unknown, Reason: "runs of an earlier submission are being stopped"})
+		return
+	}
 	if reason, wait := d.admit(now, j); reason != "" {
 		d.refuse(now, j, reason, wait)
 		return
@@ -106,6 +110,19 @@
 	d.waiting = append(d.waiting, j)
 }
 
+// hasRuns reports whether a run of an earlier submission of the job may be alive. Its
+// tasks must not start again before it has ended.
+func (d *Dispatcher) hasRuns(id contract.DurableJobID) bool {
+	for _, a := range d.order {
+		for ref := range a.runs {
+			if ref.Job == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // endFreeze gives up all jobs after this process was frozen.
 func (d *Dispatcher) endFreeze(now time.Duration) {
 	d.closedUntil = now + afterFreeze
