Queues go only to entries that echo the hub's clock

An entry of an earlier version closes a link on which an unknown message arrives, and hubs and entries may be of different versions during an upgrade.

--- a/contract/message_direct.go
+++ b/contract/message_direct.go
@@ -37,7 +37,7 @@
 func (r RunRef) Direct() bool { return r.Run&directRunBit != 0 }
 
 // QueueList names the queues, without the operator's document. A control host sends
-// it to entries when their link opens and when the version changes.
+// it to entries after their first StateEcho on a link, and when the version changes.
 type QueueList struct {
 	Version uint64
 	Queues  []Queue
--- a/hub/bound.go
+++ b/hub/bound.go
@@ -34,10 +34,16 @@
 	}
 }
 
-// recordEcho records an entry's echo of the clock reading stamp.
+// recordEcho records an entry's echo of the clock reading stamp. The first echo on a link
+// shows that the entry knows direct starts, so it is sent the queues.
 func (h *Hub) recordEcho(l *link.Link, stamp int64) {
-	if h.inbound[l] {
-		h.entryAliveAt[l] = max(h.entryAliveAt[l], min(time.Duration(stamp), h.eventAt))
+	if !h.inbound[l] {
+		return
+	}
+	at, known := h.entryAliveAt[l]
+	h.entryAliveAt[l] = max(at, min(time.Duration(stamp), h.eventAt))
+	if !known {
+		h.sendQueues(l)
 	}
 }
 
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -288,7 +288,6 @@
 		}
 		h.sendKnownWorker(l)
 		h.relayLinkUp(l)
-		h.sendQueues(l)
 	})
 }
 
--- a/hub/queues.go
+++ b/hub/queues.go
@@ -1,28 +1,29 @@
 package hub
 
 import (
-	"slices"
-
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/link"
 )
 
-// announceQueues sends the queues to all entries if their version has changed since
+// Queues are sent only to entries that echo this hub's clock, since entries of an earlier
+// version close a link on which an unknown message arrives.
+
+// announceQueues sends the queues to these entries if their version has changed since
 // the last announcement.
 func (h *Hub) announceQueues() {
 	if h.queuesAnnounced == h.state.Tables.Version {
 		return
 	}
 	h.queuesAnnounced = h.state.Tables.Version
-	for l := range h.inbound {
+	for l := range h.entryAliveAt {
 		h.sendQueues(l)
 	}
 }
 
-// sendQueues sends the queues to the process at the other end of the link if it is an
-// entry and there are tables.
+// sendQueues sends the queues to the entry at the other end of the link if there are
+// tables.
 func (h *Hub) sendQueues(l *link.Link) {
-	if h.state.Tables.Version == 0 || !slices.Contains(l.Remote().Roles, contract.RoleEntry) {
+	if h.state.Tables.Version == 0 {
 		return
 	}
 	m := &contract.QueueList{Version: h.state.Tables.Version, Queues: h.state.Tables.Queues}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -50,8 +50,8 @@
 	// through a relay; zero means that relays are not used. It should cover two
 	// intervals of the leader's messages.
 	RelayAfter time.Duration
-	// EchoState echoes the clock reading in each HubState of a leader, which shows
-	// the leader that this process is alive.
+	// EchoState echoes the clock reading in each HubState, which shows a leader that
+	// this process is alive.
 	EchoState bool
 	Log       logr.Logger
 }
@@ -299,7 +299,7 @@
 		h.u.groupAddrs = s.Hubs
 	}
 	h.u.mu.Unlock()
-	if s.Leads && h.u.cfg.EchoState && s.Stamp != 0 {
+	if h.u.cfg.EchoState && s.Stamp != 0 {
 		// An echo that is lost with the link needs no repetition.
 		_ = l.Send(&contract.StateEcho{Stamp: s.Stamp})
 	}
