--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,6 @@
 // Package gateway sends callers' durable jobs and queries to the leader of the
 // hubs, which are the control hosts of durable jobs, and sends them again when
-// the leader changes.
+// the leader changes. While there is no leader it can run transient jobs at agents.
 package gateway
 
 import (
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -2,7 +2,8 @@
 // caller. It starts and stops runs on the leader's orders, renews the worker's
 // lease only while a leader grants it authority, and reports the end of each
 // run to the leader. It acknowledges a run end to the worker only after the leader
-// has confirmed that the run end is stored.
+// has confirmed that the run end is stored. While no leader is known it can start runs
+// for entries instead; direct.go has the conditions.
 //
 // Invariant: a session is one unbroken lease of one worker instance. A new
 // session is reported only when no run of the previous session is running or
