--- /dev/null
+++ b/hub/bound.go
@@ -0,0 +1,83 @@
+package hub
+
+import (
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/link"
+)
+
+// A bound job is a transient job that an entry without a leader might start directly.
+// If its entry is lost, or cut off from this leader, the caller sends the job again
+// after 1,300 ms, perhaps to an entry that has no leader. By then no run of the job may
+// be alive here, so the leader drops the job contract.BoundSilence after the last proof
+// that the entry is alive. The proof is the entry's echo of this hub's clock, since a
+// message as such may have waited in a buffer.
+
+// stampInterval is how often a leader sends its clock to the entries that echo it. With
+// contract.BoundSilence it leaves time for a pause of this process of 0.25 s, after
+// which it is still the leader.
+const stampInterval = 100 * time.Millisecond
+
+// stampEntries sends this hub's state, and with it its clock, to the entries that echo
+// it, while this hub leads.
+func (h *Hub) stampEntries(now time.Duration) {
+	if now-h.stampedAt < stampInterval || !h.holdsLeaderLease(now) {
+		return
+	}
+	h.stampedAt = now
+	s := h.hubState(now)
+	for l := range h.entryAliveAt {
+		if err := l.Send(&s); err != nil {
+			h.log.V(1).Info("hub state not sent", "peer", l.Remote().Host, "err", err)
+		}
+	}
+}
+
+// recordEcho records an entry's echo of the clock reading stamp. The first echo on a link
+// shows that the entry knows direct starts, so it is sent the queues.
+func (h *Hub) recordEcho(l *link.Link, stamp int64) {
+	if !h.inbound[l] {
+		return
+	}
+	at, known := h.entryAliveAt[l]
+	h.entryAliveAt[l] = max(at, min(time.Duration(stamp), h.eventAt))
+	if !known {
+		h.sendQueues(l)
+	}
+}
+
+// entrySilent reports whether the entry at the other end of the link has been silent
+// for longer than a bound job allows.
+func (h *Hub) entrySilent(now time.Duration, l *link.Link) bool {
+	return now-h.entryAliveAt[l] > contract.BoundSilence
+}
+
+// dropSilentEntries drops the bound jobs all of whose entries have been silent for
+// longer than contract.BoundSilence. An entry that is alive nevertheless submits a job
+// again that has not begun, and answers that the outcome of others is unknown.
+func (h *Hub) dropSilentEntries(now time.Duration) {
+	transients := h.leader.transients
+	for id, t := range transients.bound {
+		if t.endedAt != 0 || transients.jobs[id] != t {
+			delete(transients.bound, id)
+			continue
+		}
+		for _, w := range t.waiters {
+			t.entryAliveAt = max(t.entryAliveAt, h.entryAliveAt[w.link])
+		}
+		if now-t.entryAliveAt <= contract.BoundSilence {
+			continue
+		}
+		verdict := contract.VerdictNotLeader
+		if t.mayHaveStarted || h.leader.sched.Begun(id) {
+			verdict = contract.VerdictUnknown
+		}
+		h.log.Info("bound job dropped: its entry is silent", "job", id, "verdict", verdict, "silent_ms", (now - t.entryAliveAt).Milliseconds())
+		for _, r := range t.waiters {
+			h.reply(r.link, r.seq, &contract.JobReply{Verdict: verdict})
+		}
+		t.waiters = nil
+		h.abandonTransient(now, nil, id)
+	}
+}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -90,6 +90,11 @@
 	MaxBacklogBytes: maxLinkBacklogBytes,
 }
 
+// BoundRelayAfter replaces RelayAfter for an entry whose jobs are bound to it: the leader
+// sends it its clock every stampInterval, and drops its jobs contract.BoundSilence after
+// the last echo. The relayed path must be up before that.
+const BoundRelayAfter = 2*stampInterval + 50*time.Millisecond
+
 // RelayAfter returns how long the leader may be silent towards a process of the role
 // before the process also dials it through a relay. The leader answers the heartbeats
 // of agents, and announces itself to entries every stateBroadcastInterval.
@@ -153,10 +158,17 @@
 	// announced, at relaysAnnouncedAt.
 	relaysChanged     bool
 	relaysAnnouncedAt time.Duration
-	groupCheckedAt    time.Duration
-	joinRequestedAt   time.Duration
-	logClock          logClock
-	disksQueriedAt    time.Duration
+	// entryAliveAt holds, by inbound link, the latest reading of this hub's clock that
+	// the entry has echoed.
+	entryAliveAt map[*link.Link]time.Duration
+	// stampedAt is when the entries that echo it were last sent this hub's clock.
+	stampedAt time.Duration
+	// queuesAnnounced is the version of the queues that entries were sent last.
+	queuesAnnounced uint64
+	groupCheckedAt  time.Duration
+	joinRequestedAt time.Duration
+	logClock        logClock
+	disksQueriedAt  time.Duration
 	// diskReplies holds the other seeds' replies while the group is formed, by
 	// link address.
 	diskReplies map[string]contract.DiskReply
@@ -248,6 +260,7 @@
 		peers:              map[string]*peer{},
 		inbound:            map[*link.Link]bool{},
 		hubDomains:         map[string]bool{},
+		entryAliveAt:       map[*link.Link]time.Duration{},
 		diskReplies:        map[string]contract.DiskReply{},
 	}
 	h.joinRequestedAt = now
@@ -361,8 +374,10 @@
 	h.node.Flush(now)
 	h.handleReady()
 	h.applyCommitted(now)
+	h.announceQueues()
 	h.placeAndSendOrders(now)
 	h.broadcastState(now)
+	h.stampEntries(now)
 }
 
 // logRoleChange logs a change of this hub's role in the consensus group.
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -103,6 +103,7 @@
 		h.checkAgents(now)
 		h.leader.sched.CheckRuns(now)
 		h.leader.transients.evictEnded(now)
+		h.dropSilentEntries(now)
 	}
 	if now-h.leader.lastSummaryAt >= summaryInterval {
 		h.leader.lastSummaryAt = now
@@ -295,6 +296,10 @@
 	if unmatched != nil {
 		return unmatched
 	}
+	if m.Bound && h.entrySilent(now, to.link) {
+		// The entry may be gone already. If it is not, it submits the job again.
+		return &contract.JobReply{Verdict: contract.VerdictNotLeader}
+	}
 	id := contract.DurableJobID(suffix)
 	if h.state.Jobs[id] != nil {
 		return &contract.JobReply{Verdict: contract.VerdictAccepted}
@@ -318,7 +323,7 @@
 	// job that an earlier leader may have started.
 	mayHaveStarted := m.Resubmitted
 	if m.Transient {
-		mayHaveStarted = h.mayHaveStarted(now, id, m)
+		mayHaveStarted = h.mayHaveStarted(now, id, m) || h.leader.sched.HasDirectRuns(id)
 	}
 	admission := schedule.Admission{OK: true}
 	// settleResubmitted admits a transient job that may have started.
@@ -373,7 +378,7 @@
 	}
 	id := contract.DurableJobID(suffix)
 	if m.Action == contract.JobAbandon {
-		h.abandonTransient(now, id)
+		h.abandonTransient(now, to.link, id)
 		return nil
 	}
 	j := h.state.Jobs[id]
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -1,10 +1,12 @@
 package hub
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/durable"
+	"github.com/carawaylanding/carawaylanding/link"
 	"github.com/carawaylanding/carawaylanding/schedule"
 	"github.com/carawaylanding/carawaylanding/telemetry"
 )
@@ -26,6 +28,8 @@
 	// sentAfter is a time before which the job was not sent to any leader; zero if
 	// none is known.
 	sentAfter time.Duration
+	// entryAliveAt is the last proof that one of a bound job's entries was alive.
+	entryAliveAt time.Duration
 }
 
 // addWaiter adds a caller that waits for the job's end. If the job has ended, it
@@ -41,12 +45,15 @@
 // transientJobs holds the transient jobs of one term as leader.
 type transientJobs struct {
 	jobs map[contract.DurableJobID]*transientJob
+	// bound holds the bound jobs that have not ended, and some that have; see
+	// dropSilentEntries.
+	bound map[contract.DurableJobID]*transientJob
 	// ended lists the jobs that have ended, oldest first.
 	ended []contract.DurableJobID
 }
 
 func newTransientJobs() *transientJobs {
-	return &transientJobs{jobs: map[contract.DurableJobID]*transientJob{}}
+	return &transientJobs{jobs: map[contract.DurableJobID]*transientJob{}, bound: map[contract.DurableJobID]*transientJob{}}
 }
 
 // evictEnded removes the jobs that ended more than transientRetention ago.
@@ -69,7 +76,13 @@
 		mayHaveStarted: mayHaveStarted, sentAfter: h.leader.sentAfter(now, m),
 	}
 	h.leader.transients.jobs[d.ID] = t
-	for _, c := range h.leader.sched.AddTransient(t.job, now-m.Age, mayHaveStarted) {
+	ends := h.leader.sched.AddTransient(t.job, now-m.Age, mayHaveStarted)
+	if m.Bound {
+		t.entryAliveAt = h.entryAliveAt[to.link]
+		h.leader.transients.bound[d.ID] = t
+		h.leader.sched.BindToEntry(d.ID)
+	}
+	for _, c := range ends {
 		h.endTransientTask(now, c.DurableTask, c.Done)
 	}
 	if t.endedAt != 0 && !h.leader.sched.AwaitingRelease() {
@@ -147,9 +160,16 @@
 	}
 }
 
-// abandonTransient cancels a transient job whose callers no longer wait for it.
-func (h *Hub) abandonTransient(now time.Duration, id contract.DurableJobID) {
-	if t := h.leader.transients.jobs[id]; t != nil && t.endedAt == 0 {
+// abandonTransient cancels a transient job whose callers at the entry on link l no
+// longer wait for it, unless callers at other entries do. An entry that was frozen may
+// send this after its caller has sent the job to another entry.
+func (h *Hub) abandonTransient(now time.Duration, l *link.Link, id contract.DurableJobID) {
+	t := h.leader.transients.jobs[id]
+	if t == nil || t.endedAt != 0 {
+		return
+	}
+	t.waiters = slices.DeleteFunc(t.waiters, func(r replyTo) bool { return r.link == l || !h.inbound[r.link] })
+	if len(t.waiters) == 0 {
 		t.job.State = contract.DurableCancelled
 		h.finishTransient(now, t)
 	}
--- a/schedule/late.go
+++ b/schedule/late.go
@@ -161,7 +161,7 @@
 		w.overdueRuns = 0
 		for ref, r := range w.runs {
 			j := s.jobs[ref.Job]
-			if r.unclaimed || j == nil || !s.isLate(now, w, j, r) {
+			if r.unclaimed || r.direct || j == nil || !s.isLate(now, w, j, r) {
 				continue
 			}
 			s.noteLate(w, r)
@@ -194,7 +194,7 @@
 		}
 		for ref, r := range w.runs {
 			j := s.jobs[ref.Job]
-			if j == nil || r.unclaimed || r.takenOver || r.late || int(ref.Task) >= len(j.tasks) || j.tasks[ref.Task].startCount >= stopMaxStarts {
+			if j == nil || r.unclaimed || r.direct || r.takenOver || r.late || int(ref.Task) >= len(j.tasks) || j.tasks[ref.Task].startCount >= stopMaxStarts {
 				continue
 			}
 			step, _ := j.StepOf(ref.Task)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -81,6 +81,8 @@
 	// until the first task is done whose start time is known.
 	shortestRatio  float64
 	shortestWorker contract.HostID
+	// bound marks a transient job that is bound to its entry; see BindToEntry.
+	bound bool
 	// estimate is the expected duration of the job's critical path.
 	estimate time.Duration
 	// stepEnds holds, for each step, the expected time from the job's start to the
@@ -173,6 +175,8 @@
 	records runRecords
 	// checkedAt is when CheckRuns was last called.
 	checkedAt time.Duration
+	// directRuns counts the direct runs that may be alive, by task.
+	directRuns map[contract.DurableTask]int
 	// runCount is the number of runs that this scheduler has started. Its value
 	// after a start is the lower part of that run's number.
 	runCount uint64
@@ -202,6 +206,7 @@
 		commonTail:       newDurationTail(),
 		poolSpeeds:       map[string]*poolSpeed{},
 		unclaimedRuns:    map[contract.DurableJobID]map[contract.RunRef]*Worker{},
+		directRuns:       map[contract.DurableTask]int{},
 		awaitingRelease:  true,
 		checkedAt:        now,
 		records:          newRunRecords(s.Agents),
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -27,6 +27,10 @@
 	// unclaimed marks a run that belongs to no job that this leader knows; the
 	// job has ended or has not been submitted again yet.
 	unclaimed bool
+	// direct marks a run that an entry started; see direct.go.
+	direct bool
+	// bound marks a run of a job that is bound to its entry.
+	bound bool
 }
 
 // Worker is a worker as its agent last reported it, with the runs that may be
@@ -104,7 +108,8 @@
 
 // reconcileRuns makes the worker's runs match the list that its agent reported.
 // It adds the listed runs that are not known, and removes the runs that are not
-// listed, whose start orders were lost, and requeues their tasks.
+// listed, whose start orders were lost, and requeues their tasks. Listed runs that were
+// ordered to stop are ordered so again.
 func (s *Scheduler) reconcileRuns(now time.Duration, w *Worker, running []contract.PlacedRun) {
 	listed := make(map[contract.RunRef]bool, len(running))
 	for _, p := range running {
@@ -115,7 +120,11 @@
 			r.stopping = false
 			s.stopRun(w, p.RunRef, "earlier stop may be lost")
 		} else if r == nil {
-			s.addRun(w, p.RunRef, &run{need: p.Demand, placedAt: now, takenOver: true})
+			if p.Direct {
+				s.addDirectRun(now, w, p)
+				continue
+			}
+			s.addRun(w, p.RunRef, &run{need: p.Demand, placedAt: now, takenOver: true, bound: p.Bound})
 			s.markUnclaimed(w, p.RunRef)
 			if j := s.jobs[p.Job]; j != nil {
 				s.claimRun(j, w, p.RunRef)
@@ -183,6 +192,9 @@
 // addRun adds a run and its resources to the worker.
 func (s *Scheduler) addRun(w *Worker, ref contract.RunRef, r *run) {
 	w.runs[ref] = r
+	if r.direct {
+		s.countDirect(ref, 1)
+	}
 	w.used.MilliCPU += r.need.MilliCPU
 	w.used.MemoryMB += r.need.MemoryMB
 	w.used.Accelerators += r.need.Accelerators
@@ -192,6 +204,9 @@
 func (s *Scheduler) removeRun(w *Worker, ref contract.RunRef, r *run) {
 	delete(w.runs, ref)
 	s.forgetUnclaimed(ref)
+	if r.direct {
+		s.countDirect(ref, -1)
+	}
 	w.used.MilliCPU -= r.need.MilliCPU
 	w.used.MemoryMB -= r.need.MemoryMB
 	w.used.Accelerators -= r.need.Accelerators
@@ -261,6 +276,11 @@
 	r := w.runs[e.RunRef]
 	if r != nil {
 		s.removeRun(w, e.RunRef, r)
+	}
+	if e.RunRef.Direct() {
+		return nil
+	}
+	if r != nil {
 		s.recordRunEnd(now, w, r, e)
 	}
 	j := s.jobs[e.Job]
@@ -295,7 +315,7 @@
 		return &TaskEnd{contract.DurableTask{Job: e.Job, Task: e.Task}, e.Kind == contract.EndDone}
 	}
 	if isCurrent {
-		if e.Unanswered {
+		if e.Unanswered || e.Stale {
 			t.avoidHost = h
 		}
 		s.requeueTask(e.RunRef)
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -50,7 +50,19 @@
 	// through a relay; zero means that relays are not used. It should cover two
 	// intervals of the leader's messages.
 	RelayAfter time.Duration
-	Log        logr.Logger
+	// EchoState echoes the clock reading in each HubState, which shows a leader that
+	// this process is alive.
+	EchoState bool
+	Log       logr.Logger
+}
+
+// DirectLinkConfig is the configuration of links between agents and entries that are
+// open while there is no leader. A link goes down after the silence after which an
+// agent stops the runs of the entry.
+var DirectLinkConfig = link.Config{
+	HeartbeatInterval: 150 * time.Millisecond, SilenceTimeout: 700 * time.Millisecond,
+	DialTimeout: 250 * time.Millisecond, MaxRedialBackoff: 300 * time.Millisecond,
+	MaxBacklogBytes: 1 << 20,
 }
 
 // hubConn is one path to a hub, direct or through a relay, with the state that the
@@ -90,6 +102,10 @@
 	groupAddrs []string
 	// relays are the addresses of the relays that a hub announced last.
 	relays []string
+	// evacuated are the evacuated failure domains that the leader of evacuatedTerm
+	// announced last.
+	evacuated     []string
+	evacuatedTerm uint64
 }
 
 // New returns an Uplink that notifies l of its events. Run starts it.
@@ -124,6 +140,13 @@
 	return u.notified, u.term
 }
 
+// Relays returns the addresses of the relays that a hub named last.
+func (u *Uplink) Relays() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.relays
+}
+
 // Connected reports whether a direct link to the hub at addr is open.
 func (u *Uplink) Connected(addr string) bool {
 	u.mu.Lock()
@@ -132,6 +155,25 @@
 	return h != nil && h.link != nil
 }
 
+// LeaderSilence returns how long the leader has been silent, or zero if no leader is
+// known.
+func (u *Uplink) LeaderSilence(now time.Duration) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.leader == nil {
+		return 0
+	}
+	return now - u.leader.heardAt
+}
+
+// Evacuated reports whether the failure domain is evacuated, as far as a leader has
+// told this process.
+func (u *Uplink) Evacuated(domain string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Contains(u.evacuated, domain)
+}
+
 // dialAll starts to maintain a link to each of the addresses that is not dialled
 // yet. It does nothing once Run is stopping.
 func (u *Uplink) dialAll(addrs []string) {
@@ -279,7 +321,14 @@
 	if s.Leads {
 		h.u.groupAddrs = s.Hubs
 	}
+	if s.Leads && s.Term >= h.u.evacuatedTerm {
+		h.u.evacuated, h.u.evacuatedTerm = s.Evacuated, s.Term
+	}
 	h.u.mu.Unlock()
+	if h.u.cfg.EchoState && s.Stamp != 0 {
+		// An echo that is lost with the link needs no repetition.
+		_ = l.Send(&contract.StateEcho{Stamp: s.Stamp})
+	}
 	h.u.dialAll(s.Hubs)
 	h.u.selectLeader(now)
 }
--- a/workeragent/recent.go
+++ b/workeragent/recent.go
@@ -50,6 +50,10 @@
 	if e.Job == "" {
 		return
 	}
+	if e.Direct() {
+		// Its entry has the result; a leader only needs to know that the job has begun.
+		e = voidRun(e.RunRef)
+	}
 	r.runs = append(r.runs, recentRun{e, now})
 	n := max(0, len(r.runs)-maxRecentRuns)
 	for now-r.runs[n].at > recentRetention {
--- a/workeragent/recent_test.go
+++ b/workeragent/recent_test.go
@@ -59,7 +59,7 @@
 	for name, over := range map[string]func(*workerInstance){
 		"lease running out": func(w *workerInstance) { w.inSession = false },
 		"lease expired":     func(w *workerInstance) { w.awaitLeaseExpiry() },
-		"worker replaced":   func(w *workerInstance) { w.stopTracking("test"); w.agent.instance = nil },
+		"worker replaced":   func(w *workerInstance) { w.stopTracking("test", contract.EndStopped); w.agent.instance = nil },
 		"worker exited":     func(w *workerInstance) { w.workerExited("test") },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -68,7 +68,7 @@
 			for run := uint64(1); run <= 4; run++ {
 				w.start(ref(run))
 			}
-			w.pendingStarts = []contract.RunStart{{PlacedRun: contract.PlacedRun{RunRef: ref(5)}}}
+			w.pendingStarts = []contract.RunStart{{RunRef: ref(5)}}
 			w.end(ref(1), contract.EndFailed)
 			acked := w.end(ref(2), contract.EndStopped)
 			w.end(ref(3), contract.EndDone)
