--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -69,7 +69,7 @@
 	promoted := s.isBelowMinimum(now, j)
 	if promoted {
 		j.priorityClass = 0
-	} else if s.exceedsShare(now, j) {
+	} else if !s.fitsBesideReserve(j) && s.exceedsShare(now, j) {
 		return s.refuse(now, j, j.latestStart-now, "the queue is over its share")
 	}
 	if len(s.viableJobs) == 0 && s.firstStepsFitNow(j) {
@@ -223,14 +223,39 @@
 // firstStepsFitNow reports whether the pool has enough free CPU for all tasks of
 // the job's steps that depend on no other step.
 func (s *Scheduler) firstStepsFitNow(j *job) bool {
-	free, need := 0, 0
-	for w := range s.availableWorkers(j.Pool) {
+	free, _ := s.freeMilliCPU(j.Pool)
+	return j.firstStepsMilliCPU() <= free
+}
+
+// fitsBesideReserve reports whether the job could start now and leave the reserve free.
+// A queue that is over its share may borrow such capacity: the work of the others is
+// already running.
+func (s *Scheduler) fitsBesideReserve(j *job) bool {
+	if len(s.viableJobs) > 0 {
+		return false
+	}
+	free, total := s.freeMilliCPU(j.Pool)
+	return float64(free-j.firstStepsMilliCPU()) >= reserveShare*float64(total)
+}
+
+// freeMilliCPU returns the free and the total CPU of the pool's available workers, in
+// thousandths of a core.
+func (s *Scheduler) freeMilliCPU(pool string) (free, total int) {
+	for w := range s.availableWorkers(pool) {
 		free += w.cap.MilliCPU - w.used.MilliCPU
+		total += w.cap.MilliCPU
 	}
+	return free, total
+}
+
+// firstStepsMilliCPU returns the CPU of all tasks of the job's steps that depend on no
+// other step, in thousandths of a core.
+func (j *job) firstStepsMilliCPU() int {
+	need := 0
 	for _, st := range j.Steps {
 		if len(st.After) == 0 {
 			need += st.Count * st.Demand.MilliCPU
 		}
 	}
-	return need <= free
+	return need
 }
