schedule: late jobs of an earlier leader are shed by the forecast; borrow up to 98% of a pool

Queues over their share were refused at 80% use. Change: Settle keeps such a job while its result is of use; the forecast sheds it at once, with a true refusal, if it can't end in time. A queue over its share may borrow all but 2% of the pool.

--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -227,15 +227,18 @@
 	return j.firstStepsMilliCPU() <= free
 }
 
-// fitsBesideReserve reports whether the job could start now and leave the reserve free.
-// A queue that is over its share may borrow such capacity: the work of the others is
-// already running.
+// borrowReserveShare is the share of a pool that a queue over its share leaves free.
+const borrowReserveShare = 0.02
+
+// fitsBesideReserve reports whether the job could start now and leave
+// borrowReserveShare of its pool free. A queue that is over its share may borrow such
+// capacity: the work of the others is already running.
 func (s *Scheduler) fitsBesideReserve(j *job) bool {
 	if len(s.viableJobs) > 0 {
 		return false
 	}
 	free, total := s.freeMilliCPU(j.Pool)
-	return float64(free-j.firstStepsMilliCPU()) >= reserveShare*float64(total)
+	return float64(free-j.firstStepsMilliCPU()) >= borrowReserveShare*float64(total)
 }
 
 // freeMilliCPU returns the free and the total CPU of the pool's available workers, in
--- a/schedule/settle.go
+++ b/schedule/settle.go
@@ -123,6 +123,11 @@
 	settled := make([]Settlement, 0, len(fresh))
 	for _, j := range fresh {
 		admission := s.Admit(now, j.arrivedAt, &j.DurableJob)
+		if !admission.OK && !admission.NeverFits && j.latestStart < now && !j.wouldExpire(now) {
+			// A job that was delayed by the change of leader may still be of use. If the
+			// forecast says otherwise, it is shed at once, with a true refusal.
+			admission = Admission{OK: true}
+		}
 		if admission.OK {
 			j.settling = false
 			s.releaseTasks(j)
