uplink: ignore delayed announcements of evacuated domains

Cause: a leader is heard on a direct and on a relayed path. A state that was delayed on one of them could replace the evacuated domains of a later one, until the next broadcast. Change: within a term, only a state with at least the last stamp counts.

--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -103,9 +103,10 @@
 	// relays are the addresses of the relays that a hub announced last.
 	relays []string
 	// evacuated are the evacuated failure domains that the leader of evacuatedTerm
-	// announced last.
-	evacuated     []string
-	evacuatedTerm uint64
+	// announced last, when its clock read evacuatedStamp.
+	evacuated      []string
+	evacuatedTerm  uint64
+	evacuatedStamp int64
 }
 
 // New returns an Uplink that notifies l of its events. Run starts it.
@@ -321,8 +322,9 @@
 	if s.Leads {
 		h.u.groupAddrs = s.Hubs
 	}
-	if s.Leads && s.Term >= h.u.evacuatedTerm {
-		h.u.evacuated, h.u.evacuatedTerm = s.Evacuated, s.Term
+	// Messages on a direct and a relayed path may arrive in another order than they were sent.
+	if s.Leads && (s.Term > h.u.evacuatedTerm || s.Term == h.u.evacuatedTerm && s.Stamp >= h.u.evacuatedStamp) {
+		h.u.evacuated, h.u.evacuatedTerm, h.u.evacuatedStamp = s.Evacuated, s.Term, s.Stamp
 	}
 	h.u.mu.Unlock()
 	if h.u.cfg.EchoState && s.Stamp != 0 {
