gateway: test that jobs are held while the leader is silent

Cause: the hold had no test. The test of jobs that a hub may have could look for the leader in steps longer than maxLeaderSilence, and would then have its job held. Change: a test, and a shorter step. Result: the new test fails if the hold, or the silence that it depends on, is removed.

--- a/gateway/direct_test.go
+++ b/gateway/direct_test.go
@@ -76,9 +76,8 @@
 	return ln.Addr().String(), cancel
 }
 
-// newDirectGateway returns a gateway with direct starts, a list of queues, and the link
-// of a fake agent.
-func newDirectGateway(t *testing.T, seeds ...string) (*Gateway, *fakeAgent) {
+// runGateway runs a gateway with direct starts and a list of queues until the test ends.
+func runGateway(t *testing.T, seeds ...string) *Gateway {
 	g := New(uplink.Config{
 		Hello: contract.Hello{Host: "gw", Incarnation: contract.NewIncarnation(), Roles: []contract.Role{contract.RoleEntry}},
 		Seeds: func() []string { return seeds }, Link: link.Config{}, Log: logr.Discard(),
@@ -87,6 +86,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = g.Run(ctx) }()
+	return g
+}
+
+// newDirectGateway returns a gateway as runGateway does, and the link of a fake agent.
+func newDirectGateway(t *testing.T, seeds ...string) (*Gateway, *fakeAgent) {
+	g := runGateway(t, seeds...)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
 	server := &relay.Server{Allowed: func(string) bool { return false }, Links: g.ServeAgent, IdleTimeout: time.Second, Log: logr.Discard()}
 	addr, _ := listen(t, server.Serve)
 	agent := &fakeAgent{}
@@ -145,7 +152,7 @@
 	server := &link.Server{Local: contract.Hello{Host: "hub", Roles: []contract.Role{contract.RoleControl}}, Handler: hub}
 	addr, stopHub := listen(t, server.Serve)
 	g, agent := newDirectGateway(t, addr)
-	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { l, _ := g.uplink.Leader(); return l != nil }), wait.Timeout(testTimeout)))
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { l, _ := g.uplink.Leader(); return l != nil }), wait.Timeout(testTimeout), wait.Gap(5*time.Millisecond)))
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
 	time.AfterFunc(300*time.Millisecond, stopHub)
@@ -156,3 +163,61 @@
 	must.True(t, hub.taken()[0].Bound, must.Sprint("the leader must drop the job when this entry is lost"))
 	must.True(t, g.Ask(t.Context(), directJob("b")).Direct, must.Sprint("the next job"))
 }
+
+// pausingLeader leads, announces itself unless it is quiet, and refuses all jobs.
+type pausingLeader struct {
+	silentLeader
+	quiet atomic.Bool
+}
+
+func (h *pausingLeader) LinkUp(l *link.Link) {
+	go func() {
+		for l.Err() == nil {
+			if !h.quiet.Load() {
+				_ = l.Send(&contract.HubState{Term: 1, Leads: true, Stamp: 7})
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+}
+
+func (h *pausingLeader) Receive(l *link.Link, seq uint64, m contract.Message) {
+	h.silentLeader.Receive(l, seq, m)
+	if _, ok := m.(*contract.JobSubmit); ok {
+		_ = l.Reply(seq, &contract.JobReply{Verdict: contract.VerdictOverload})
+	}
+}
+
+// TestJobIsHeldWhileTheLeaderIsSilent guards against jobs that are sent to a leader that
+// is gone, which would then be of unknown outcome, and against jobs that stay held once
+// the leader is heard again. A job that can't be started directly is not held.
+func TestJobIsHeldWhileTheLeaderIsSilent(t *testing.T) {
+	hub := &pausingLeader{}
+	server := &link.Server{Local: contract.Hello{Host: "hub", Roles: []contract.Role{contract.RoleControl}}, Handler: hub}
+	addr, _ := listen(t, server.Serve)
+	g := runGateway(t, addr)
+	waitFor := func(f func() bool) {
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(testTimeout), wait.Gap(5*time.Millisecond)))
+	}
+	ask := func(m *contract.JobSubmit) chan Answer {
+		ch := make(chan Answer, 1)
+		go func() { ch <- g.Ask(t.Context(), m) }()
+		return ch
+	}
+	waitFor(func() bool { l, _ := g.uplink.Leader(); return l != nil && !g.leaderSilent() })
+	must.Eq(t, contract.VerdictOverload, (<-ask(directJob("before"))).Verdict)
+
+	hub.quiet.Store(true)
+	waitFor(g.leaderSilent)
+	stored := directJob("stored")
+	stored.Transient = false
+	must.Eq(t, contract.VerdictOverload, (<-ask(stored)).Verdict)
+	held := ask(directJob("held"))
+	time.Sleep(150 * time.Millisecond)
+	must.Len(t, 2, hub.taken(), must.Sprint("the job was sent to a silent leader"))
+
+	hub.quiet.Store(false)
+	must.Eq(t, contract.VerdictOverload, (<-held).Verdict)
+	must.Eq(t, "/q/held", hub.taken()[2].Path)
+	must.False(t, hub.taken()[2].Resubmitted)
+}
