workeragent: report the runs of a replaced worker until its lease has expired

Cause: when a new instance of the worker announces itself, the earlier one may be alive until its lease has expired. If the link to the leader changed before the new instance's first session, the report under the old session said that there was no worker and no run, and the leader started the tasks elsewhere at once: they ran twice. Change: the new instance takes over the list of runs and reports them as active, with the worker draining, until the earlier lease has expired.

--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -143,11 +143,12 @@
 		a.log.Info("announcement of an earlier worker instance ignored", "worker", ann.ID, "born", ann.StartedMillis, "present", w.worker.StartedMillis)
 		return
 	}
+	a.log.Info("new worker instance", "worker", ann.ID, "born", ann.StartedMillis, "addr", ann.Addr, "pool", ann.Pool)
+	a.instance = newWorkerInstance(a, ann)
 	if w != nil {
+		a.instance.inheritRuns(w)
 		w.stopTracking("replaced", contract.EndStopped)
 	}
-	a.log.Info("new worker instance", "worker", ann.ID, "born", ann.StartedMillis, "addr", ann.Addr, "pool", ann.Pool)
-	a.instance = newWorkerInstance(a, ann)
 	a.group.Go(a.instance.sessionLoop)
 }
 
@@ -211,7 +212,7 @@
 		Attach: attach, Term: a.term, Host: a.cfg.Uplink.Hello.Host, Session: a.session, NoWorker: true,
 		Stamp: int64(boottime.Now()), AttachID: a.attachID,
 	}
-	if w := a.instance; w != nil && (w.inSession || w.leaseRunsOut) {
+	if w := a.instance; w != nil && (w.inSession || w.leaseRunsOut || w.hasInheritedRuns()) {
 		w.fillReport(r)
 	}
 	if attach {
--- a/workeragent/expiry_test.go
+++ b/workeragent/expiry_test.go
@@ -25,6 +25,15 @@
 	return NotRefused, nil
 }
 
+// absentClient is a client of a worker that answers no poll.
+type absentClient struct{ WorkerClient }
+
+func (absentClient) Poll(context.Context, PollCall) (PollReply, error) {
+	return PollReply{}, ErrNotListening
+}
+
+func (absentClient) Close() {}
+
 // newInstanceInSession returns an agent and its worker, which is in session 7 and
 // reads 1000 on its clock.
 func newInstanceInSession(t *testing.T, c WorkerClient) (*Agent, *workerInstance) {
@@ -127,3 +136,33 @@
 		must.Eq(t, c.want, w.leaseExpired(PollReply{ClockMS: c.clock, Ended: c.ended}), must.Sprint(c.name))
 	}
 }
+
+// TestReportAfterTheWorkerWasReplaced changes the link to the leader just after a new
+// instance of the worker has announced itself. The earlier one may be alive until its
+// lease has expired; a report without its runs makes the leader start their tasks
+// elsewhere at once. The second replacement follows before the first instance's lease has
+// expired.
+func TestReportAfterTheWorkerWasReplaced(t *testing.T) {
+	a, w := newInstanceInSession(t, absentClient{})
+	ref := contract.RunRef{Job: "j", Task: 2, Run: 9}
+	w.runs[NamedRun{Name: "j.0.0.2", Run: 9}] = &run{ref: ref, phase: phaseRunning}
+	w.latestLeaseEndMS = 1200
+	for started := range 3 {
+		a.HandleAnnouncement(contract.WorkerAnnouncement{ID: "w", Pool: "p", StartedMillis: int64(started)})
+	}
+	attach := func() *contract.WorkerReport {
+		l, received := newLeaderLink(t)
+		a.LeaderChanged(l, 3)
+		return (<-received).(*contract.WorkerReport)
+	}
+	r := attach()
+	must.Eq(t, 7, r.Session)
+	must.False(t, r.NoWorker, must.Sprint("the report says that no run is left"))
+	must.Eq(t, []contract.PlacedRun{{RunRef: ref}}, r.Running)
+	must.True(t, r.Worker.Draining, must.Sprint("the worker would get new runs"))
+
+	time.Sleep(200*time.Millisecond + 200*time.Millisecond/contract.WorkerClockDriftDivisor + expirySlack)
+	r = attach()
+	must.True(t, r.NoWorker, must.Sprint("the lease has expired"))
+	must.SliceEmpty(t, r.Running)
+}
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -93,6 +93,10 @@
 	// leaseRunsOut is set from the end of a session until its lease has expired. The
 	// runs of the session may be alive until then.
 	leaseRunsOut bool
+	// inheritedRuns are runs of the instance before, which may be alive until
+	// inheritedUntil, a boot time, or until this instance's first session.
+	inheritedRuns  []contract.PlacedRun
+	inheritedUntil time.Duration
 	// hadSession says that this process has begun a session with the instance.
 	hadSession bool
 	// sessionEnding is set when the lease is no longer renewed; the session ends
@@ -149,6 +153,7 @@
 	w.unknownRuns = map[NamedRun]bool{}
 	w.unackedEnds = nil
 	w.pendingStarts = nil
+	w.inheritedRuns = nil
 	w.sessionEnding = false
 	w.direct, w.directUntil = false, 0
 }
@@ -164,21 +169,46 @@
 	w.cancel()
 }
 
-// fillReport adds the state of the instance to a report. While the lease of a session
-// runs out, the runs are reported as active, since a leader starts the tasks of missing
-// runs elsewhere, and the worker as draining, since it gets no new runs. The caller
+// inheritRuns takes over the runs of the instance before, which may be alive until its
+// lease has expired. The caller holds agent.mu.
+func (w *workerInstance) inheritRuns(before *workerInstance) {
+	switch {
+	case before.inSession || before.leaseRunsOut:
+		w.inheritedRuns, w.inheritedUntil = before.placedRuns(), before.leaseExpiry()
+	case before.hasInheritedRuns():
+		w.inheritedRuns, w.inheritedUntil = before.inheritedRuns, before.inheritedUntil
+	}
+}
+
+// hasInheritedRuns reports whether runs of the instance before may be alive. The caller
 // holds agent.mu.
-func (w *workerInstance) fillReport(r *contract.WorkerReport) {
-	r.NoWorker = false
-	r.Worker = w.worker
-	r.Worker.Draining = r.Worker.Draining || w.leaseRunsOut
-	r.Worker.ColdLeftMillis = max(0, (w.coldUntil - boottime.Now()).Milliseconds())
+func (w *workerInstance) hasInheritedRuns() bool {
+	return len(w.inheritedRuns) > 0 && boottime.Now() < w.inheritedUntil
+}
+
+// placedRuns returns the runs that may be alive or could still start. The caller holds
+// agent.mu.
+func (w *workerInstance) placedRuns() []contract.PlacedRun {
+	var out []contract.PlacedRun
 	for _, st := range w.pendingStarts {
-		r.Running = append(r.Running, st.Placed())
+		out = append(out, st.Placed())
 	}
 	for _, known := range w.runs {
-		r.Running = append(r.Running, contract.PlacedRun{RunRef: known.ref, Demand: known.need, Direct: known.entry != nil, Bound: known.bound})
+		out = append(out, contract.PlacedRun{RunRef: known.ref, Demand: known.need, Direct: known.entry != nil, Bound: known.bound})
 	}
+	return out
+}
+
+// fillReport adds the state of the instance to a report. While the lease of a session
+// runs out, also one of the instance before, the runs are reported as active, since a
+// leader starts the tasks of missing runs elsewhere, and the worker as draining, since it
+// gets no new runs. The caller holds agent.mu.
+func (w *workerInstance) fillReport(r *contract.WorkerReport) {
+	r.NoWorker = false
+	r.Worker = w.worker
+	r.Worker.Draining = r.Worker.Draining || !w.inSession
+	r.Worker.ColdLeftMillis = max(0, (w.coldUntil - boottime.Now()).Milliseconds())
+	r.Running = append(w.placedRuns(), w.inheritedRuns...)
 	r.Ends = w.unackedEnds
 }
 
@@ -451,10 +481,8 @@
 func (w *workerInstance) awaitLeaseExpiry() {
 	w.agent.mu.Lock()
 	w.inSession, w.leaseRunsOut = false, true
-	remainingMS := max(w.latestLeaseEndMS-w.workerNowMS(), 0)
+	expiry := w.leaseExpiry()
 	w.agent.mu.Unlock()
-	remaining := time.Duration(remainingMS) * time.Millisecond
-	expiry := boottime.Now() + remaining + remaining/contract.WorkerClockDriftDivisor + expirySlack
 	for w.ctx.Err() == nil && boottime.Now() < expiry {
 		w.sleep(expiry - boottime.Now())
 	}
@@ -478,6 +506,13 @@
 	}
 }
 
+// leaseExpiry returns the boot time at which the lease has certainly expired if it is not
+// renewed. The caller holds agent.mu.
+func (w *workerInstance) leaseExpiry() time.Duration {
+	remaining := time.Duration(max(w.latestLeaseEndMS-w.workerNowMS(), 0)) * time.Millisecond
+	return boottime.Now() + remaining + remaining/contract.WorkerClockDriftDivisor + expirySlack
+}
+
 // handlePollReply updates the runs from the lists in the reply to the poll c. The
 // reply resolves every run whose stop was acknowledged before poll pollNumber.
 func (w *workerInstance) handlePollReply(reply PollReply, c PollCall, pollNumber uint64) {
