Bound jobs that have begun outlive 0.8 s of silence of their entry

Cause: a leader dropped the bound jobs of an entry 0.4 s after its last echo. A busy entry, or two losses of one packet, is silent for longer: sound work was stopped and its callers got 504. On the other hand a run went on if the worker did not carry out the stop, since the agent's authority was extended as before. Change: from 0.4 s on, no task of such a job starts, and agents that may have runs of it get no longer authority, so that all of them end 1.25 s after the last echo as before. The job is dropped at 0.8 s; at 0.4 s if it has not begun or its entry has no link. The limit holds until stopped runs have ended, also if the caller has gone.

--- a/contract/message_direct.go
+++ b/contract/message_direct.go
@@ -120,12 +120,18 @@
 // MessageKind returns KindStateEcho.
 func (*StateEcho) MessageKind() MessageKind { return KindStateEcho }
 
-// BoundSilence is how long after the last proof that an entry is alive the leader
-// drops the entry's bound jobs (JobSubmit.Bound). With the authority of agents, which
-// ends 850 ms later by their clocks, every run of such a job is over before the
-// caller sends it to another entry, 1,300 ms after it lost this one.
+// BoundSilence is how long after the last proof that an entry is alive the leader starts
+// no more tasks of the entry's bound jobs (JobSubmit.Bound), and extends no authority of
+// agents that may have runs of them. With the authority of agents, which ends 850 ms
+// later by their clocks, every run of such a job is over before the caller sends it to
+// another entry, 1,300 ms after it lost this one.
 const BoundSilence = 400 * time.Millisecond
 
+// BoundGrace is how long after that proof the leader drops bound jobs that have begun, if
+// the link to the entry is up. A busy entry, or a link that loses packets, may be silent
+// for longer than BoundSilence. The authority of agents must not run out before.
+const BoundGrace = 800 * time.Millisecond
+
 func init() {
 	registerMessages(
 		func() Message { return new(QueueList) },
--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -102,8 +102,7 @@
 	// zero if none has. If it equals Term, the earlier message may still arrive.
 	LastTerm uint64
 	// Bound is set if an entry that has no leader might start the job directly. The
-	// leader drops a bound job when the submitting entry has been silent for
-	// BoundSilence.
+	// leader drops a bound job when the submitting entry is silent; see BoundSilence.
 	Bound bool
 }
 
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -275,12 +275,16 @@
 }
 
 // grantAuthority grants the agent authority for AgentAuthorityTTL from the time
-// at which the agent sent the message with the stamp.
+// at which the agent sent the message with the stamp, or from an earlier one while its
+// worker may have runs of a bound job whose entry is silent.
 func (h *Hub) grantAuthority(now time.Duration, a *agent, stamp int64) {
 	if a.link == nil {
 		return
 	}
 	a.authorityGrantedAt = now
+	if limit, ok := h.leader.sched.AuthorityLimit(a.host); ok {
+		stamp -= int64(max(0, now-limit))
+	}
 	if err := a.link.Send(&contract.AgentAuthority{Term: h.leader.term, Stamp: stamp}); err != nil {
 		h.log.V(1).Info("authority not sent", "worker", a.host, "err", err)
 	}
--- a/hub/bound.go
+++ b/hub/bound.go
@@ -10,9 +10,11 @@
 // A bound job is a transient job that an entry without a leader might start directly.
 // If its entry is lost, or cut off from this leader, the caller sends the job again
 // after 1,300 ms, perhaps to an entry that has no leader. By then no run of the job may
-// be alive here, so the leader drops the job contract.BoundSilence after the last proof
-// that the entry is alive. The proof is the entry's echo of this hub's clock, since a
-// message as such may have waited in a buffer.
+// be alive here. From contract.BoundSilence after the last proof that the entry is alive,
+// the leader starts none of the job's tasks and extends no authority that a run of it
+// could use; at contract.BoundGrace it drops the job. A job that has not begun, or whose
+// entry has no link, it drops at once. The proof is the entry's echo of this hub's clock,
+// since a message as such may have waited in a buffer.
 
 // stampInterval is how often a leader sends its clock to the entries that echo it. With
 // contract.BoundSilence it leaves time for a pause of this process of 0.25 s, after
@@ -54,7 +56,7 @@
 }
 
 // dropSilentEntries drops the bound jobs all of whose entries have been silent for
-// longer than contract.BoundSilence. An entry that is alive nevertheless submits a job
+// too long. An entry that is alive nevertheless submits a job
 // again that has not begun, and answers that the outcome of others is unknown.
 func (h *Hub) dropSilentEntries(now time.Duration) {
 	transients := h.leader.transients
@@ -63,15 +65,21 @@
 			delete(transients.bound, id)
 			continue
 		}
+		linked := false
 		for _, w := range t.waiters {
 			t.entryAliveAt = max(t.entryAliveAt, h.entryAliveAt[w.link])
+			linked = linked || h.inbound[w.link]
 		}
+		h.leader.sched.BindToEntry(id, t.entryAliveAt)
 		if now-t.entryAliveAt <= contract.BoundSilence {
 			continue
 		}
 		verdict := contract.VerdictNotLeader
 		if t.mayHaveStarted || h.leader.sched.Begun(id) {
 			verdict = contract.VerdictUnknown
+			if linked && now-t.entryAliveAt <= contract.BoundGrace {
+				continue
+			}
 		}
 		h.log.Info("bound job dropped: its entry is silent", "job", id, "verdict", verdict, "silent_ms", (now - t.entryAliveAt).Milliseconds())
 		for _, r := range t.waiters {
--- a/hub/direct_test.go
+++ b/hub/direct_test.go
@@ -374,6 +374,38 @@
 	must.Eq(t, nil, c.runChecker.Violations())
 }
 
+// TestRunsOfASilentEntryAreOverInTime covers an entry that is cut off from the leader
+// without a sign, also while the worker gets no stops: then only the end of the agent's
+// authority ends the runs.
+func TestRunsOfASilentEntryAreOverInTime(t *testing.T) {
+	for name, mode := range map[string]leasedworker.Mode{"stopped": {}, "stops lost": {LoseStops: true}} {
+		t.Run(name, func(t *testing.T) {
+			c := newDirectCluster(t, map[string]bool{"w1": true}, "w1")
+			c.entries[0].askAsync("a", 2, 5000)
+			c.waitRunning("w1", 2)
+			c.workers["w1"].SetMode(mode)
+			c.hubProxy.Cut(testbed.Forward, testbed.Backward)
+			time.Sleep(callerRetry)
+			must.Eq(t, 0, c.workers["w1"].Running(), must.Sprint("the leader's runs outlive the entry"))
+		})
+	}
+}
+
+// TestBoundJobOutlivesSilenceOfItsEntry lets an entry be silent for longer than
+// contract.BoundSilence, as one that is busy or behind a link that loses packets. Its job
+// must neither be stopped nor get an unknown outcome.
+func TestBoundJobOutlivesSilenceOfItsEntry(t *testing.T) {
+	c := newDirectCluster(t, map[string]bool{"w1": true}, "w1")
+	starts := c.runChecker.Starts()
+	answer := c.entries[0].askAsync("a", 2, 1500)
+	c.waitRunning("w1", 2)
+	c.hubProxy.Cut(testbed.Forward, testbed.Backward)
+	time.Sleep(contract.BoundSilence + 150*time.Millisecond)
+	c.hubProxy.Heal()
+	must.Eq(t, contract.DurableCompleted, (<-answer).State)
+	must.Eq(t, starts+2, c.runChecker.Starts())
+}
+
 // TestBoundJobOutlivesTheCutOfItsEntry cuts an entry off from the leader, while another
 // entry relays: the first one must be back before its jobs are dropped.
 func TestBoundJobOutlivesTheCutOfItsEntry(t *testing.T) {
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -91,7 +91,7 @@
 }
 
 // BoundRelayAfter replaces RelayAfter for an entry whose jobs are bound to it: the leader
-// sends it its clock every stampInterval, and drops its jobs contract.BoundSilence after
+// sends it its clock every stampInterval, and holds its jobs contract.BoundSilence after
 // the last echo. The relayed path must be up before that.
 const BoundRelayAfter = 2*stampInterval + 50*time.Millisecond
 
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -80,7 +80,7 @@
 	if m.Bound {
 		t.entryAliveAt = h.entryAliveAt[to.link]
 		h.leader.transients.bound[d.ID] = t
-		h.leader.sched.BindToEntry(d.ID)
+		h.leader.sched.BindToEntry(d.ID, t.entryAliveAt)
 	}
 	for _, c := range ends {
 		h.endTransientTask(now, c.DurableTask, c.Done)
--- a/schedule/direct.go
+++ b/schedule/direct.go
@@ -44,9 +44,38 @@
 }
 
 // BindToEntry marks a job as bound to its entry: agents report its runs as such to
-// later leaders.
-func (s *Scheduler) BindToEntry(id contract.DurableJobID) {
+// later leaders. aliveAt is the last proof that the entry is alive; it is called again
+// with later ones.
+func (s *Scheduler) BindToEntry(id contract.DurableJobID, aliveAt time.Duration) {
 	if j := s.jobs[id]; j != nil {
-		j.bound = true
+		j.bound, j.entryAliveAt = true, aliveAt
 	}
 }
+
+// entrySilent reports whether the job's entry has been silent for so long that no task
+// of the job may start.
+func (j *job) entrySilent(now time.Duration) bool {
+	return j.bound && now-j.entryAliveAt > contract.BoundSilence
+}
+
+// AuthorityLimit returns the time after which the agent on the host gets no longer
+// authority, since its worker may have runs of a bound job, and whether there is such a
+// limit. It also holds for runs that were ordered to stop because their entry is silent or
+// their caller has gone, until they have ended: the order may be lost.
+func (s *Scheduler) AuthorityLimit(h contract.HostID) (time.Duration, bool) {
+	w := s.workers[h]
+	if w == nil {
+		return 0, false
+	}
+	first, limited := time.Duration(0), false
+	for ref, r := range w.runs {
+		limit := r.authorityLimit
+		if j := s.jobs[ref.Job]; limit == 0 && j != nil && j.bound && !r.direct {
+			limit = j.entryAliveAt + contract.BoundSilence
+		}
+		if limit != 0 && (!limited || limit < first) {
+			first, limited = limit, true
+		}
+	}
+	return first, limited
+}
--- a/schedule/direct_test.go
+++ b/schedule/direct_test.go
@@ -109,3 +109,37 @@
 	must.Len(t, 1, orders)
 	must.Eq(t, start.RunRef, *orders[0].Stop)
 }
+
+// TestRunsOfASilentEntryGetNoMoreAuthority covers an entry that is silent for a while,
+// and one that is lost together with the order to stop its run. No run of its job may be
+// alive when its caller asks elsewhere.
+func TestRunsOfASilentEntryGetNoMoreAuthority(t *testing.T) {
+	h := newHarness(t)
+	h.worker("w", 10)
+	d := testJob("a", step(3, 10, 100))
+	job := durable.NewJob(&d, 0)
+	h.sch.AddTransient(job, h.now, false)
+	alive := h.now
+	h.sch.BindToEntry("a", alive)
+	_, limited := h.sch.AuthorityLimit("w")
+	must.False(t, limited)
+	run := h.place()[0]
+	limit, limited := h.sch.AuthorityLimit("w")
+	must.True(t, limited)
+	must.Eq(t, alive+contract.BoundSilence, limit)
+
+	h.now = limit + ms
+	h.worker("w2", 20)
+	must.SliceEmpty(t, h.place(), must.Sprint("a task of a silent entry was started"))
+	h.sch.BindToEntry("a", h.now-ms)
+	must.Len(t, 2, h.place(), must.Sprint("the entry is back"))
+
+	job.State = contract.DurableCancelled
+	h.sch.JobEnded("a")
+	limit, limited = h.sch.AuthorityLimit("w")
+	must.True(t, limited, must.Sprint("the order to stop may be lost"))
+	must.Eq(t, alive+contract.BoundSilence+contract.BoundSilence, limit)
+	h.end(run, contract.EndStopped)
+	_, limited = h.sch.AuthorityLimit("w")
+	must.False(t, limited)
+}
--- a/schedule/lateadmission.go
+++ b/schedule/lateadmission.go
@@ -124,7 +124,7 @@
 func (s *Scheduler) placeDeferred(now time.Duration) {
 	blocked := map[string]bool{}
 	for _, j := range s.deferredJobs {
-		if blocked[j.Pool] {
+		if blocked[j.Pool] || j.entrySilent(now) {
 			continue
 		}
 		r := s.lateRoomsOf(now, j)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -64,6 +64,8 @@
 	noCapacity
 	// awaitsFast: a task fits only on slow workers, and is rather to wait.
 	awaitsFast
+	// awaitsEntry: the job's entry is silent.
+	awaitsEntry
 )
 
 // reserveShare is the share of the CPU that is reserved for jobs that arrive
@@ -101,6 +103,9 @@
 // placeJob places the job's waiting tasks in order, up to the first that is not
 // placed. It skips tasks that have a direct run.
 func (s *Scheduler) placeJob(now time.Duration, j *job) placement {
+	if j.entrySilent(now) {
+		return awaitsEntry
+	}
 	t := 0
 	all := placedAll
 	for step := range j.Steps {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -82,7 +82,9 @@
 	shortestRatio  float64
 	shortestWorker contract.HostID
 	// bound marks a transient job that is bound to its entry; see BindToEntry.
-	bound bool
+	// entryAliveAt is the last proof that the entry is alive.
+	bound        bool
+	entryAliveAt time.Duration
 	// estimate is the expected duration of the job's critical path.
 	estimate time.Duration
 	// stepEnds holds, for each step, the expected time from the job's start to the
@@ -334,8 +336,11 @@
 func (s *Scheduler) abandonRun(j *job, t int) {
 	tk := &j.tasks[t]
 	ref := contract.RunRef{Job: j.ID, Task: uint32(t), Run: tk.currentRun}
-	if tk.worker.runs[ref] != nil {
+	if r := tk.worker.runs[ref]; r != nil {
 		s.markUnclaimed(tk.worker, ref)
+		if j.bound && j.State == contract.DurableCancelled {
+			r.authorityLimit = j.entryAliveAt + contract.BoundSilence
+		}
 	}
 	s.stopRun(tk.worker, ref, "job ended")
 }
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -31,6 +31,9 @@
 	direct bool
 	// bound marks a run of a job that is bound to its entry.
 	bound bool
+	// authorityLimit is set once the run was ordered to stop because the entry of its
+	// job is silent or its caller has gone; see AuthorityLimit.
+	authorityLimit time.Duration
 }
 
 // Worker is a worker as its agent last reported it, with the runs that may be
