schedule: limit the authority of agents with unclaimed runs of bound jobs

Cause: a new leader stops such runs after 0.3 s, but went on to extend the authority of their agents. A worker that does not carry out the stop kept the run, while the caller may ask an entry without a leader. Change: the limit for stopped runs of bound jobs holds for these too. Result: the extended test failed before.

--- a/schedule/direct_test.go
+++ b/schedule/direct_test.go
@@ -67,6 +67,9 @@
 	orders := h.sch.TakeOrders()
 	must.Len(t, 1, orders)
 	must.Eq(t, bound, *orders[0].Stop)
+	limit, limited := h.sch.AuthorityLimit("w")
+	must.True(t, limited, must.Sprint("a worker that does not carry out the stop keeps its lease"))
+	must.LessEq(t, h.now, limit)
 }
 
 // TestStaleRefusalAvoidsTheWorker covers a worker on which a direct run of the task with
--- a/schedule/unclaimed.go
+++ b/schedule/unclaimed.go
@@ -22,6 +22,9 @@
 				ttl = boundUnclaimedTTL
 			}
 			if r.unclaimed && now-r.placedAt > ttl {
+				if r.bound && !r.stopping {
+					r.authorityLimit = now
+				}
 				s.stopRun(w, ref, "no known job")
 			}
 		}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -32,7 +32,8 @@
 	// bound marks a run of a job that is bound to its entry.
 	bound bool
 	// authorityLimit is set once the run was ordered to stop because the entry of its
-	// job is silent or its caller has gone; see AuthorityLimit.
+	// job is silent, its caller has gone, or no entry submitted the job again; see
+	// AuthorityLimit.
 	authorityLimit time.Duration
 }
 
