--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -31,6 +31,10 @@
 	direct bool
 	// bound marks a run of a job that is bound to its entry.
 	bound bool
+	// authorityLimit is set once the run was ordered to stop because the entry of its
+	// job is silent, its caller has gone, or no entry submitted the job again; see
+	// AuthorityLimit.
+	authorityLimit time.Duration
 }
 
 // Worker is a worker as its agent last reported it, with the runs that may be
