schedule: jobs that wait for evacuated workers hold up no others

Cause: placeList counted them as jobs for which the pools are full. Twelve of them ended the search for all pools, and one kept all late jobs from starting, for as long as the evacuation lasted. Also, what is left for late jobs and the limits of the queues were kept for 5 ms after a change, so callers refused in that turn were told to come back after the least time.

Change: such jobs are no misses; SetEvacuated drops both caches.

--- a/schedule/evacuate.go
+++ b/schedule/evacuate.go
@@ -26,6 +26,8 @@
 		w.evacuated = s.evacuated[w.domain]
 	}
 	clear(s.runningForecasts)
+	clear(s.lateRooms)
+	clear(s.queueLimits)
 	s.recheckViable = len(domains) > 0
 }
 
--- a/schedule/evacuate_test.go
+++ b/schedule/evacuate_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -181,3 +182,49 @@
 	h.submit(testJob("third", step(1, 4, 100)))
 	must.Eq(t, map[contract.HostID]int{"cold": 1}, hosts(h.place()), must.Sprint("still ranked as cold"))
 }
+
+// Jobs that wait for evacuated workers may wait for long. They must not count as jobs
+// for which the pools are full, which ends the search: the jobs of other pools, and
+// those that are late, would not start although workers are idle.
+func TestJobsOfAnEvacuatedPoolHoldUpNoOthers(t *testing.T) {
+	h := newHarness(t)
+	h.workerIn("a", "a1", maxPlacementMisses, 0)
+	h.sch.WorkerReported(h.now, &contract.WorkerReport{Attach: true, Host: "b1", Session: 1, Worker: contract.WorkerAnnouncement{
+		Pool: "other", FailureDomain: "b", Capacity: contract.Capacity{MilliCPU: 100, MemoryMB: 1000}}})
+	for i := range maxPlacementMisses {
+		h.submit(testJob(fmt.Sprint("begun", i), step(1, 1, 100), step(1, 1, 100, 0)))
+	}
+	first := h.place()
+	must.Len(t, maxPlacementMisses, first)
+	h.sch.SetEvacuated([]string{"a"})
+	for _, o := range first {
+		h.end(o, contract.EndDone)
+	}
+	other := testJob("other", step(1, 5, 1000))
+	other.Pool = "other"
+	h.submit(other)
+	must.Eq(t, map[contract.HostID]int{"b1": 1}, hosts(h.place()))
+	other.ID = "late"
+	h.sch.AddAccepted(durable.NewJob(&other, 0), h.now-2*time.Second)
+	must.Eq(t, map[contract.HostID]int{"b1": 1}, hosts(h.place()), must.Sprint("the late job"))
+}
+
+// What is left for late jobs is kept for some milliseconds. In the turn in which an
+// evacuation takes effect, it must not be what there was before: callers that are
+// refused then would be told to come back at once.
+func TestEvacuationDropsWhatWasLeft(t *testing.T) {
+	h := newHarness(t)
+	h.workerIn("a", "a1", 100, 0)
+	h.workerIn("b", "b1", 10, 0)
+	h.sch.firstOfferAt = h.now
+	h.now += time.Minute
+	must.True(t, h.sch.ratesKnown(h.now))
+	h.submit(testJob("long", step(1, 10, 1500)))
+	h.submit(testJob("full", step(1, 10, 1500)))
+	h.place()
+	h.sch.workers["b1"].used.MilliCPU = 10
+	h.transient(testJob("waits", step(2, 10, 80)))
+	must.Eq(t, minRetryAfter, h.sch.RetryAfter(h.now, "waits"))
+	h.sch.SetEvacuated([]string{"a"})
+	must.Greater(t, minRetryAfter, h.sch.RetryAfter(h.now, "waits"))
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -32,8 +32,9 @@
 }
 
 // placeList places the tasks of the jobs of one list in order. It returns the
-// number of jobs that could not be fully placed. Jobs that wait for a fast worker don't
-// end the search as soon as others, since these may fit on slow ones.
+// number of jobs that could not be fully placed, without those that only evacuated
+// workers could run. Jobs that wait for a fast worker don't end the search as soon as
+// others, since these may fit on slow ones.
 func (s *Scheduler) placeList(now time.Duration, list *jobList) int {
 	placed, misses, held := 0, 0, 0
 	for _, j := range *list {
@@ -44,7 +45,10 @@
 		case placedAll:
 			placed++
 		case noCapacity:
-			misses++
+			// What waits for evacuated workers says nothing of the others.
+			if !s.BlockedByEvacuation(now, &j.DurableJob) {
+				misses++
+			}
 		case awaitsFast:
 			held++
 		}
