schedule: jobs that wait for evacuated workers are no work ahead

Cause: the forecast counted the tasks of a stored job that only evacuated workers could run as starting before all others. A task larger than what is left of the pool had all jobs of the pool refused until the evacuation ended, with workers idle.

Change: the forecast leaves such tasks out. The new test failed before.

--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -145,11 +145,11 @@
 	index, _ := s.viableJobs.search(j)
 	for _, o := range s.viableJobs[:index] {
 		if o.Pool == j.Pool {
-			s.simulateJob(&f, o)
+			s.simulateJob(now, &f, o)
 		}
 	}
 	withoutJob := f
-	wait := s.simulateJob(&f, j)
+	wait := s.simulateJob(now, &f, j)
 	if now+wait > j.safeStart() {
 		return wait, "the work ahead takes too long"
 	}
@@ -157,7 +157,7 @@
 		if o.Pool != j.Pool {
 			continue
 		}
-		waitWithout, waitWith := s.simulateJob(&withoutJob, o), s.simulateJob(&f, o)
+		waitWithout, waitWith := s.simulateJob(now, &withoutJob, o), s.simulateJob(now, &f, o)
 		if o.priorityClass == j.priorityClass && !o.begun && now+waitWith > o.safeStart() && now+waitWithout <= o.safeStart() {
 			return waitWith, "a job taken before would end too late"
 		}
--- a/schedule/evacuate.go
+++ b/schedule/evacuate.go
@@ -42,17 +42,24 @@
 // BlockedByEvacuation reports whether the job has a step for which the pool has large
 // enough workers, but only in evacuated domains.
 func (s *Scheduler) BlockedByEvacuation(now time.Duration, d *contract.DurableJob) bool {
-	if len(s.evacuated) == 0 {
-		return false
-	}
 	for i := range d.Steps {
-		if remaining, evacuated := s.idleWorkersFor(now, d.Pool, &d.Steps[i]); evacuated && !remaining {
+		if s.stepBlocked(now, d.Pool, &d.Steps[i]) {
 			return true
 		}
 	}
 	return false
 }
 
+// stepBlocked reports whether the pool has large enough workers for the step, but only
+// in evacuated domains.
+func (s *Scheduler) stepBlocked(now time.Duration, pool string, st *contract.DurableStep) bool {
+	if len(s.evacuated) == 0 {
+		return false
+	}
+	remaining, evacuated := s.idleWorkersFor(now, pool, st)
+	return evacuated && !remaining
+}
+
 // jobsToRefuse returns the transient jobs that have not begun and that an evacuation
 // has deprived of their capacity: those that only evacuated workers could run and,
 // after a change of the evacuated domains, those that would end too late to be of use
@@ -91,7 +98,7 @@
 		pools[j.Pool] = f
 	}
 	before := *f
-	wait := s.simulateJob(f, j)
+	wait := s.simulateJob(now, f, j)
 	if !j.transient || j.begun || !j.wouldExpire(now+wait) {
 		return false
 	}
--- a/schedule/evacuate_test.go
+++ b/schedule/evacuate_test.go
@@ -228,3 +228,20 @@
 	h.sch.SetEvacuated([]string{"a"})
 	must.Greater(t, minRetryAfter, h.sch.RetryAfter(h.now, "waits"))
 }
+
+// A stored job whose next task only evacuated workers could run waits until the
+// evacuation ends. As work ahead of others in the forecast, it would have all jobs of
+// the pool refused until then.
+func TestJobThatWaitsForAnEvacuationIsNoWorkAhead(t *testing.T) {
+	h := newHarness(t)
+	h.now += 2 * attachGracePeriod
+	h.workerIn("a", "a1", 10, 0)
+	h.workerIn("b", "b1", 20, 0)
+	h.submit(testJob("begun", step(1, 20, 100), step(1, 20, 100, 0)))
+	first := h.place()
+	h.sch.SetEvacuated([]string{"b"})
+	h.end(first[0], contract.EndDone)
+	h.now += time.Second
+	must.SliceEmpty(t, h.place())
+	must.True(t, h.admit(testJob("fits", step(2, 5, 100))).OK)
+}
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -178,8 +178,9 @@
 // simulateJob simulates the start of the job's waiting tasks in the forecast.
 // It returns how long from now the last of them starts. For a job that is still
 // to be admitted, and so has no task states, it counts the tasks of all steps
-// that depend on no other step.
-func (s *Scheduler) simulateJob(f *forecast, j *job) time.Duration {
+// that depend on no other step. Tasks that only evacuated workers could run are left
+// out, since they wait until the evacuation ends.
+func (s *Scheduler) simulateJob(now time.Duration, f *forecast, j *job) time.Duration {
 	t := 0
 	beyondHorizon, workAhead := false, 0.0
 	for step := range j.Steps {
@@ -191,6 +192,9 @@
 			}
 			t++
 		}
+		if count > 0 && s.stepBlocked(now, j.Pool, st) {
+			continue
+		}
 		need, duration := float64(st.Demand.MilliCPU), s.expectedDuration(j, step)
 		if left := f.startTasks(count, need, bucketCount(duration)); left > 0 {
 			// The job's own tasks delay its last start only by the work that
--- a/schedule/room.go
+++ b/schedule/room.go
@@ -35,7 +35,7 @@
 	f.expectArrivals(a)
 	for _, o := range before {
 		if o.Pool == j.Pool && f.bucket < forecastBuckets {
-			s.simulateJob(&f, o)
+			s.simulateJob(now, &f, o)
 		}
 	}
 	*r = room{computedAt: now}
--- a/schedule/shed.go
+++ b/schedule/shed.go
@@ -55,7 +55,7 @@
 			pools[j.Pool] = f
 		}
 		before := *f
-		if wait := s.simulateJob(f, j); j.wouldExpire(now + wait) {
+		if wait := s.simulateJob(now, f, j); j.wouldExpire(now + wait) {
 			shed = append(shed, j.ID)
 			*f = before
 		}
@@ -70,7 +70,7 @@
 	f.freeMilliCPU -= reserveShare * f.poolMilliCPU
 	for _, o := range s.viableJobs {
 		if o.Pool == j.Pool {
-			s.simulateJob(&f, o)
+			s.simulateJob(now, &f, o)
 		}
 	}
 	return &f
