hub: an evacuation order that was accepted is not unknown when sent again

Cause: a domain that only its workers made known is forgotten when they have gone. An order to end the evacuation whose acknowledgement was lost then got 422, which ends the operator's call; so did a repeated order to begin one that was not committed yet.

Change: hubs remember the domains of the orders that they took or applied. The new test failed before.

--- a/hub/evacuate.go
+++ b/hub/evacuate.go
@@ -55,20 +55,21 @@
 		ch <- fmt.Errorf("%w: %q: name one of [%s], or wait until its workers have reported", ErrUnknownDomain, o.Domain, strings.Join(known, ", "))
 		return
 	}
+	h.seenDomains[o.Domain] = true
 	p := h.leader.pending
 	p.batch.Evacuations = append(p.batch.Evacuations, o)
 	p.waiters = append(p.waiters, ch)
 }
 
 // knownDomains returns the failure domains that can be evacuated, in ascending order:
-// those of the settings, of the hubs, of the reported workers, and those that are
-// evacuated.
+// those of the settings, of the hubs, of the reported workers, those that are evacuated
+// and those of earlier orders.
 func (h *Hub) knownDomains() []string {
 	domains := append([]string{h.cfg.FailureDomain}, h.state.Evacuated...)
 	if h.cfg.FailureDomains != nil {
 		domains = append(domains, h.cfg.FailureDomains()...)
 	}
-	for d := range h.hubDomains {
+	for d := range h.seenDomains {
 		domains = append(domains, d)
 	}
 	for _, w := range h.state.Agents {
@@ -86,6 +87,7 @@
 		return
 	}
 	for _, o := range orders {
+		h.seenDomains[o.Domain] = true
 		event := "evacuation ended"
 		if o.Begin {
 			event = "evacuation begun"
@@ -102,7 +104,7 @@
 // stays known while the hub is down: its workers may still be running.
 func (h *Hub) recordHubDomain(hello contract.Hello) {
 	if slices.Contains(hello.Roles, contract.RoleControl) {
-		h.hubDomains[hello.FailureDomain] = true
+		h.seenDomains[hello.FailureDomain] = true
 	}
 }
 
--- a/hub/evacuate_test.go
+++ b/hub/evacuate_test.go
@@ -215,3 +215,19 @@
 	}
 	must.Positive(t, c.workers["a-w1"].Running(), must.Sprint("the refusal waited for the runs to end"))
 }
+
+// An order that was accepted must not be refused when it is sent again, also if the
+// domain was known only by its workers, and these have gone in the meantime.
+func TestRepeatedOrderIsNotUnknown(t *testing.T) {
+	c := newCluster(t, 1)
+	h := c.leaderHub()
+	h.runInLoop(func() { h.state.Agents["w1"] = contract.WorkerAnnouncement{FailureDomain: "w"} })
+	c.order(begin, "w")
+	h.runInLoop(func() { delete(h.state.Agents, "w1") })
+	must.NoError(t, begin.send(h, "w"))
+	must.NoError(t, end.send(h, "w"))
+	must.NoError(t, end.send(h, "w"), must.Sprint("the acknowledgement was lost"))
+	c.stopHub(0)
+	c.restartHub(0)
+	must.NoError(t, end.send(c.leaderHub(), "w"), must.Sprint("so was the hub"))
+}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -140,11 +140,12 @@
 	// the links that other processes have dialled.
 	peers   map[string]*peer
 	inbound map[*link.Link]bool
-	// hubDomains holds the failure domains of the hubs that have dialled this hub
-	// since it started.
-	hubDomains map[string]bool
-	ctx        context.Context
-	goroutines *errgroup.Group
+	// seenDomains holds, since this hub started, the failure domains of the hubs that
+	// have dialled it and of the evacuations that were ordered. An order that was
+	// accepted may be sent again when no worker of the domain is left.
+	seenDomains map[string]bool
+	ctx         context.Context
+	goroutines  *errgroup.Group
 
 	// leader is nil while this hub does not lead.
 	leader *leaderState
@@ -259,7 +260,7 @@
 		uncommittedWorkers: workersInEntries(cfg.Log, stored.Entries),
 		peers:              map[string]*peer{},
 		inbound:            map[*link.Link]bool{},
-		hubDomains:         map[string]bool{},
+		seenDomains:        map[string]bool{},
 		entryAliveAt:       map[*link.Link]time.Duration{},
 		diskReplies:        map[string]contract.DiskReply{},
 	}
