schedule: test the limit of slow suspects with slow workers

Change: a second case with slowness 5 on all six workers. It fails with limitSlowSuspects taken out (6 suspects for 2, 6 starts for 40). With five of six workers at 5, 30 of the 40 tasks wait for the fast one, so that is no case of it.

--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -373,21 +373,29 @@
 // third of the workers may be suspected for being slow. Failing workers are
 // always suspected.
 func TestMostOfAPoolIsNotSlow(t *testing.T) {
-	h := newHarness(t)
-	for i := range 6 {
-		h.worker(fmt.Sprint("w", i), 100)
-	}
-	for _, w := range h.sch.workerList[:5] {
-		w.slownessSamples, w.slowness = 2*minSlownessSamples, 3
-	}
-	h.sch.CheckRuns(h.now)
-	h.submit(testJob("j", step(40, 10, 100)))
-	must.Len(t, 40, h.place())
-	for _, w := range h.sch.workerList {
-		w.failures = suspectFailures
+	// Slowness 3 is below suspectSlowness, 5 is above: two of the six workers are
+	// suspected, and the other four have room for 40 tasks. No worker is fast in that
+	// case, since tasks wait for those that are.
+	for slowness, slowWorkers := range map[float64]int{3: 5, 5: 6} {
+		h := newHarness(t)
+		for i := range 6 {
+			h.worker(fmt.Sprint("w", i), 100)
+		}
+		for _, w := range h.sch.workerList[:slowWorkers] {
+			w.slownessSamples, w.slowness = 2*minSlownessSamples, slowness
+		}
+		h.sch.CheckRuns(h.now)
+		if slowness > suspectSlowness {
+			must.Eq(t, 2, h.sch.PoolSummaries()[0].SuspectedWorkers)
+		}
+		h.submit(testJob("j", step(40, 10, 100)))
+		must.Len(t, 40, h.place(), must.Sprint(slowness))
+		for _, w := range h.sch.workerList {
+			w.failures = suspectFailures
+		}
+		h.sch.CheckRuns(h.now)
+		must.Eq(t, 6, h.sch.PoolSummaries()[0].SuspectedWorkers)
 	}
-	h.sch.CheckRuns(h.now)
-	must.Eq(t, 6, h.sch.PoolSummaries()[0].SuspectedWorkers)
 }
 
 // TestLateJobWithoutRoomIsGivenUpAtOnce guards against a caller that waits in
