schedule: a warm slow worker goes before a cold fast one

Cause: in an uneven pool the fast workers are ranked apart from the slow ones, so a cold fast worker got tasks while a warm slow one was idle on which they would be in time.

Change: unless the task is less likely in time there, the warm one is taken. The new test failed before.

--- a/schedule/evacuate_test.go
+++ b/schedule/evacuate_test.go
@@ -245,3 +245,18 @@
 	must.SliceEmpty(t, h.place())
 	must.True(t, h.admit(testJob("fits", step(2, 5, 100))).OK)
 }
+
+// In an uneven pool too, a cold worker must get tasks after warm ones, as far as
+// objectives allow: a warm slow worker goes first if the task is in time there.
+func TestColdFastWorkerComesAfterWarmSlowOne(t *testing.T) {
+	for millis, want := range map[int]contract.HostID{10: "slow", 900: "cold"} {
+		h := newHarness(t)
+		h.workerIn("a", "cold", 10, 500*ms)
+		h.workerIn("b", "slow", 10, 0)
+		h.sch.workers["slow"].slowness, h.sch.workers["slow"].slownessSamples = 2.2, minUnevenSamples
+		h.sch.CheckRuns(h.now)
+		must.True(t, h.sch.poolSpeedOf("formula").uneven)
+		h.submit(testJob("j", step(1, 4, millis)))
+		must.Eq(t, map[contract.HostID]int{want: 1}, hosts(h.place()), must.Sprint(millis))
+	}
+}
--- a/schedule/uneven.go
+++ b/schedule/uneven.go
@@ -76,7 +76,8 @@
 	}
 	slowChance := o.chanceAt(slow.roundedSlowness())
 	if fast != nil {
-		if o.pool.pressed && slowChance >= o.fastChance-chanceTolerance && o.ofUse(now, slow) {
+		preferSlow := o.pool.pressed || fast.cold(now) && !slow.cold(now)
+		if preferSlow && slowChance >= o.fastChance-chanceTolerance && o.ofUse(now, slow) {
 			return slow
 		}
 		return fast
