Direct starts end before a missed evacuation counts

Cause: an agent that is cut off from all hubs doesn't learn of an evacuation and could start runs in the domain for entries that are cut off too. Ruled out: a limit for all deployments; it would end service in a long loss of all control hosts.

--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -36,6 +36,9 @@
 	AuthorityTTL time.Duration
 	// DirectStarts lets entries start runs while no leader is known.
 	DirectStarts bool
+	// MaxLeaderless ends direct starts once no leader has been known for this long: the
+	// agent may have missed an evacuation. Zero means no limit.
+	MaxLeaderless time.Duration
 	// Evacuated reports whether no run may start in a failure domain; nil means as the
 	// leader has announced.
 	Evacuated func(domain string) bool
--- a/workeragent/direct.go
+++ b/workeragent/direct.go
@@ -65,9 +65,13 @@
 	a.log.Info("direct session began", "worker", w.id, "session", a.session, "term", a.term, "leaderless_ms", a.leaderlessFor(now).Milliseconds())
 }
 
-// evacuated reports whether no run may start in the worker's failure domain.
+// evacuated reports whether no run may start in the worker's failure domain, as far as
+// the agent can know.
 // The caller holds a.mu.
-func (a *Agent) evacuated() bool { return a.cfg.Evacuated(a.failureDomain()) }
+func (a *Agent) evacuated() bool {
+	limit := a.cfg.MaxLeaderless
+	return limit > 0 && a.leaderlessFor(boottime.Now()) > limit || a.cfg.Evacuated(a.failureDomain())
+}
 
 // failureDomain returns the worker's failure domain: the announced one or, if there is
 // none, that of the agent. The caller holds a.mu.
--- a/workeragent/direct_test.go
+++ b/workeragent/direct_test.go
@@ -62,6 +62,9 @@
 		{"the session is ending", func(_ *Agent, w *workerInstance, _ *entryLink) { w.sessionEnding = true }, false},
 		{"draining", func(_ *Agent, w *workerInstance, _ *entryLink) { w.worker.Draining = true }, false},
 		{"evacuated", func(a *Agent, _ *workerInstance, _ *entryLink) { a.cfg.Evacuated = func(string) bool { return true } }, false},
+		{"without a leader for long, where domains may be evacuated", func(a *Agent, _ *workerInstance, _ *entryLink) {
+			a.cfg.MaxLeaderless, a.leaderLostAt = time.Second, boottime.Now()-1001*time.Millisecond
+		}, false},
 		{"no confirmed lease", func(_ *Agent, w *workerInstance, _ *entryLink) { w.confirmedLeaseEndMS = 1100 }, false},
 		{"entry silent", func(_ *Agent, _ *workerInstance, e *entryLink) { e.aliveAt -= directSilence }, false},
 		{"entry down", func(_ *Agent, _ *workerInstance, e *entryLink) { e.downAt = boottime.Now() }, false},
