--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -160,11 +160,12 @@
 }
 
 // The lease of a task that waits at the agent runs from its arrival, not from its
-// start: the second task must not start after its lease has expired.
+// start: the second task must not start after its lease has expired. The first lease is
+// long enough for its task to start on a loaded machine; with 50 ms it once passed first.
 func TestLeaseCountsFromTheArrival(t *testing.T) {
 	h := newHarness(t)
 	l := <-h.entry.links
-	must.NoError(t, l.Send(startWithLease(0, 50*time.Millisecond)))
+	must.NoError(t, l.Send(startWithLease(0, 500*time.Millisecond)))
 	must.NoError(t, l.Send(startWithLease(1, 10*time.Millisecond)))
 	stopped := awaitMessage[*contract.Result](h)
 	must.Eq(t, firstAttempt(0).Task, stopped.Task)
