--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,7 +124,8 @@
 // when ctx is done, or when there has been no leader for longer than
 // maxLeaderlessWait and no hub can have accepted the request. A transient job that no
 // hub can have accepted is given to direct starts if agents offer them; it is then
-// never sent to a hub.
+// never sent to a hub. It is held back while the leader is silent for longer than
+// maxLeaderSilence.
 func (g *Gateway) Ask(ctx context.Context, m contract.Message) Answer {
 	a := g.ask(ctx, m)
 	if sub, ok := m.(*contract.JobSubmit); ok && g.bound(m) && !a.Direct && !a.Answered && a.PossiblyAccepted {
