--- a/contract/durable.go
+++ b/contract/durable.go
@@ -42,7 +42,7 @@
 
 // MatchQueue returns the queue for a request with the given host name and path,
 // and the rest of the path after the queue's prefix. If several queues match, the
-// one with the longest prefix is chosen; if none does, MatchQueue returns nil.
+// one with the longest prefix is chosen; without a match the result is nil.
 func MatchQueue(queues []Queue, host, path string) (*Queue, string) {
 	var best *Queue
 	for i := range queues {
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -69,7 +69,7 @@
 	promoted := s.isBelowMinimum(now, j)
 	if promoted {
 		j.priorityClass = 0
-	} else if !s.fitsBesideReserve(j) && s.exceedsShare(now, j) {
+	} else if !s.mayBorrow(j) && s.exceedsShare(now, j) {
 		return s.refuse(now, j, j.latestStart-now, "the queue is over its share")
 	}
 	if len(s.viableJobs) == 0 && s.firstStepsFitNow(j) {
@@ -227,18 +227,18 @@
 	return j.firstStepsMilliCPU() <= free
 }
 
-// borrowReserveShare is the share of a pool that a queue over its share leaves free.
-const borrowReserveShare = 0.02
+// unborrowableShare is the share of a pool that a queue over its share leaves free.
+const unborrowableShare = 0.02
 
-// fitsBesideReserve reports whether the job could start now and leave
-// borrowReserveShare of its pool free. A queue that is over its share may borrow such
+// mayBorrow reports whether the job could start now and leave unborrowableShare of its
+// pool free. A queue that is over its share may borrow such
 // capacity: the work of the others is already running.
-func (s *Scheduler) fitsBesideReserve(j *job) bool {
+func (s *Scheduler) mayBorrow(j *job) bool {
 	if len(s.viableJobs) > 0 {
 		return false
 	}
 	free, total := s.freeMilliCPU(j.Pool)
-	return float64(free-j.firstStepsMilliCPU()) >= borrowReserveShare*float64(total)
+	return float64(free-j.firstStepsMilliCPU()) >= unborrowableShare*float64(total)
 }
 
 // freeMilliCPU returns the free and the total CPU of the pool's available workers, in
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// queueStats holds the correction of a queue's declared task durations, learned
-// from measured ones, and their distribution.
+// queueStats holds, for one queue, how far declared task durations are off, and how
+// the actual durations are distributed.
 type queueStats struct {
 	// durationRatio is the ratio of actual to declared task durations on a worker
 	// of usual speed.
--- a/schedule/late.go
+++ b/schedule/late.go
@@ -52,8 +52,8 @@
 
 // lateRuns is the evidence that late runs give against their worker.
 type lateRuns struct {
-	// row counts the late runs since the last usual end, and evidence is what
-	// they say together.
+	// row counts the late runs since the last usual end, and evidence is the sum of
+	// what each adds; see suspectEvidence.
 	row      int
 	evidence float64
 	// tails holds the distributions of the first late runs of the row.
--- a/schedule/uneven.go
+++ b/schedule/uneven.go
@@ -16,9 +16,9 @@
 	// waitChance is the chance of being in time on a slow worker, relative to that
 	// on a fast one, below which a task waits for a fast one.
 	waitChance = 0.8
-	// hopelessChance is the chance of being in time below which a task is not worth
+	// minUsefulChance is the chance of being in time below which a task is not worth
 	// the capacity of a fast worker.
-	hopelessChance = 0.15
+	minUsefulChance = 0.15
 	// maxHeldJobs is the number of jobs that wait for a fast worker after which
 	// placeList stops.
 	maxHeldJobs = 24
@@ -82,7 +82,7 @@
 		}
 		return fast
 	}
-	if slowChance >= waitChance*o.fastChance || o.fastChance < hopelessChance || !o.fitsFast() {
+	if slowChance >= waitChance*o.fastChance || o.fastChance < minUsefulChance || !o.fitsFast() {
 		return slow
 	}
 	return nil
