Crashes of workers are reported, logged and counted

Change: an agent records the runs of an instance that ended without notice, and reports them with each attachment for a minute; the leader counts the crashes under each task once for each instance. Nothing is decided by it. RunStart and WorkerReport have one field more. Measured: tests of schedule, workeragent, directstart, hub pass.

--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -258,6 +258,9 @@
 	// worker within this time before the report is in Recent, Ends or Running. It is
 	// zero if there is no record.
 	RecentSince time.Duration
+	// Crashes holds, in a report with Attach set, the crashes of instances of the
+	// worker that the agent has noticed lately, oldest first.
+	Crashes []WorkerCrash
 }
 
 // MessageKind returns KindWorkerReport.
@@ -303,6 +306,8 @@
 	Spec string
 	// Bound is as in PlacedRun.
 	Bound bool
+	// Queue is the queue of the run's job.
+	Queue string
 }
 
 // Placed returns the run as reports list it.
--- a/directstart/jobs.go
+++ b/directstart/jobs.go
@@ -378,6 +378,6 @@
 	j.waitingTasks--
 	j.mayHaveRun = true
 	d.actions = append(d.actions, Start{a.link, contract.DirectStart{Number: t.number, Start: contract.RunStart{
-		RunRef: t.run, Demand: j.need(), Name: fmt.Sprintf("%s.0.0.%d", j.ID, t.index), Spec: j.Spec,
+		RunRef: t.run, Demand: j.need(), Name: fmt.Sprintf("%s.0.0.%d", j.ID, t.index), Spec: j.Spec, Queue: j.Queue,
 	}}})
 }
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -307,6 +307,7 @@
 		h.log.Info("worker attached", "worker", a.host, "session", r.Session, "pool", r.Worker.Pool, "running", len(r.Running), "ends", len(r.Ends), "recent", len(r.Recent), "recent_ms", r.RecentSince.Milliseconds(), "draining", r.Worker.Draining, "gone", r.NoWorker)
 	}
 	h.proposeEnds(now, a, r.Ends, h.leader.sched.WorkerReported(now, r))
+	h.handleCrashes()
 	a.unreachable = false
 	h.grantAuthority(now, a, r.Stamp)
 }
--- /dev/null
+++ b/quarantine/ledger.go
@@ -0,0 +1,146 @@
+// Package quarantine decides what follows from crashes of workers: which tasks may have
+// caused them, which of these must run alone or not at all, and which queues may use
+// only a few workers until their tasks have shown that they are sound. It does no I/O
+// and reads no clock.
+//
+// The load pattern: a few requests a second crash each worker that starts them, and a
+// worker is back after seconds. A crash takes the other runs of the worker with it, so
+// most of the tasks under a crash are innocent.
+//
+// Invariants: a crash counts once for a task, whoever reports it and however often; a
+// task is given up only if a worker has crashed that ran nothing but its job; a task
+// under which MaxCrashes workers have crashed is not started again.
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+)
+
+const (
+	// MaxCrashes is the number of crashes under a task from which on it is not started
+	// any more.
+	MaxCrashes = 3
+	// crashesToGiveUp is the number of crashes under a task from which on it is given
+	// up, if one of them is evidence against its job. A single crash may be the
+	// worker's own.
+	crashesToGiveUp = 2
+	// Retention is how long after its last crash a task is remembered. Callers send
+	// a job again within seconds.
+	Retention = time.Minute
+	// maxTasks bounds the ledger: crashes of a hundred workers with a hundred runs.
+	maxTasks = 10_000
+)
+
+// Verdict says how a task may be started again.
+type Verdict uint8
+
+// The verdicts, from harmless to guilty.
+const (
+	// Clear: no crash is known.
+	Clear Verdict = iota
+	// Separate: one worker has crashed under the task, beside others. It is started
+	// apart from the other tasks under that crash.
+	Separate
+	// Isolate: the task is started only on a worker that runs nothing else.
+	Isolate
+	// Exhausted: the task is not started again, although nothing proves that it is to
+	// blame.
+	Exhausted
+	// GivenUp: the task crashes workers, and its job fails.
+	GivenUp
+)
+
+// String returns the name in logs.
+func (v Verdict) String() string {
+	return [...]string{"clear", "separate", "isolate", "exhausted", "given-up"}[v]
+}
+
+// record holds the crashes under one task.
+type record struct {
+	queue string
+	// instances holds the instances that crashed, and alone those of them that ran
+	// nothing but the task's job.
+	instances []contract.WorkerInstance
+	alone     int
+	lastAt    time.Duration
+}
+
+// Ledger counts the crashes under tasks. It is not safe for concurrent use.
+type Ledger struct {
+	tasks map[contract.DurableTask]*record
+	// byAge lists the tasks in the order of their first crashes.
+	byAge []contract.DurableTask
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{tasks: map[contract.DurableTask]*record{}} }
+
+// Record counts a crash that was noticed at the given time, and returns the tasks
+// for which it is new.
+func (l *Ledger) Record(at time.Duration, c *contract.WorkerCrash) []contract.DurableTask {
+	var counted []contract.DurableTask
+	for i := range c.Runs {
+		task := contract.DurableTask{Job: c.Runs[i].Job, Task: c.Runs[i].Task}
+		r := l.tasks[task]
+		if r == nil {
+			r = &record{}
+			l.tasks[task] = r
+			l.byAge = append(l.byAge, task)
+		}
+		if slices.Contains(r.instances, c.Instance) {
+			continue
+		}
+		r.queue, r.lastAt = c.Runs[i].Queue, max(r.lastAt, at)
+		r.instances = append(r.instances, c.Instance)
+		if c.Alone() {
+			r.alone++
+		}
+		counted = append(counted, task)
+	}
+	return counted
+}
+
+// Crashes returns the number of workers that have crashed under the task.
+func (l *Ledger) Crashes(t contract.DurableTask) int {
+	if r := l.tasks[t]; r != nil {
+		return len(r.instances)
+	}
+	return 0
+}
+
+// Verdict returns how the task may be started.
+func (l *Ledger) Verdict(t contract.DurableTask) Verdict {
+	r := l.tasks[t]
+	switch {
+	case r == nil:
+		return Clear
+	case len(r.instances) >= crashesToGiveUp && r.alone > 0:
+		return GivenUp
+	case len(r.instances) >= MaxCrashes:
+		return Exhausted
+	case len(r.instances) >= crashesToGiveUp || r.alone > 0:
+		return Isolate
+	}
+	return Separate
+}
+
+// Empty reports whether no crash is remembered.
+func (l *Ledger) Empty() bool { return len(l.tasks) == 0 }
+
+// Forget removes the tasks whose last crash is older than Retention and which keep does
+// not name, and the oldest ones beyond the bound of the ledger.
+func (l *Ledger) Forget(now time.Duration, keep func(contract.DurableJobID) bool) {
+	excess := len(l.byAge) - maxTasks
+	l.byAge = slices.DeleteFunc(l.byAge, func(t contract.DurableTask) bool {
+		expired := now-l.tasks[t].lastAt > Retention && !keep(t.Job)
+		if !expired && excess <= 0 {
+			return false
+		}
+		excess--
+		delete(l.tasks, t)
+		return true
+	})
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -146,7 +146,7 @@
 	s.addRun(w, ref, &run{need: need, placedAt: now, usualDuration: s.usualDuration(j, step), queue: j.Queue})
 	w.recordStart(now)
 	s.pendingOrders = append(s.pendingOrders, Order{Host: w.Host, Session: w.Session, Start: &contract.RunStart{
-		RunRef: ref, Demand: need, Name: fmt.Sprintf("%s.0.%d.%d", j.ID, step, index), Spec: j.Spec, Bound: j.bound,
+		RunRef: ref, Demand: need, Name: fmt.Sprintf("%s.0.%d.%d", j.ID, step, index), Spec: j.Spec, Bound: j.bound, Queue: j.Queue,
 	}})
 }
 
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -15,6 +15,7 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/durable"
+	"github.com/carawaylanding/carawaylanding/quarantine"
 )
 
 // phase is the scheduling state of a task, as far as this leader knows it.
@@ -182,6 +183,10 @@
 	// runCount is the number of runs that this scheduler has started. Its value
 	// after a start is the lower part of that run's number.
 	runCount uint64
+	// ledger counts the crashes of workers under tasks, and crashNotices holds those
+	// since the last TakeCrashes.
+	ledger       *quarantine.Ledger
+	crashNotices []CrashNotice
 	// awaitingRelease is set until Release: until then, runs that an earlier
 	// leader ordered may be alive on unreachable workers.
 	awaitingRelease bool
@@ -209,6 +214,7 @@
 		poolSpeeds:       map[string]*poolSpeed{},
 		unclaimedRuns:    map[contract.DurableJobID]map[contract.RunRef]*Worker{},
 		directRuns:       map[contract.DurableTask]int{},
+		ledger:           quarantine.NewLedger(),
 		awaitingRelease:  true,
 		checkedAt:        now,
 		records:          newRunRecords(s.Agents),
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -72,6 +72,7 @@
 		s.workers[r.Host] = w
 		s.workerList = append(s.workerList, w)
 	}
+	s.recordCrashes(now, r)
 	attach := r.Attach || w.Session != r.Session
 	if w.Session != r.Session {
 		s.requeueAllRuns(w)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -80,6 +80,12 @@
 	JobsSettled = factory.NewCounterVec(prometheus.CounterOpts{
 		Name: "caraway_jobs_settled_total", Help: "Jobs of an earlier leader, by how they were settled.",
 	}, []string{"how"})
+	// CrashedRuns counts runs that were on a worker when it crashed, as the leader
+	// learned of them, by how many workers have crashed under their task: 1, 2, or
+	// more.
+	CrashedRuns = factory.NewCounterVec(prometheus.CounterOpts{
+		Name: "caraway_crashed_runs_total", Help: "Runs on workers that crashed, by the number of crashes under their task.",
+	}, []string{"crashes"})
 	// JobSeconds is the time from a job's acceptance to its end.
 	JobSeconds = factory.NewHistogram(prometheus.HistogramOpts{
 		Name: "caraway_job_seconds", Help: "Time from a job's acceptance to its end.", Buckets: latencyBuckets,
@@ -115,6 +121,10 @@
 	StartsUnanswered = factory.NewCounter(prometheus.CounterOpts{
 		Name: "caraway_starts_unanswered_total", Help: "Starts without an answer from the worker.",
 	})
+	// WorkerCrashes counts instances of the worker that ended without notice.
+	WorkerCrashes = factory.NewCounter(prometheus.CounterOpts{
+		Name: "caraway_worker_crashes_total", Help: "Crashes of the worker.",
+	})
 	// Sessions counts sessions that began. More than one per worker instance means
 	// that its lease expired.
 	Sessions = factory.NewCounter(prometheus.CounterOpts{Name: "caraway_sessions_total", Help: "Sessions begun."})
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -86,6 +86,8 @@
 	draining bool
 	// recent records the runs that have ended lately.
 	recent recentRuns
+	// crashes records the crashes of the worker, oldest first.
+	crashes []recordedCrash
 }
 
 // New returns an Agent that does nothing until Run is called.
@@ -127,12 +129,14 @@
 	if a.ctx == nil {
 		return
 	}
+	leaving := ann.Draining
 	ann.Draining = ann.Draining || a.draining
 	w := a.instance
 	if w != nil && w.worker.SameInstance(ann) {
 		if ann.Seq < w.worker.Seq {
 			return
 		}
+		w.leaving = leaving
 		changed := ann.Draining != w.worker.Draining || ann.Capacity != w.worker.Capacity || ann.FailureDomain != w.worker.FailureDomain
 		changed = w.updateCold(ann) || changed
 		w.worker = ann
@@ -148,6 +152,7 @@
 	}
 	a.log.Info("new worker instance", "worker", ann.ID, "born", ann.StartedMillis, "addr", ann.Addr, "pool", ann.Pool)
 	a.instance = newWorkerInstance(a, ann)
+	a.instance.leaving = leaving
 	if w != nil {
 		a.instance.inheritRuns(w)
 		w.stopTracking("replaced", contract.EndStopped)
@@ -166,6 +171,7 @@
 	}
 	a.log.Info("worker shutting down", "worker", id)
 	a.instance.worker.Draining = true
+	a.instance.leaving = true
 	a.instance.worker.Seq = math.MaxUint64
 	if a.instance.inSession {
 		a.report(false)
@@ -220,6 +226,7 @@
 	}
 	if attach {
 		a.fillRecent(boottime.Now(), r)
+		r.Crashes = a.recentCrashes(boottime.Now())
 	}
 	a.send(r)
 }
--- a/workeragent/runs.go
+++ b/workeragent/runs.go
@@ -17,7 +17,8 @@
 	if w.runs[name] != nil {
 		return
 	}
-	w.runs[name] = &run{ref: st.RunRef, need: st.Demand, bound: st.Bound, entry: e}
+	w.starts++
+	w.runs[name] = &run{ref: st.RunRef, queue: st.Queue, need: st.Demand, bound: st.Bound, entry: e, number: w.starts}
 	w.nameByRef[st.RunRef] = name
 	c := StartCall{Name: st.Name, Run: st.Run, Spec: st.Spec, DeadlineMS: w.nextLeaseEndMS(), Token: w.agent.term}
 	w.agent.group.Go(func() error { w.callStart(name, c); return nil })
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -58,8 +58,11 @@
 // run tracks a run that is, or may be, on the worker. It is guarded by Agent.mu.
 type run struct {
 	ref   contract.RunRef
+	queue string
 	need  contract.Demand
 	phase phase
+	// number orders the starts on the instance.
+	number uint64
 	// stopAckedAtPoll is the value of workerInstance.polls when the worker
 	// acknowledged the stop.
 	stopAckedAtPoll uint64
@@ -99,6 +102,10 @@
 	inheritedUntil time.Duration
 	// hadSession says that this process has begun a session with the instance.
 	hadSession bool
+	// leaving says that the instance has announced its end.
+	leaving bool
+	// starts counts the starts on the instance.
+	starts uint64
 	// sessionEnding is set when the lease is no longer renewed; the session ends
 	// when it expires.
 	sessionEnding bool
@@ -163,6 +170,7 @@
 // agent.mu.
 func (w *workerInstance) stopTracking(why string, directEnd contract.RunEndKind) {
 	w.agent.log.Info("worker instance ended", "worker", w.id, "why", why, "runs", len(w.runs))
+	w.recordCrash(boottime.Now())
 	w.recordVoidRuns(boottime.Now())
 	w.inSession = false
 	w.failDirectRuns(directEnd)
