--- a/hub/direct_test.go
+++ b/hub/direct_test.go
@@ -123,11 +123,15 @@
 	return &directEntry{p, g, proxy}
 }
 
-func (c *directCluster) availableWorkers() int {
+func (c *directCluster) availableWorkers() int { return c.availableWorkersAt(c.hubInstances[0]) }
+
+// availableWorkersAt returns how many workers take work without restriction, by the hub's
+// scheduler; zero if the hub does not lead.
+func (c *cluster) availableWorkersAt(h *Hub) int {
 	n := 0
-	c.hubInstances[0].runInLoop(func() {
-		if c.hubInstances[0].leader != nil {
-			for _, p := range c.hubInstances[0].leader.sched.PoolSummaries() {
+	h.runInLoop(func() {
+		if h.leader != nil {
+			for _, p := range h.leader.sched.PoolSummaries() {
 				n += p.AvailableWorkers
 			}
 		}
--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -218,6 +218,7 @@
 func tables(version uint64) *contract.QueueTables {
 	return &contract.QueueTables{Version: version, Document: fmt.Append(nil, "tables ", version), Queues: []contract.Queue{
 		{Name: "q", Host: "h", PathPrefix: "/q/", Pool: testPool, MaxAttempts: 3, Slack: 2, Target: time.Second},
+		{Name: "second", Host: "h", PathPrefix: "/second/", Pool: testPool, MaxAttempts: 3, Slack: 2, Target: time.Second},
 	}}
 }
 
--- a/internal/leasedworker/leasedworker.go
+++ b/internal/leasedworker/leasedworker.go
@@ -19,6 +19,12 @@
 // MaxLease is the longest time for which a call can extend the lease of a Worker.
 const MaxLease = time.Second
 
+// CrashSpec is the spec of a task that crashes each worker that starts it, crashDelay
+// after its start.
+const CrashSpec = "crash"
+
+const crashDelay = 5 * time.Millisecond
+
 // ErrAnswerLost is returned by Worker.Start and Worker.Stop if the worker's mode loses
 // the answer.
 var ErrAnswerLost = errors.New("answer lost")
@@ -35,12 +41,13 @@
 	runningOn               map[string]string // worker by task
 	acknowledgedCompletions map[string]int    // number of acknowledged completions by task
 	startCount              int
+	crashesUnder            map[string]int // number of workers that a task has crashed
 	violations              []string
 }
 
 // NewRunChecker returns a RunChecker without recorded runs.
 func NewRunChecker() *RunChecker {
-	return &RunChecker{runningOn: map[string]string{}, acknowledgedCompletions: map[string]int{}}
+	return &RunChecker{runningOn: map[string]string{}, acknowledgedCompletions: map[string]int{}, crashesUnder: map[string]int{}}
 }
 
 func (c *RunChecker) recordStart(worker, task string) {
@@ -75,6 +82,23 @@
 	c.acknowledgedCompletions[task]++
 }
 
+func (c *RunChecker) recordCrash(task string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashesUnder[task]++
+}
+
+// MostCrashes returns the highest number of workers that one task has crashed.
+func (c *RunChecker) MostCrashes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	most := 0
+	for _, n := range c.crashesUnder {
+		most = max(most, n)
+	}
+	return most
+}
+
 // Violations returns a description of each violation.
 func (c *RunChecker) Violations() []string {
 	c.mu.Lock()
@@ -113,11 +137,11 @@
 
 // Worker is a fake worker; it implements workeragent.WorkerClient.
 type Worker struct {
-	Name      string
-	Checker   *RunChecker
-	startedAt time.Time
+	Name    string
+	Checker *RunChecker
 
 	mu           sync.Mutex // guards the fields below
+	startedAt    time.Time
 	mode         Mode
 	highestToken uint64
 	leaseEnd     time.Time
@@ -133,6 +157,7 @@
 	expiriesAtEnd map[uint64]int
 	lastSeq       uint64
 	startCount    int
+	crashCount    int
 	// runEnded is closed and replaced at each end of a run.
 	runEnded             chan struct{}
 	announcementsStopped bool
@@ -148,6 +173,8 @@
 
 // Announcement returns the message with which the worker registers for a pool.
 func (w *Worker) Announcement(pool string, milliCPU int) contract.WorkerAnnouncement {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	return contract.WorkerAnnouncement{
 		ID: contract.HostID(w.Name), StartedMillis: w.startedAt.UnixMilli(), Seq: 1, Addr: w.Name, Pool: pool,
 		Capacity: contract.Capacity{MilliCPU: milliCPU, MemoryMB: 1 << 20},
@@ -194,6 +221,11 @@
 	w.SetMode(Mode{Exited: true})
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.endProcess()
+}
+
+// endProcess ends all runs without listing their ends. The caller holds mu.
+func (w *Worker) endProcess() {
 	for name, r := range w.runs {
 		r.timer.Stop()
 		w.Checker.recordEnd(name.Name)
@@ -201,6 +233,39 @@
 	clear(w.runs)
 }
 
+// Crashes returns how often a task has crashed the worker.
+func (w *Worker) Crashes() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashCount
+}
+
+// crash ends the process some milliseconds after the start of a task that crashes it.
+func (w *Worker) crash(task string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.mode.Exited {
+		return
+	}
+	w.crashCount++
+	w.Checker.recordCrash(task)
+	w.mode = Mode{Exited: true}
+	w.endProcess()
+}
+
+// Restart starts a new instance of the worker, which holds and knows nothing of the one
+// before.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.expiryTimer != nil {
+		w.expiryTimer.Stop()
+	}
+	w.startedAt, w.mode = time.Now(), Mode{}
+	w.highestToken, w.leaseEnd, w.lastSeq = 0, time.Time{}, 0
+	w.staleUpTo, w.expiriesAtEnd, w.unacknowledgedEnds = map[string]uint64{}, map[uint64]int{}, nil
+}
+
 // checkReachable returns an error if the mode makes the worker unreachable. In
 // mode Unresponsive it blocks until ctx ends.
 func (w *Worker) checkReachable(ctx context.Context) error {
@@ -217,7 +282,8 @@
 	return nil
 }
 
-// clock returns the worker's clock: the milliseconds since its creation.
+// clock returns the worker's clock: the milliseconds since its instance started. The
+// caller holds mu.
 func (w *Worker) clock() int64 { return time.Since(w.startedAt).Milliseconds() }
 
 // Close implements workeragent.WorkerClient; there is no connection to close.
@@ -263,6 +329,10 @@
 	}
 	w.startCount++
 	w.Checker.recordStart(w.Name, c.Name)
+	if c.Spec == CrashSpec {
+		w.runs[name] = &activeRun{timer: time.AfterFunc(crashDelay, func() { w.crash(c.Name) })}
+		return workeragent.NotRefused
+	}
 	ms, err := strconv.Atoi(c.Spec)
 	end := contract.EndDone
 	if err != nil || w.mode.FailAll {
@@ -352,7 +422,7 @@
 	}
 	w.mu.Lock()
 	if c.Token < w.highestToken {
-		w.mu.Unlock()
+		defer w.mu.Unlock()
 		return workeragent.PollReply{ClockMS: w.clock()}, workeragent.ErrFenced
 	}
 	w.highestToken = c.Token
@@ -371,6 +441,9 @@
 			return workeragent.PollReply{}, ctx.Err()
 		}
 	}
+	if err := w.checkReachable(ctx); err != nil {
+		return workeragent.PollReply{}, err
+	}
 	return w.pollReply(), nil
 }
 
