--- a/contract/crash.go
+++ b/contract/crash.go
@@ -16,11 +16,14 @@
 
 // CrashedRun is a run that was, or may have been, on a worker when it crashed.
 type CrashedRun struct {
-	RunRef
+	Ref RunRef
 	// Queue is the queue of the run's job.
 	Queue string
 }
 
+// Task returns the task of the run.
+func (r *CrashedRun) Task() DurableTask { return DurableTask{Job: r.Ref.Job, Task: r.Ref.Task} }
+
 // WorkerCrash reports that an instance of a worker has ended without notice. The same
 // crash may be reported several times, and late; Instance tells.
 type WorkerCrash struct {
@@ -40,7 +43,7 @@
 // evidence against that job, unless the worker crashed for a reason of its own.
 func (c *WorkerCrash) Alone() bool {
 	for i := range c.Runs {
-		if c.Runs[i].Job != c.Runs[0].Job {
+		if c.Runs[i].Ref.Job != c.Runs[0].Ref.Job {
 			return false
 		}
 	}
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -32,13 +32,18 @@
 	RemovedAgents []contract.HostID
 	// Evacuations lists operators' orders in the order in which they came.
 	Evacuations []EvacuationOrder
+	// Crashes lists the crashes of workers that the leader has learned of.
+	Crashes []Crash
+	// Failed lists the jobs that are given up since a task of them crashes workers.
+	Failed []contract.DurableJobID
 }
 
 // Empty reports whether the batch has no other effect than to advance the log
 // time and to remove ended jobs.
 func (b *Batch) Empty() bool {
 	return b.Tables == nil && len(b.Submits) == 0 && len(b.Cancels) == 0 && len(b.Ends) == 0 &&
-		len(b.RegisteredAgents) == 0 && len(b.RemovedAgents) == 0 && len(b.Evacuations) == 0
+		len(b.RegisteredAgents) == 0 && len(b.RemovedAgents) == 0 && len(b.Evacuations) == 0 &&
+		len(b.Crashes) == 0 && len(b.Failed) == 0
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder. A stored batch of an earlier version
@@ -115,6 +120,9 @@
 	// Evacuated lists the evacuated failure domains in ascending order. Their workers
 	// get no new work.
 	Evacuated []string
+	// Crashes lists the crashes of the last CrashRetention, and the older ones under
+	// jobs that have not ended, in the order in which a leader learned of them.
+	Crashes []Crash
 }
 
 // GoneAgentRetention is how long, in log time, the removal of an agent is kept. It
@@ -209,6 +217,12 @@
 	for _, o := range b.Evacuations {
 		s.applyEvacuation(o, &c)
 	}
+	s.applyCrashes(b.Crashes)
+	for _, id := range b.Failed {
+		if j := s.Jobs[id]; j != nil && !j.State.Ended() {
+			s.finishJob(j, contract.DurableFailed, &c)
+		}
+	}
 	s.forgetEndedJobs(b.ForgetBefore)
 	return c
 }
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -307,7 +307,7 @@
 		h.log.Info("worker attached", "worker", a.host, "session", r.Session, "pool", r.Worker.Pool, "running", len(r.Running), "ends", len(r.Ends), "recent", len(r.Recent), "recent_ms", r.RecentSince.Milliseconds(), "draining", r.Worker.Draining, "gone", r.NoWorker)
 	}
 	h.proposeEnds(now, a, r.Ends, h.leader.sched.WorkerReported(now, r))
-	h.handleCrashes()
+	h.handleCrashes(now)
 	a.unreachable = false
 	h.grantAuthority(now, a, r.Stamp)
 }
@@ -403,6 +403,7 @@
 	if h.leader == nil || !h.holdsLeaderLease(now) {
 		return
 	}
+	h.handleCrashes(now)
 	h.leader.sched.Place(now)
 	h.shedLateTransients(now)
 	placed := placements{}
--- a/hub/crash_test.go
+++ b/hub/crash_test.go
@@ -128,3 +128,36 @@
 	must.GreaterEq(t, sent["mixed"]/10, served["mixed"], must.Sprint("sound requests of the queue are served: ", served, sent))
 	must.Eq(t, nil, c.runChecker.Violations())
 }
+
+// TestDeadlyTaskIsCountedAcrossLeaders: the leader is lost after each crash, and both the
+// stored and the transient job keep their count.
+func TestDeadlyTaskIsCountedAcrossLeaders(t *testing.T) {
+	c := newCluster(t, 3, "w1", "w2", "w3", "w4", "w5", "w6")
+	c.putTables(1)
+	c.waitWorkers()
+	c.restartCrashed(2 * time.Second)
+	stored := testJob("stored", 1, 50)
+	stored.Spec = leasedworker.CrashSpec
+	c.submitUntilAccepted(stored)
+	var caller sync.WaitGroup
+	caller.Go(func() { c.ask(deadlyJob("transient"), 12*time.Second) })
+	for crashes := 1; crashes <= 3; crashes++ {
+		c.waitFor("a worker crashes", func() bool {
+			return c.runChecker.TotalCrashes() >= crashes || c.jobState("stored") == contract.DurableFailed
+		})
+		leader := c.waitLeader()
+		c.stopHub(leader)
+		c.waitLeader()
+		c.restartHub(leader)
+	}
+	c.waitFor("the stored job fails", func() bool { return c.jobState("stored") == contract.DurableFailed })
+	caller.Wait()
+	must.LessEq(t, quarantine.MaxCrashes, c.runChecker.MostCrashes())
+	sound := testJob("sound", 2, 20)
+	sound.Path = "/second/sound"
+	c.submitUntilAccepted(sound)
+	c.waitFor("the other queue is served", func() bool {
+		return c.sendToLeader(&contract.JobQuery{Action: contract.JobRead, Host: "h", Path: "/second/sound"}).State == contract.DurableCompleted
+	})
+	must.Eq(t, nil, c.runChecker.Violations())
+}
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -127,7 +127,7 @@
 func poolFields(p schedule.PoolSummary, unattached int) []any {
 	return []any{
 		"pool", p.Pool, "workers", p.AvailableWorkers, "slow", p.SlowWorkers, "suspects", p.SuspectedWorkers, "away", p.UnavailableWorkers,
-		"unreachable", p.UnreachableWorkers, "evacuated", p.EvacuatedWorkers, "unattached", unattached, "room", p.CapacityMilliCPU, "used", p.UsedMilliCPU,
+		"cells", p.Cells, "confined_queues", p.ConfinedQueues, "unreachable", p.UnreachableWorkers, "evacuated", p.EvacuatedWorkers, "unattached", unattached, "room", p.CapacityMilliCPU, "used", p.UsedMilliCPU,
 	}
 }
 
@@ -312,6 +312,10 @@
 		t.sentAfter = min(t.sentAfter, h.leader.sentAfter(now, m))
 		return t.addWaiter(to)
 	}
+	if m.Transient && h.leader.sched.GivenUp(id) {
+		// Submitted again, perhaps after a change of leader.
+		return &contract.JobReply{Verdict: contract.VerdictState, State: contract.DurableFailed}
+	}
 	if m.Unsupported != "" || q.NeedsAdvice {
 		return &contract.JobReply{Verdict: contract.VerdictUnsupported, Reason: "not built: " + m.Unsupported}
 	}
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -90,8 +90,9 @@
 	}
 }
 
-// shedLateTransients drops transient jobs that have not begun and would end too
-// late to be of use to their callers. It replies to the callers at once.
+// shedLateTransients drops transient jobs that would end too late to be of use to their
+// callers: those that have not begun, and those that crashes of workers have left without
+// a run. It replies to the callers at once.
 func (h *Hub) shedLateTransients(now time.Duration) {
 	for _, id := range h.leader.sched.JobsToShed(now) {
 		t := h.leader.transients.jobs[id]
@@ -105,7 +106,7 @@
 		} else {
 			reply.RetryAfter = h.leader.sched.RetryAfter(now, id)
 		}
-		if t.mayHaveStarted && !h.leader.neverBegun(now, t) {
+		if t.mayHaveStarted && !h.leader.neverBegun(now, t) || h.leader.sched.Begun(id) {
 			reply.Verdict = contract.VerdictUnknown
 		}
 		telemetry.JobsShed.Inc()
--- a/internal/leasedworker/leasedworker.go
+++ b/internal/leasedworker/leasedworker.go
@@ -99,6 +99,17 @@
 	return most
 }
 
+// TotalCrashes returns how often a task has crashed a worker.
+func (c *RunChecker) TotalCrashes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := 0
+	for _, n := range c.crashesUnder {
+		total += n
+	}
+	return total
+}
+
 // Violations returns a description of each violation.
 func (c *RunChecker) Violations() []string {
 	c.mu.Lock()
--- /dev/null
+++ b/quarantine/confinement.go
@@ -0,0 +1,127 @@
+package quarantine
+
+import "time"
+
+// Queue identifies a queue of a pool.
+type Queue struct{ Pool, Queue string }
+
+const (
+	// cleanJobs is the number of jobs in a row, and quietTime the time, without a crash
+	// after which a confined queue is free again: one deadly job in ten would show
+	// itself in 99 of 100 cases. Both double, up to maxRelapses times, each time a
+	// queue is confined again within relapseTime.
+	cleanJobs   = 50
+	quietTime   = 5 * time.Second
+	maxRelapses = 4
+	relapseTime = time.Minute
+	// cleanPerShare is the number of such jobs after which one job more may share a
+	// worker.
+	cleanPerShare = 5
+	// minBackoff and maxBackoff bound how long after a crash a confined queue stays off
+	// the last worker of a pool, which it would have to take from the other queues.
+	minBackoff = 5 * time.Second
+	maxBackoff = time.Minute
+)
+
+// Confinement holds the queues whose tasks have crashed workers. A confined queue uses
+// only some workers of its pool, and these run nothing else.
+type Confinement struct {
+	queues map[Queue]*confined
+	active int
+}
+
+// confined is the state of a queue that is or was confined.
+type confined struct {
+	active bool
+	since  time.Duration
+	// clean counts the jobs that came after the queue was confined and were done since
+	// the last crash, which was at crashedAt.
+	clean     int
+	crashedAt time.Duration
+	// relapses says how often the queue was confined again soon after it was free.
+	relapses int
+	// crashes counts the crashes since the queue was confined.
+	crashes int
+	freedAt time.Duration
+}
+
+// NewConfinement returns a Confinement of no queue.
+func NewConfinement() *Confinement { return &Confinement{queues: map[Queue]*confined{}} }
+
+// Crashed records that a task of the queue has crashed a worker. It reports whether this
+// confines the queue.
+func (c *Confinement) Crashed(now time.Duration, q Queue) bool {
+	st := c.queues[q]
+	if st == nil {
+		st = &confined{}
+		c.queues[q] = st
+	}
+	st.clean, st.crashedAt = 0, now
+	if st.active {
+		st.crashes++
+		return false
+	}
+	st.crashes = 0
+	if st.freedAt > 0 && now-st.freedAt < relapseTime {
+		st.relapses = min(st.relapses+1, maxRelapses)
+	} else {
+		st.relapses = 0
+	}
+	st.active, st.since = true, now
+	c.active++
+	return true
+}
+
+// JobDone records that a job of the queue that came at the given time is done. It reports
+// whether this frees the queue.
+func (c *Confinement) JobDone(now, arrived time.Duration, q Queue) bool {
+	st := c.queues[q]
+	if st == nil || !st.active || arrived < st.since {
+		return false
+	}
+	if st.clean++; st.clean < cleanJobs<<st.relapses || now-st.crashedAt < quietTime<<st.relapses {
+		return false
+	}
+	st.active, st.freedAt = false, now
+	c.active--
+	return true
+}
+
+// Confined reports whether the queue is confined.
+func (c *Confinement) Confined(q Queue) bool {
+	if c.active == 0 {
+		return false
+	}
+	st := c.queues[q]
+	return st != nil && st.active
+}
+
+// Count returns the number of the pool's queues that are confined.
+func (c *Confinement) Count(pool string) int {
+	n := 0
+	for q, st := range c.queues {
+		if q.Pool == pool && st.active {
+			n++
+		}
+	}
+	return n
+}
+
+// JobsPerWorker returns how many jobs of a confined queue may share a worker. While a
+// job runs alone, a crash is evidence against it.
+func (c *Confinement) JobsPerWorker(q Queue) int {
+	if st := c.queues[q]; st != nil {
+		return 1 + st.clean/cleanPerShare
+	}
+	return 1
+}
+
+// Backoff returns how long after a crash the queue stays off the last worker of a pool.
+// It doubles with each crash.
+func (c *Confinement) Backoff(q Queue) time.Duration {
+	st := c.queues[q]
+	if st == nil {
+		return minBackoff
+	}
+	return min(minBackoff<<min(st.crashes, 8), maxBackoff)
+}
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -27,6 +27,8 @@
 	// up, if one of them is evidence against its job. A single crash may be the
 	// worker's own.
 	crashesToGiveUp = 2
+	// lastStarted is the number of runs that count as the last to start before a crash.
+	lastStarted = 2
 	// Retention is how long after its last crash a task is remembered. Callers send
 	// a job again within seconds.
 	Retention = time.Minute
@@ -71,23 +73,28 @@
 // Ledger counts the crashes under tasks. It is not safe for concurrent use.
 type Ledger struct {
 	tasks map[contract.DurableTask]*record
+	// jobs holds the tasks of each job that are in tasks.
+	jobs map[contract.DurableJobID][]uint32
 	// byAge lists the tasks in the order of their first crashes.
 	byAge []contract.DurableTask
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{tasks: map[contract.DurableTask]*record{}} }
+func NewLedger() *Ledger {
+	return &Ledger{tasks: map[contract.DurableTask]*record{}, jobs: map[contract.DurableJobID][]uint32{}}
+}
 
 // Record counts a crash that was noticed at the given time, and returns the tasks
 // for which it is new.
 func (l *Ledger) Record(at time.Duration, c *contract.WorkerCrash) []contract.DurableTask {
 	var counted []contract.DurableTask
 	for i := range c.Runs {
-		task := contract.DurableTask{Job: c.Runs[i].Job, Task: c.Runs[i].Task}
+		task := c.Runs[i].Task()
 		r := l.tasks[task]
 		if r == nil {
 			r = &record{}
 			l.tasks[task] = r
+			l.jobs[task.Job] = append(l.jobs[task.Job], task.Task)
 			l.byAge = append(l.byAge, task)
 		}
 		if slices.Contains(r.instances, c.Instance) {
@@ -127,6 +134,46 @@
 	return Separate
 }
 
+// JobVerdict returns the worst verdict on the tasks of a job.
+func (l *Ledger) JobVerdict(id contract.DurableJobID) Verdict {
+	worst := Clear
+	for _, t := range l.jobs[id] {
+		worst = max(worst, l.Verdict(contract.DurableTask{Job: id, Task: t}))
+	}
+	return worst
+}
+
+// RanAlone reports whether a worker has crashed that ran nothing but the job.
+func (l *Ledger) RanAlone(id contract.DurableJobID) bool {
+	return slices.ContainsFunc(l.jobs[id], func(t uint32) bool {
+		return l.tasks[contract.DurableTask{Job: id, Task: t}].alone > 0
+	})
+}
+
+// Culprits returns the queues to which a crash points: those of its tasks that are given
+// up, which is proof, or, if there are none, that of a task under a second crash that was
+// among the last to start on the worker. Tasks that crash their workers mostly do so at
+// once; an innocent one that meets a second crash has mostly run for longer.
+func (l *Ledger) Culprits(c *contract.WorkerCrash) (queues []string, proven bool) {
+	for i := range c.Runs {
+		if l.Verdict(c.Runs[i].Task()) == GivenUp && !slices.Contains(queues, c.Runs[i].Queue) {
+			queues = append(queues, c.Runs[i].Queue)
+		}
+	}
+	if len(queues) > 0 || c.Partial {
+		return queues, len(queues) > 0
+	}
+	for _, r := range c.Runs[max(0, len(c.Runs)-lastStarted):] {
+		if l.Crashes(r.Task()) >= crashesToGiveUp && !slices.Contains(queues, r.Queue) {
+			queues = append(queues, r.Queue)
+		}
+	}
+	if len(queues) > 1 {
+		return nil, false
+	}
+	return queues, false
+}
+
 // Empty reports whether no crash is remembered.
 func (l *Ledger) Empty() bool { return len(l.tasks) == 0 }
 
@@ -141,6 +188,9 @@
 		}
 		excess--
 		delete(l.tasks, t)
+		if l.jobs[t.Job] = slices.DeleteFunc(l.jobs[t.Job], func(o uint32) bool { return o == t.Task }); len(l.jobs[t.Job]) == 0 {
+			delete(l.jobs, t.Job)
+		}
 		return true
 	})
 }
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,148 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+)
+
+// crash returns a crash of instance n that ran the first tasks of the given jobs, all of
+// the queue "q"; a job named "JOB@QUEUE" is of another queue.
+func crash(n int, jobs ...string) *contract.WorkerCrash {
+	c := &contract.WorkerCrash{Instance: contract.WorkerInstance{ID: contract.HostID(fmt.Sprint("w", n)), StartedMillis: 1}, Pool: "p"}
+	for _, j := range jobs {
+		id, queue := j, "q"
+		for i := range j {
+			if j[i] == '@' {
+				id, queue = j[:i], j[i+1:]
+			}
+		}
+		c.Runs = append(c.Runs, contract.CrashedRun{Ref: contract.RunRef{Job: contract.DurableJobID(id), Run: 1}, Queue: queue})
+	}
+	return c
+}
+
+func first(job string) contract.DurableTask {
+	return contract.DurableTask{Job: contract.DurableJobID(job)}
+}
+
+func TestVerdicts(t *testing.T) {
+	beside, alone := []string{"j", "other"}, []string{"j"}
+	for name, c := range map[string]struct {
+		crashes [][]string
+		want    Verdict
+	}{
+		"none":                          {nil, Clear},
+		"one beside others":             {[][]string{beside}, Separate},
+		"one alone":                     {[][]string{alone}, Isolate},
+		"two beside others":             {[][]string{beside, beside}, Isolate},
+		"beside others, then alone":     {[][]string{beside, alone}, GivenUp},
+		"alone, then beside others":     {[][]string{alone, beside}, GivenUp},
+		"three beside others":           {[][]string{beside, beside, beside}, Exhausted},
+		"three beside others and alone": {[][]string{beside, beside, beside, alone}, GivenUp},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger()
+			for i, jobs := range c.crashes {
+				l.Record(time.Second, crash(i, jobs...))
+			}
+			must.Eq(t, c.want, l.Verdict(first("j")))
+			must.Eq(t, c.want, l.JobVerdict("j"))
+		})
+	}
+}
+
+func TestCrashCountsOnceForATask(t *testing.T) {
+	l := NewLedger()
+	must.Len(t, 2, l.Record(time.Second, crash(1, "a", "b")))
+	must.SliceEmpty(t, l.Record(2*time.Second, crash(1, "a", "b")))
+	must.Eq(t, []contract.DurableTask{first("c")}, l.Record(3*time.Second, crash(1, "a", "c")), must.Sprint("a later report names one run more"))
+	must.Eq(t, 1, l.Crashes(first("a")))
+	reborn := crash(1, "a", "b")
+	reborn.Instance.StartedMillis++
+	must.Len(t, 2, l.Record(4*time.Second, reborn), must.Sprint("another instance under the same name"))
+	must.Eq(t, 2, l.Crashes(first("a")))
+}
+
+func TestPartialReportIsNoEvidence(t *testing.T) {
+	l := NewLedger()
+	c := crash(1, "a")
+	c.Partial = true
+	l.Record(time.Second, c)
+	must.Eq(t, Separate, l.Verdict(first("a")))
+}
+
+func TestCulprits(t *testing.T) {
+	l := NewLedger()
+	culprits := func(c *contract.WorkerCrash) ([]string, bool) {
+		l.Record(time.Second, c)
+		return l.Culprits(c)
+	}
+	queues, _ := culprits(crash(1, "bad", "x@x", "y@y"))
+	must.SliceEmpty(t, queues, must.Sprint("one crash points to no queue"))
+	queues, proven := culprits(crash(2, "z@x", "bad"))
+	must.Eq(t, []string{"q"}, queues)
+	must.False(t, proven)
+	queues, _ = culprits(crash(3, "x@x", "y@y"))
+	must.SliceEmpty(t, queues, must.Sprint("tasks of two queues are under a second crash"))
+	queues, _ = culprits(crash(5, "z@x", "new", "new2"))
+	must.SliceEmpty(t, queues, must.Sprint("the task under a second crash has run for longer than others"))
+	queues, proven = culprits(crash(4, "bad"))
+	must.Eq(t, []string{"q"}, queues)
+	must.True(t, proven)
+}
+
+func TestForget(t *testing.T) {
+	l := NewLedger()
+	l.Record(time.Second, crash(1, "old", "stored"))
+	l.Record(50*time.Second, crash(2, "new"))
+	l.Forget(Retention+2*time.Second, func(id contract.DurableJobID) bool { return id == "stored" })
+	must.Eq(t, Clear, l.JobVerdict("old"))
+	must.Eq(t, Separate, l.JobVerdict("stored"))
+	must.Eq(t, Isolate, l.JobVerdict("new"))
+	for i := range maxTasks + 5 {
+		l.Record(time.Minute, crash(3, fmt.Sprint("j", i)))
+	}
+	l.Forget(time.Minute, func(contract.DurableJobID) bool { return true })
+	must.Eq(t, maxTasks, len(l.tasks))
+	must.Eq(t, maxTasks, len(l.byAge))
+}
+
+func TestConfinementEndsAfterCleanJobsAndQuietTime(t *testing.T) {
+	c, q := NewConfinement(), Queue{"p", "q"}
+	now := time.Second
+	must.True(t, c.Crashed(now, q))
+	must.False(t, c.Crashed(now, q))
+	must.False(t, c.JobDone(now+quietTime, now-1, q), must.Sprint("a job from before says nothing of those that come"))
+	for range cleanJobs {
+		must.False(t, c.JobDone(now+quietTime-1, now, q))
+	}
+	must.True(t, c.JobDone(now+quietTime, now, q))
+	must.False(t, c.Confined(q))
+	must.Eq(t, 0, c.Count("p"))
+
+	now += relapseTime / 2
+	must.True(t, c.Crashed(now, q))
+	for range 2*cleanJobs - 1 {
+		must.False(t, c.JobDone(now+2*quietTime, now, q), must.Sprint("after a relapse it takes twice as long"))
+	}
+	must.False(t, c.JobDone(now+2*quietTime-1, now, q))
+	must.True(t, c.JobDone(now+2*quietTime, now, q))
+}
+
+func TestConfinedJobsShareWorkersAgainAfterCleanOnes(t *testing.T) {
+	c, q := NewConfinement(), Queue{"p", "q"}
+	c.Crashed(time.Second, q)
+	must.Eq(t, 1, c.JobsPerWorker(q))
+	for range 2 * cleanPerShare {
+		c.JobDone(time.Second, time.Second, q)
+	}
+	must.Eq(t, 3, c.JobsPerWorker(q))
+	c.Crashed(time.Second, q)
+	must.Eq(t, 1, c.JobsPerWorker(q))
+	must.Greater(t, minBackoff, c.Backoff(q))
+}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -63,6 +63,9 @@
 	j := &job{Job: &durable.Job{DurableJob: *d}, arrivedAt: arrived}
 	s.estimateJob(j)
 	s.recordOffer(now, j)
+	if s.confined(j) {
+		return s.admitConfined(now, j)
+	}
 	if j.latestStart < now {
 		return s.admitLate(now, j)
 	}
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -179,8 +179,12 @@
 // It returns how long from now the last of them starts. For a job that is still
 // to be admitted, and so has no task states, it counts the tasks of all steps
 // that depend on no other step. Tasks that only evacuated workers could run are left
-// out, since they wait until the evacuation ends.
+// out, since they wait until the evacuation ends, and so are confined jobs, which use
+// workers of their own.
 func (s *Scheduler) simulateJob(now time.Duration, f *forecast, j *job) time.Duration {
+	if len(j.tasks) > 0 && s.confined(j) {
+		return time.Duration(f.bucket) * bucketWidth
+	}
 	t := 0
 	beyondHorizon, workAhead := false, 0.0
 	for step := range j.Steps {
--- a/schedule/late.go
+++ b/schedule/late.go
@@ -156,10 +156,14 @@
 func (s *Scheduler) CheckRuns(now time.Duration) {
 	s.checkedAt = now
 	s.expireUnclaimed(now)
+	s.ledger.Forget(now, func(id contract.DurableJobID) bool { return s.jobs[id] != nil })
 	var late []lateRun
 	for _, w := range s.workerList {
 		w.overdueRuns = 0
 		for ref, r := range w.runs {
+			if r.suspect && now-r.placedAt > probation {
+				w.endProbation(r)
+			}
 			j := s.jobs[ref.Job]
 			if r.unclaimed || r.direct || j == nil || !s.isLate(now, w, j, r) {
 				continue
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/quarantine"
 )
 
 // maxPlacementMisses is the number of jobs that could not be fully placed after
@@ -19,7 +20,9 @@
 // more than the reserve is free. Deferred jobs go after the late ones.
 func (s *Scheduler) Place(now time.Duration) {
 	s.demote(now)
+	s.updateCells(now)
 	misses := s.placeList(now, &s.viableJobs)
+	s.placeBehindOthers(now)
 	if len(s.lateJobs) > 0 && misses == 0 {
 		if !s.freeCPUExceedsReserve() {
 			return
@@ -41,6 +44,9 @@
 		if misses >= maxPlacementMisses || held >= maxHeldJobs {
 			break
 		}
+		if s.confined(j) && s.behindOthers(now, j) {
+			continue
+		}
 		switch s.placeJob(now, j) {
 		case placedAll:
 			placed++
@@ -70,8 +76,33 @@
 	awaitsFast
 	// awaitsEntry: the job's entry is silent.
 	awaitsEntry
+	// awaitsCell: the job is confined, and no cell is free.
+	awaitsCell
+	// awaitsApart: a worker has crashed under the task, and each worker with room runs
+	// another such task that has just started.
+	awaitsApart
 )
 
+// placeBehindOthers places the confined jobs that wait behind the others of their pools,
+// where none of these waits.
+func (s *Scheduler) placeBehindOthers(now time.Duration) {
+	if s.ledger.Empty() {
+		return
+	}
+	occupied := map[string]bool{}
+	for _, j := range s.viableJobs {
+		if s.confined(j) && !s.behindOthers(now, j) {
+			occupied[j.Pool] = true
+		}
+	}
+	for _, j := range s.viableJobs {
+		if s.confined(j) && s.behindOthers(now, j) && !occupied[j.Pool] {
+			s.placeJob(now, j)
+		}
+	}
+	s.viableJobs = slices.DeleteFunc(s.viableJobs, func(j *job) bool { return j.waitingTasks == 0 })
+}
+
 // reserveShare is the share of the CPU that is reserved for jobs that arrive
 // next: late jobs are placed only if more than this share is free.
 const reserveShare = 0.08
@@ -90,8 +121,8 @@
 }
 
 // available reports whether the worker takes new work without restriction: it
-// takes work and is not suspected.
-func (w *Worker) available() bool { return w.takesWork() && !w.suspect() }
+// takes work, is not suspected, and is not set aside for confined jobs.
+func (w *Worker) available() bool { return w.takesWork() && !w.suspect() && !w.cell }
 
 // availableWorkers iterates over the available workers of a pool.
 func (s *Scheduler) availableWorkers(pool string) iter.Seq[*Worker] {
@@ -110,6 +141,9 @@
 	if j.entrySilent(now) {
 		return awaitsEntry
 	}
+	if s.confined(j) {
+		return s.placeConfined(now, j)
+	}
 	t := 0
 	all := placedAll
 	for step := range j.Steps {
@@ -119,7 +153,7 @@
 			case s.directRunAlive(j, t):
 				all = noCapacity
 			default:
-				w, result := s.pickWorker(now, j, step, &j.tasks[t])
+				w, result := s.pickWorker(now, j, step, t)
 				if w == nil {
 					return result
 				}
@@ -143,7 +177,7 @@
 	j.begun = true
 	ref := contract.RunRef{Job: j.ID, Task: uint32(t), Run: tk.currentRun}
 	need := j.Steps[step].Demand
-	s.addRun(w, ref, &run{need: need, placedAt: now, usualDuration: s.usualDuration(j, step), queue: j.Queue})
+	s.addRun(w, ref, &run{need: need, placedAt: now, usualDuration: s.usualDuration(j, step), queue: j.Queue, suspect: s.taskVerdict(j, t) != quarantine.Clear})
 	w.recordStart(now)
 	s.pendingOrders = append(s.pendingOrders, Order{Host: w.Host, Session: w.Session, Start: &contract.RunStart{
 		RunRef: ref, Demand: need, Name: fmt.Sprintf("%s.0.%d.%d", j.ID, step, index), Spec: j.Spec, Bound: j.bound, Queue: j.Queue,
@@ -151,19 +185,28 @@
 }
 
 // pickWorker returns the eligible worker with the lowest cost, the one that is
-// expected to finish the task first; in an uneven pool the one that outlook.choose
+// expected to finish the task index of the job first; in an uneven pool the one that outlook.choose
 // prefers. It returns nil, and why, if no worker is eligible or the task should wait for
 // a fast one.
-func (s *Scheduler) pickWorker(now time.Duration, j *job, step int, t *task) (*Worker, placement) {
-	st := &j.Steps[step]
+func (s *Scheduler) pickWorker(now time.Duration, j *job, step, index int) (*Worker, placement) {
+	st, t := &j.Steps[step], &j.tasks[index]
 	pool := s.poolSpeedOf(j.Pool)
 	var best, bestSlow *Worker
 	var bestCost, bestSlowCost float64
+	suspect := s.taskVerdict(j, index) != quarantine.Clear
+	apart := false
 	for _, w := range s.workerList {
-		if !s.eligible(now, w, j, step) {
+		if w.cell || !s.eligible(now, w, j, step) {
 			continue
 		}
 		cost := w.cost(st)
+		if suspect && w.suspects > 0 {
+			if now-j.crashedAt < apartTime {
+				apart = true
+				continue
+			}
+			cost += suspectCost
+		}
 		if w.cold(now) {
 			cost += coldCost
 		}
@@ -179,6 +222,9 @@
 		}
 	}
 	if best == nil && bestSlow == nil {
+		if apart {
+			return nil, awaitsApart
+		}
 		return nil, noCapacity
 	}
 	if bestSlow == nil {
@@ -196,6 +242,17 @@
 // ranks it after all others.
 const avoidCost = 100
 
+const (
+	// suspectCost is added to the cost of a worker that runs a task under which a worker
+	// has crashed, for another such task: a further crash then points to one of them.
+	suspectCost = 40
+	// apartTime is how long after a crash the tasks under it are kept apart at the price of
+	// a delay, and probation how long such a run keeps others away: tasks that crash
+	// their workers mostly do so within milliseconds of their start.
+	apartTime = 150 * time.Millisecond
+	probation = 60 * time.Millisecond
+)
+
 // remoteRackCost is the extra cost of a worker on another rack than the task's
 // data, as a share of the task's duration on that worker.
 const remoteRackCost = 0.5
--- a/schedule/rates.go
+++ b/schedule/rates.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/carawaylanding/carawaylanding/quarantine"
 )
 
 // The rates of what the queues submit address bursts of one queue, which last for
@@ -119,12 +121,13 @@
 // constants of the recent rate.
 const ratesKnownAfter = 2 * recentWindow
 
-// ratesOf returns the rates of the pool's queues as of now, ordered by queue.
+// ratesOf returns the rates of the pool's queues that are not confined as of now, ordered
+// by queue.
 func (s *Scheduler) ratesOf(now time.Duration, pool string) []queueRate {
 	var rates []queueRate
 	short := s.isShort(now, pool)
 	for k, q := range s.queueRates {
-		if k.pool == pool {
+		if k.pool == pool && !s.confinement.Confined(quarantine.Queue{Pool: pool, Queue: k.queue}) {
 			rates = append(rates, q.at(now, short))
 		}
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -100,6 +100,12 @@
 	// priorityClass is the first sort key of waiting jobs, before latestStart;
 	// 0 goes first.
 	priorityClass int
+	// verdict is the worst verdict on the job's tasks, and ranAlone says that a worker
+	// has crashed that ran nothing but the job.
+	verdict  quarantine.Verdict
+	ranAlone bool
+	// crashedAt is when the last of these crashes was learned.
+	crashedAt time.Duration
 }
 
 // Order tells a worker to start or to stop a run.
@@ -187,6 +193,14 @@
 	// since the last TakeCrashes.
 	ledger       *quarantine.Ledger
 	crashNotices []CrashNotice
+	// givenUp holds the jobs that were given up since the last TakeGivenUp.
+	givenUp []contract.DurableJobID
+	// confinement holds the queues whose tasks crash workers, and cells, by pool, the
+	// workers that their jobs may use.
+	confinement *quarantine.Confinement
+	cells       map[string]*cells
+	// lostRuns holds, by host, the runs of sessions that ended without a report.
+	lostRuns map[contract.HostID]lostRuns
 	// awaitingRelease is set until Release: until then, runs that an earlier
 	// leader ordered may be alive on unreachable workers.
 	awaitingRelease bool
@@ -215,12 +229,16 @@
 		unclaimedRuns:    map[contract.DurableJobID]map[contract.RunRef]*Worker{},
 		directRuns:       map[contract.DurableTask]int{},
 		ledger:           quarantine.NewLedger(),
+		confinement:      quarantine.NewConfinement(),
+		cells:            map[string]*cells{},
+		lostRuns:         map[contract.HostID]lostRuns{},
 		awaitingRelease:  true,
 		checkedAt:        now,
 		records:          newRunRecords(s.Agents),
 	}
 	sch.SetEvacuated(s.Evacuated)
 	sch.recheckViable = false
+	sch.restoreCrashes(now, s)
 	for _, j := range s.Jobs {
 		if !j.State.Ended() {
 			age := time.Duration(s.LogTime-j.AcceptedAt) * time.Millisecond
@@ -267,6 +285,7 @@
 	}
 	s.jobs[d.ID] = j
 	s.estimateJob(j)
+	s.judge(j)
 	s.unblock(j, readyPhase)
 	s.enqueue(j)
 }
@@ -323,6 +342,9 @@
 		return
 	}
 	s.learnSpeeds(j)
+	if j.State == contract.DurableCompleted {
+		s.confinement.JobDone(s.checkedAt, j.arrivedAt, quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
+	}
 	delete(s.jobs, id)
 	s.viableJobs.remove(j)
 	s.lateJobs.remove(j)
--- a/schedule/settle.go
+++ b/schedule/settle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/quarantine"
 )
 
 // Load pattern: all control hosts lose power for seconds under full load. Most of the
@@ -79,7 +80,7 @@
 // MayHaveBegun reports whether a run of the job is known, or may have begun, that is
 // not of a job known to this leader.
 func (s *Scheduler) MayHaveBegun(id contract.DurableJobID) bool {
-	return s.past.jobs[id] != nil || s.unclaimedRuns[id] != nil
+	return s.past.jobs[id] != nil || s.unclaimedRuns[id] != nil || s.ledger.JobVerdict(id) != quarantine.Clear
 }
 
 // NeverBegun reports whether no run of a job can have begun that is not known to this
--- a/schedule/shed.go
+++ b/schedule/shed.go
@@ -32,21 +32,26 @@
 // urgent jobs arrive and delay jobs that were admitted before. A late job only
 // gets capacity that the others leave free; if the forecast shows that none will
 // be free in time, its caller should get a refusal at once rather than wait in
-// vain. The same holds for jobs whose workers are evacuated. JobsToShed returns nil if
+// vain. The same holds for jobs whose workers are evacuated, and for those that crashes
+// have left without hope, also if they have begun. JobsToShed returns nil if
 // called again within shedCheckInterval, unless the evacuated domains have changed.
 func (s *Scheduler) JobsToShed(now time.Duration) []contract.DurableJobID {
-	if !s.recheckViable && (len(s.lateJobs)+len(s.deferredJobs) == 0 && len(s.evacuated) == 0 || now-s.lastShedCheck < shedCheckInterval) {
+	late := len(s.lateJobs)+len(s.deferredJobs) > 0
+	if !s.recheckViable && (!late && len(s.evacuated) == 0 && s.ledger.Empty() || now-s.lastShedCheck < shedCheckInterval) {
 		return nil
 	}
 	s.lastShedCheck = now
 	shed := s.jobsToRefuse(now)
+	if !s.ledger.Empty() {
+		shed = append(shed, s.hopelessJobs(now)...)
+	}
 	refused := make(map[contract.DurableJobID]bool, len(shed))
 	for _, id := range shed {
 		refused[id] = true
 	}
 	pools := map[string]*forecast{}
 	for _, j := range slices.Concat(s.lateJobs, s.deferredJobs) {
-		if !j.transient || j.begun || refused[j.ID] {
+		if !j.transient || j.begun || refused[j.ID] || s.confined(j) {
 			continue
 		}
 		f := pools[j.Pool]
--- a/schedule/summary.go
+++ b/schedule/summary.go
@@ -5,8 +5,11 @@
 	Pool string
 	// AvailableWorkers counts the pool's available workers, SuspectedWorkers the
 	// suspected ones, which get one task at a time, and UnavailableWorkers those that
-	// are unreachable or take no new work. Each worker is in one of the three counts.
-	AvailableWorkers, SuspectedWorkers, UnavailableWorkers int
+	// are unreachable or take no new work, and Cells those set aside for confined jobs.
+	// Each worker is in one of the four counts.
+	AvailableWorkers, SuspectedWorkers, UnavailableWorkers, Cells int
+	// ConfinedQueues is the number of the pool's queues that are confined.
+	ConfinedQueues int
 	// UnreachableWorkers counts those of UnavailableWorkers that the hub can't reach.
 	UnreachableWorkers int
 	// SlowWorkers counts those of AvailableWorkers that are slow beside the fastest of
@@ -40,7 +43,7 @@
 		if !ok {
 			i = len(out)
 			indexOf[w.Pool] = i
-			out = append(out, PoolSummary{Pool: w.Pool, ViableJobs: len(s.viableJobs), LateJobs: len(s.lateJobs) + len(s.deferredJobs), Jobs: len(s.jobs)})
+			out = append(out, PoolSummary{Pool: w.Pool, ViableJobs: len(s.viableJobs), LateJobs: len(s.lateJobs) + len(s.deferredJobs), Jobs: len(s.jobs), ConfinedQueues: s.confinement.Count(w.Pool)})
 		}
 		p := &out[i]
 		switch {
@@ -52,6 +55,8 @@
 			if w.evacuated {
 				p.EvacuatedWorkers++
 			}
+		case w.cell:
+			p.Cells++
 		case w.suspect():
 			p.SuspectedWorkers++
 		default:
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -31,6 +31,9 @@
 	direct bool
 	// bound marks a run of a job that is bound to its entry.
 	bound bool
+	// suspect says that a worker has crashed under the run's task before, and that the run
+	// has started a short time ago.
+	suspect bool
 	// authorityLimit is set once the run was ordered to stop because the entry of its
 	// job is silent, its caller has gone, or no entry submitted the job again; see
 	// AuthorityLimit.
@@ -43,8 +46,16 @@
 	Host    contract.HostID
 	Session contract.WorkerSession
 	Pool    string
-	cap     contract.Capacity
-	labels  []string
+	// instance is the worker's instance, as last reported.
+	instance contract.WorkerInstance
+	// cell says that the worker is set aside for confined jobs, and cellUsedAt when such
+	// a job last needed it.
+	cell       bool
+	cellUsedAt time.Duration
+	// suspects is the number of runs whose suspect is set.
+	suspects int
+	cap      contract.Capacity
+	labels   []string
 	// usable says that, by its agent's last report, the worker takes new work: it
 	// is present, healthy and not draining.
 	usable bool
@@ -72,7 +83,7 @@
 		s.workers[r.Host] = w
 		s.workerList = append(s.workerList, w)
 	}
-	s.recordCrashes(now, r)
+	s.recordCrashes(now, w, r)
 	attach := r.Attach || w.Session != r.Session
 	if w.Session != r.Session {
 		s.requeueAllRuns(w)
@@ -84,6 +95,9 @@
 	w.coldUntil = now + time.Duration(r.Worker.ColdLeftMillis)*time.Millisecond
 	w.unreachable = false
 	w.usable = !r.Worker.Draining && !r.NoWorker && !r.Unhealthy
+	if w.usable {
+		s.workerReturned(now, w)
+	}
 	// Ends are processed before the list of active runs: a run that has ended
 	// is not in that list, and must not be mistaken for one whose start was
 	// lost.
@@ -197,6 +211,9 @@
 // addRun adds a run and its resources to the worker.
 func (s *Scheduler) addRun(w *Worker, ref contract.RunRef, r *run) {
 	w.runs[ref] = r
+	if r.suspect {
+		w.suspects++
+	}
 	if r.direct {
 		s.countDirect(ref, 1)
 	}
@@ -205,10 +222,19 @@
 	w.used.Accelerators += r.need.Accelerators
 }
 
+// endProbation lets other tasks under crashes start beside the run.
+func (w *Worker) endProbation(r *run) {
+	r.suspect = false
+	w.suspects--
+}
+
 // removeRun removes a run and its resources from the worker.
 func (s *Scheduler) removeRun(w *Worker, ref contract.RunRef, r *run) {
 	delete(w.runs, ref)
 	s.forgetUnclaimed(ref)
+	if r.suspect {
+		w.suspects--
+	}
 	if r.direct {
 		s.countDirect(ref, -1)
 	}
@@ -257,6 +283,7 @@
 	if w == nil {
 		return
 	}
+	s.noteLostRuns(w)
 	s.requeueAllRuns(w)
 	delete(s.workers, h)
 	s.workerList = slices.DeleteFunc(s.workerList, func(x *Worker) bool { return x == w })
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -80,6 +80,10 @@
 	JobsSettled = factory.NewCounterVec(prometheus.CounterOpts{
 		Name: "caraway_jobs_settled_total", Help: "Jobs of an earlier leader, by how they were settled.",
 	}, []string{"how"})
+	// JobsGivenUp counts jobs that failed since a task of them crashes workers.
+	JobsGivenUp = factory.NewCounter(prometheus.CounterOpts{
+		Name: "caraway_jobs_given_up_total", Help: "Jobs that failed since a task of them crashes workers.",
+	})
 	// CrashedRuns counts runs that were on a worker when it crashed, as the leader
 	// learned of them, by how many workers have crashed under their task: 1, 2, or
 	// more.
--- a/workeragent/crash.go
+++ b/workeragent/crash.go
@@ -30,7 +30,7 @@
 	if w.leaving {
 		return
 	}
-	c := contract.WorkerCrash{Instance: w.worker.Instance(), Pool: w.worker.Pool, Runs: w.crashedRuns(), Partial: !w.hadSession}
+	c := contract.WorkerCrash{Instance: w.worker.Instance(), Pool: w.worker.Pool, Runs: w.crashedRuns(), Partial: !w.hadSession || len(w.unknownRuns) > 0}
 	telemetry.WorkerCrashes.Inc()
 	w.agent.log.Info("worker crashed", "worker", w.id, "born", w.worker.StartedMillis, "alone", c.Alone(), "runs", c.Runs)
 	a := w.agent
@@ -43,7 +43,7 @@
 func (w *workerInstance) crashedRuns() []contract.CrashedRun {
 	var out []contract.CrashedRun
 	for _, r := range w.runsInOrder() {
-		out = append(out, contract.CrashedRun{RunRef: r.ref, Queue: r.queue})
+		out = append(out, contract.CrashedRun{Ref: r.ref, Queue: r.queue})
 	}
 	return out
 }
--- a/workeragent/runs.go
+++ b/workeragent/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 
 	"github.com/carawaylanding/carawaylanding/boottime"
@@ -35,7 +36,11 @@
 	if err != nil {
 		telemetry.StartsUnanswered.Inc()
 		w.agent.log.Info("start call unanswered", "name", name.Name, "run", name.Run, "worker", w.id, "err", err)
-		w.resolveStart(name)
+		if errors.Is(err, ErrNotListening) {
+			w.startNotReceived(name)
+		} else {
+			w.resolveStart(name)
+		}
 		return
 	}
 	if r == nil {
@@ -57,6 +62,19 @@
 	w.agent.reportNotStarted(contract.RunEnded{RunRef: r.ref, Unhealthy: refusal == RefusedUnhealthy, Stale: refusal == RefusedStaleRun})
 }
 
+// startNotReceived reports a run as not started whose start call found no process. The
+// run is then not counted among those under a crash of the worker. The caller holds
+// agent.mu.
+func (w *workerInstance) startNotReceived(name NamedRun) {
+	r := w.runs[name]
+	if r == nil || r.phase != phaseStarting || r.stopping {
+		return
+	}
+	w.removeRun(name, r)
+	r.tellEntry(contract.EndNotStarted, false)
+	w.agent.reportNotStarted(contract.RunEnded{RunRef: r.ref, Unanswered: true})
+}
+
 // resolveStart determines the result of a start call that got no answer. If the
 // worker lists the run, the run continues; otherwise it is stopped, since the
 // worker may still carry out the start. The caller holds agent.mu, which is
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -39,6 +39,9 @@
 	// expirySlack is added to the end of a lease to allow for late timers and for
 	// the time that the worker takes to stop its runs.
 	expirySlack = 100 * time.Millisecond
+	// exitCheckInterval replaces retryInterval while the worker may have exited. Its
+	// tasks start elsewhere once that is certain.
+	exitCheckInterval = 3 * time.Millisecond
 	// maxConnRefusals is the number of consecutive refused connections after which
 	// the worker is considered to have exited.
 	maxConnRefusals = 3
@@ -374,8 +377,10 @@
 			w.sleep(retryInterval)
 			continue
 		}
+		wasAnswered := answered
 		reply, err := w.poll(c)
 		answered = err == nil
+		pause := retryInterval
 		switch {
 		case errors.Is(err, ErrOtherInstance):
 			w.workerExited("another instance answered")
@@ -385,6 +390,10 @@
 				w.workerExited("no process listens at its address")
 				return
 			}
+			pause = exitCheckInterval
+		case err != nil && wasAnswered && !errors.Is(err, context.DeadlineExceeded):
+			// A broken connection may be the first sign of an exit.
+			pause = exitCheckInterval
 		case err == nil:
 			connRefusals = 0
 			w.handlePollReply(reply, c, pollNumber)
@@ -393,7 +402,7 @@
 			}
 			continue
 		}
-		w.sleep(retryInterval)
+		w.sleep(pause)
 	}
 }
 
