--- a/contract/job.go
+++ b/contract/job.go
@@ -46,6 +46,19 @@
 	Accelerators int `json:"accelerators,omitempty"`
 }
 
+// HasRoomFor reports whether the capacity, of a worker of durable jobs or what is free of
+// it, covers the CPU, memory and accelerators of the demand. Unlike in Fits, zero means
+// none.
+func (c Capacity) HasRoomFor(d Demand) bool {
+	return d.MilliCPU <= c.MilliCPU && d.MemoryMB <= c.MemoryMB && d.Accelerators <= c.Accelerators
+}
+
+// Covers reports whether the capacity is at least the other one in CPU, memory and
+// accelerators.
+func (c Capacity) Covers(o Capacity) bool {
+	return o.MilliCPU <= c.MilliCPU && o.MemoryMB <= c.MemoryMB && o.Accelerators <= c.Accelerators
+}
+
 // Normalized returns d with defaults in place of zero values.
 func (d Demand) Normalized() Demand {
 	if d.Slots == 0 {
--- a/directstart/admit.go
+++ b/directstart/admit.go
@@ -46,7 +46,7 @@
 		if a.offer.Pool != j.Pool || !a.open(now) {
 			continue
 		}
-		largeEnough = largeEnough || covers(a.offer.Capacity, j.need())
+		largeEnough = largeEnough || a.offer.Capacity.HasRoomFor(j.need())
 		if n := a.room(j); n > 0 {
 			fits += n
 			free += a.free.MilliCPU
--- a/directstart/directstart.go
+++ b/directstart/directstart.go
@@ -287,11 +287,6 @@
 	free.Accelerators -= n * need.Accelerators
 }
 
-// covers reports whether the free capacity covers the demand.
-func covers(free contract.Capacity, d contract.Demand) bool {
-	return d.MilliCPU <= free.MilliCPU && d.MemoryMB <= free.MemoryMB && d.Accelerators <= free.Accelerators
-}
-
 // handleLinkLost makes the outcome of the jobs unknown that have a run on the agent.
 func (d *Dispatcher) handleLinkLost(now time.Duration, l LinkID) {
 	a := d.agents[l]
--- a/directstart/jobs.go
+++ b/directstart/jobs.go
@@ -339,7 +339,7 @@
 	var first, second *agent
 	n := 0
 	for _, a := range d.order {
-		if a.refused || a.offer.Pool != j.Pool || !a.open(now) || !covers(a.free, j.need()) {
+		if a.refused || a.offer.Pool != j.Pool || !a.open(now) || !a.free.HasRoomFor(j.need()) {
 			continue
 		}
 		n++
--- a/hub/agents.go
+++ b/hub/agents.go
@@ -148,12 +148,15 @@
 
 // registerWorker proposes to record the agent and its worker in the replicated
 // state, unless it lists them already. A later leader then waits for the agent,
-// and a restarted agent is told at once which worker it had. How long the worker stays
+// and a restarted agent is told at once which worker it had. A capacity that has shrunk is
+// recorded, since a restarted agent must not use the earlier one; one that grows is not
+// worth a record, since the worker announces it within seconds. How long the worker stays
 // cold is not recorded: it would be out of date when it is read, and would need a
 // record for each report.
 func (h *Hub) registerWorker(a *agent, r *contract.WorkerReport) {
 	recorded := h.state.Agents[r.Host]
-	if a.registered && (r.NoWorker || recorded.SameInstance(r.Worker) && recorded.Draining == r.Worker.Draining && recorded.FailureDomain == r.Worker.FailureDomain) {
+	if a.registered && (r.NoWorker || recorded.SameInstance(r.Worker) && recorded.Draining == r.Worker.Draining &&
+		recorded.FailureDomain == r.Worker.FailureDomain && r.Worker.Capacity.Covers(recorded.Capacity)) {
 		return
 	}
 	// A removal of the agent that is not proposed yet would undo the registration.
--- a/hub/agents_test.go
+++ b/hub/agents_test.go
@@ -45,3 +45,31 @@
 	must.False(t, ordersBehind, must.Sprint("its acknowledgement may wait in the queue"))
 	must.True(t, upToDate)
 }
+
+// TestShrunkCapacityIsRecorded: a restarted agent is told the worker as recorded, and must
+// not start runs for a capacity that the worker has lost.
+func TestShrunkCapacityIsRecorded(t *testing.T) {
+	c := newCluster(t, 1)
+	c.putTables(1)
+	h := c.hubInstances[c.waitLeader()]
+	l := newTestLink(t)
+	announce := func(milliCPU int) {
+		h.runInLoop(func() {
+			r := testReport(h, 7, 1)
+			r.NoWorker, r.Worker.ID, r.Worker.Capacity.MilliCPU = false, "i", milliCPU
+			h.handleAgentMessage(boottime.Now(), l, r)
+		})
+	}
+	recorded := func() int {
+		n := 0
+		h.runInLoop(func() { n = h.state.Agents["w1"].Capacity.MilliCPU })
+		return n
+	}
+	announce(1000)
+	c.waitFor("the capacity is recorded", func() bool { return recorded() == 1000 })
+	announce(400)
+	c.waitFor("the shrunk capacity is recorded", func() bool { return recorded() == 400 })
+	announce(1000)
+	announce(300)
+	c.waitFor("the next one is recorded", func() bool { return recorded() == 300 })
+}
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -60,6 +60,9 @@
 	if !s.fitsIdleWorkers(now, d) {
 		return Admission{NeverFits: true, Reason: "no worker of the pool is large enough for a task, or has its label"}
 	}
+	if s.blockedByShrinking(now, d) {
+		return Admission{RetryAfter: NoWorkerRetryAfter, Reason: ShrunkReason}
+	}
 	j := &job{Job: &durable.Job{DurableJob: *d}, arrivedAt: arrived}
 	s.estimateJob(j)
 	s.recordOffer(now, j)
@@ -179,8 +182,8 @@
 }
 
 // fitsIdleWorkers reports whether for each step the pool has a worker that,
-// when idle, could run one of its tasks. It counts all known workers, available
-// or not, and those that are expected to attach.
+// when idle and with all its capacity, could run one of its tasks. It counts all known
+// workers, available or not, and those that are expected to attach.
 func (s *Scheduler) fitsIdleWorkers(now time.Duration, d *contract.DurableJob) bool {
 	for i := range d.Steps {
 		if remaining, evacuated := s.idleWorkersFor(now, d.Pool, &d.Steps[i]); !remaining && !evacuated {
@@ -195,7 +198,7 @@
 // the first worker that remains.
 func (s *Scheduler) idleWorkersFor(now time.Duration, pool string, st *contract.DurableStep) (remaining, evacuated bool) {
 	for _, w := range s.workerList {
-		if w.Pool == pool && stepFits(st, w.cap, w.labels) {
+		if w.Pool == pool && stepFits(st, w.largest, w.labels) {
 			if !w.evacuated {
 				return true, evacuated
 			}
@@ -219,8 +222,7 @@
 // stepFits reports whether an idle worker of the capacity and with the labels could
 // run a task of the step.
 func stepFits(st *contract.DurableStep, c contract.Capacity, labels []string) bool {
-	return c.MilliCPU >= st.Demand.MilliCPU && c.MemoryMB >= st.Demand.MemoryMB && c.Accelerators >= st.Demand.Accelerators &&
-		(st.Label == "" || slices.Contains(labels, st.Label))
+	return c.HasRoomFor(st.Demand) && (st.Label == "" || slices.Contains(labels, st.Label))
 }
 
 // firstStepsFitNow reports whether the pool has enough free CPU for all tasks of
@@ -248,7 +250,7 @@
 // thousandths of a core.
 func (s *Scheduler) freeMilliCPU(pool string) (free, total int) {
 	for w := range s.availableWorkers(pool) {
-		free += w.cap.MilliCPU - w.used.MilliCPU
+		free += w.freeMilliCPU()
 		total += w.cap.MilliCPU
 	}
 	return free, total
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -73,7 +73,7 @@
 	}
 	if !r.NoWorker && w.instance != r.Worker.Instance() {
 		delete(s.lostRuns, r.Host)
-		w.instance = r.Worker.Instance()
+		w.instance, w.largest = r.Worker.Instance(), contract.Capacity{}
 	}
 }
 
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -62,7 +62,7 @@
 	need := j.maxTaskMilliCPU()
 	s.addExpected(now, j.Pool, &f)
 	for w := range s.availableWorkers(j.Pool) {
-		f.freeMilliCPU += float64(w.cap.MilliCPU - w.used.MilliCPU - unusableMilliCPU(w.cap.MilliCPU, need))
+		f.freeMilliCPU += float64(w.freeMilliCPU() - unusableMilliCPU(w.cap.MilliCPU, need))
 	}
 	milliCPU, cpuWork := s.higherPriorityDemand(now, j.Pool, j.priorityClass)
 	if milliCPU > 0 {
@@ -105,10 +105,13 @@
 	}
 	*r = runningForecast{computedAt: now}
 	for w := range s.availableWorkers(pool) {
+		overcommitted := w.overcommittedMilliCPU()
 		for _, rn := range w.runs {
 			remaining := s.remaining(now, w, rn)
+			freed := max(0, rn.need.MilliCPU-overcommitted)
+			overcommitted -= rn.need.MilliCPU - freed
 			if end := bucketCount(remaining); end < forecastBuckets {
-				r.freedMilliCPU[end] += float64(rn.need.MilliCPU)
+				r.freedMilliCPU[end] += float64(freed)
 			} else {
 				r.workBeyondHorizon += float64(rn.need.MilliCPU) * (remaining - forecastHorizon).Seconds()
 			}
--- a/schedule/shed.go
+++ b/schedule/shed.go
@@ -32,12 +32,13 @@
 // urgent jobs arrive and delay jobs that were admitted before. A late job only
 // gets capacity that the others leave free; if the forecast shows that none will
 // be free in time, its caller should get a refusal at once rather than wait in
-// vain. The same holds for jobs whose workers are evacuated, and for those that crashes
+// vain. The same holds for jobs whose workers are evacuated or have shrunk, and for those that crashes
 // have left without hope, also if they have begun. JobsToShed returns nil if
 // called again within shedCheckInterval, unless the evacuated domains have changed.
 func (s *Scheduler) JobsToShed(now time.Duration) []contract.DurableJobID {
 	late := len(s.lateJobs)+len(s.deferredJobs) > 0
-	if !s.recheckViable && (!late && len(s.evacuated) == 0 && s.ledger.Empty() || now-s.lastShedCheck < shedCheckInterval) {
+	idle := !late && len(s.evacuated) == 0 && s.ledger.Empty() && len(s.viableJobs) == 0
+	if !s.recheckViable && (idle || now-s.lastShedCheck < shedCheckInterval) {
 		return nil
 	}
 	s.lastShedCheck = now
@@ -45,6 +46,7 @@
 	if !s.ledger.Empty() {
 		shed = append(shed, s.hopelessJobs(now)...)
 	}
+	shed = append(shed, s.blockedJobs(now)...)
 	refused := make(map[contract.DurableJobID]bool, len(shed))
 	for _, id := range shed {
 		refused[id] = true
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -55,7 +55,9 @@
 	// suspects is the number of runs whose suspect is set.
 	suspects int
 	cap      contract.Capacity
-	labels   []string
+	// largest is the largest capacity that the instance has announced.
+	largest contract.Capacity
+	labels  []string
 	// usable says that, by its agent's last report, the worker takes new work: it
 	// is present, healthy and not draining.
 	usable bool
@@ -90,7 +92,8 @@
 		w.Session = r.Session
 		w.health = newHealth()
 	}
-	w.Pool, w.cap, w.labels = r.Worker.Pool, r.Worker.Capacity, r.Worker.Labels
+	w.Pool, w.labels = r.Worker.Pool, r.Worker.Labels
+	w.setCapacity(r.Worker.Capacity)
 	w.domain, w.evacuated = r.Worker.FailureDomain, s.evacuated[r.Worker.FailureDomain]
 	w.coldUntil = now + time.Duration(r.Worker.ColdLeftMillis)*time.Millisecond
 	w.unreachable = false
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -335,7 +335,7 @@
 			w.wakeUp()
 			continue
 		}
-		w.startRun(st, nil)
+		w.startOrdered(st)
 	}
 }
 
--- a/workeragent/direct.go
+++ b/workeragent/direct.go
@@ -160,7 +160,7 @@
 		a.log.V(1).Info("direct start refused", "job", st.Job, "task", st.Task, "entry", e.host())
 		e.sendEnd(st.RunRef, contract.EndNotStarted, false)
 		return
-	case !covers(w.freeCapacity(), st.Demand):
+	case !w.freeCapacity().HasRoomFor(st.Demand):
 		e.sendEnd(st.RunRef, contract.EndNotStarted, true)
 		return
 	}
@@ -169,11 +169,6 @@
 	w.startRun(st, e)
 }
 
-// covers reports whether the free capacity covers the demand.
-func covers(free contract.Capacity, d contract.Demand) bool {
-	return d.MilliCPU <= free.MilliCPU && d.MemoryMB <= free.MemoryMB && d.Accelerators <= free.Accelerators
-}
-
 // hasTask reports whether a run of the task is or may be on the worker. The caller
 // holds agent.mu.
 func (w *workerInstance) hasTask(name string) bool {
--- a/workeragent/runs.go
+++ b/workeragent/runs.go
@@ -25,6 +25,18 @@
 	w.agent.group.Go(func() error { w.callStart(name, c); return nil })
 }
 
+// startOrdered starts a run that the leader has ordered, unless the worker's capacity has
+// shrunk since and no longer covers it. The caller holds agent.mu.
+func (w *workerInstance) startOrdered(st contract.RunStart) {
+	if !w.freeCapacity().HasRoomFor(st.Demand) {
+		telemetry.StartsRefused.WithLabelValues("shrunk").Inc()
+		w.agent.log.Info("start refused: the worker has shrunk", "job", st.Job, "task", st.Task, "run", st.Run, "worker", w.id)
+		w.agent.reportNotStarted(contract.RunEnded{RunRef: st.RunRef})
+		return
+	}
+	w.startRun(st, nil)
+}
+
 // callStart calls the worker to start the run and handles the result.
 func (w *workerInstance) callStart(name NamedRun, c StartCall) {
 	ctx, cancel := context.WithTimeout(w.ctx, callTimeout)
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -565,7 +565,7 @@
 	pending := w.pendingStarts
 	w.pendingStarts = nil
 	for _, st := range pending {
-		w.startRun(st, nil)
+		w.startOrdered(st)
 	}
 }
 
