Crashes count for direct starts too, and lost runs are no failed attempts

What callers saw: without a leader a job whose workers were lost twice was answered as failed, although nothing of it had failed; a deadly one went from agent to agent. Change: agents report crashes to all entries, before the ends of the runs and on each new link; entries count them as leaders do, also those under a leader, and answer jobs that are given up. Suspects and jobs of confined queues run alone on a shard of the pool that all entries derive from the queue's name. Runs that were lost end with EndLost; four of one task end the job with an unknown outcome. DirectStart has one field more, and DirectCrash is a new message. Two more changes came with it. A single idempotent request of the product's own path is sent to one more upstream at most once it has lost one (4 before: the same cause); the new case of TestSingleRequests failed before, 4 starts where 2 are allowed. A worker instance under a new ID is used at once after the agent has seen the one before exit, instead of 0.54 s later: calls name the ID, so none of an earlier process can reach it. Tests of hub pass (153 s).

--- a/contract/durable.go
+++ b/contract/durable.go
@@ -149,11 +149,14 @@
 	// EndNotStarted means that the run never started: the worker refused the
 	// start, or the start was prevented first.
 	EndNotStarted
+	// EndLost means, in a report to an entry, that the run ended with its worker or the
+	// worker's lease. It is no failure of the task.
+	EndLost
 )
 
 // String returns the name used in logs.
 func (e RunEndKind) String() string {
-	names := [...]string{"unknown", "done", "failed", "stopped", "lapsed", "not-started"}
+	names := [...]string{"unknown", "done", "failed", "stopped", "lapsed", "not-started", "lost"}
 	if int(e) >= len(names) {
 		return names[0]
 	}
--- a/contract/message_direct.go
+++ b/contract/message_direct.go
@@ -12,6 +12,7 @@
 	KindDirectStop  MessageKind = 133
 	KindDirectBeat  MessageKind = 134
 	KindStateEcho   MessageKind = 135
+	KindDirectCrash MessageKind = 136
 )
 
 // The number of a direct run has the agent's last known term in the upper bits, as
@@ -85,6 +86,8 @@
 	// Number is the sequence number of the start on its link, from 1.
 	Number uint64
 	Start  RunStart
+	// Alone is set if the worker may run nothing but the run's job beside it.
+	Alone bool
 }
 
 // MessageKind returns KindDirectStart.
@@ -93,16 +96,27 @@
 // DirectEnd reports the end of a direct run. Run is the number in the DirectStart.
 type DirectEnd struct {
 	RunRef
-	// Kind is EndDone, EndFailed, EndStopped or EndNotStarted. The loss of the
-	// worker or of its lease is EndFailed: the run is certainly over.
+	// Kind is EndDone, EndFailed, EndStopped, EndNotStarted or EndLost. With EndLost the
+	// run is certainly over.
 	Kind RunEndKind
-	// NoCapacity is set with EndNotStarted if the worker lacks free capacity.
+	// NoCapacity is set with EndNotStarted if the worker lacks free capacity, or may run
+	// nothing else at present.
 	NoCapacity bool
 }
 
 // MessageKind returns KindDirectEnd.
 func (*DirectEnd) MessageKind() MessageKind { return KindDirectEnd }
 
+// DirectCrash reports a crash of the agent's worker. The agent sends it before the ends of
+// the runs on the worker, and the crashes that it has noticed lately when a link to an
+// entry opens.
+type DirectCrash struct {
+	Crash WorkerCrash
+}
+
+// MessageKind returns KindDirectCrash.
+func (*DirectCrash) MessageKind() MessageKind { return KindDirectCrash }
+
 // DirectStop asks an agent to stop a direct run. The agent answers with DirectEnd.
 type DirectStop struct {
 	RunRef
@@ -141,5 +155,6 @@
 		func() Message { return new(DirectStop) },
 		func() Message { return new(DirectBeat) },
 		func() Message { return new(StateEcho) },
+		func() Message { return new(DirectCrash) },
 	)
 }
--- a/directstart/admit.go
+++ b/directstart/admit.go
@@ -52,6 +52,12 @@
 			free += a.free.MilliCPU
 		}
 	}
+	if d.confined(j) && largeEnough && now >= d.closedUntil {
+		if d.pickConfined(now, j) == nil || d.waitsConfined(j) {
+			return confinedReason, confinedRetryAfter
+		}
+		return "", 0
+	}
 	switch {
 	case now < d.closedUntil:
 		return "the entry was frozen", minRetryAfter
@@ -92,7 +98,7 @@
 func (d *Dispatcher) forecastWait(now time.Duration, j *job, free int) time.Duration {
 	ahead := len(j.tasks) * j.need().MilliCPU
 	for _, o := range d.waiting {
-		if o.Pool == j.Pool && o.compare(j, now) <= 0 {
+		if o.Pool == j.Pool && o.compare(j, now) <= 0 && !d.confined(o) {
 			ahead += o.waitingTasks * o.need().MilliCPU
 		}
 	}
--- a/directstart/directstart.go
+++ b/directstart/directstart.go
@@ -8,8 +8,9 @@
 // have started.
 //
 // Invariants: a task has at most one run that may be alive. A task is started again
-// only if its agent has said that the run did not start or that it failed. A job of
-// which a start was sent is refused only if all its starts were refused.
+// only if its agent has said that the run did not start or that it failed, or that its
+// worker was lost. A job of which a start was sent is refused only if all its starts were
+// refused. Crashes of workers count as they do for a leader; see package quarantine.
 package directstart
 
 import (
@@ -18,6 +19,7 @@
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/quarantine"
 )
 
 const (
@@ -61,7 +63,7 @@
 // LinkID identifies a link to an agent. A new link of the same agent has another ID.
 type LinkID uint64
 
-// Event is an input: Offer, End, LinkLost, Submit, Abandon or Tick.
+// Event is an input: Offer, End, Crash, LinkLost, Submit, Abandon or Tick.
 type Event interface{ isEvent() }
 
 // Offer is an agent's offer of capacity.
@@ -76,6 +78,10 @@
 	contract.DirectEnd
 }
 
+// Crash is an agent's report that its worker has crashed. It arrives before the ends of
+// the runs on the worker.
+type Crash struct{ contract.WorkerCrash }
+
 // LinkLost says that a link went down or was silent for too long.
 type LinkLost struct{ Link LinkID }
 
@@ -93,6 +99,7 @@
 
 func (Offer) isEvent()    {}
 func (End) isEvent()      {}
+func (Crash) isEvent()    {}
 func (LinkLost) isEvent() {}
 func (Submit) isEvent()   {}
 func (Abandon) isEvent()  {}
@@ -155,6 +162,9 @@
 	// free is the offered capacity less the starts that the offer does not account
 	// for, plus what has ended since.
 	free contract.Capacity
+	// pool is the pool of the last offer that named one: an agent without a worker names
+	// none.
+	pool string
 	// refused is set when the agent refuses a start, until its next offer.
 	refused bool
 	// lastNumber is the number of the last start sent.
@@ -162,6 +172,9 @@
 	runs       map[contract.RunRef]*task
 }
 
+// idle reports whether the agent's worker runs nothing, as far as this entry knows.
+func (a *agent) idle() bool { return len(a.runs) == 0 && a.free == a.offer.Capacity }
+
 // open reports whether starts may be sent to the agent.
 func (a *agent) open(now time.Duration) bool {
 	return a.offer.Open && now-a.heardAt <= offerLifetime
@@ -185,6 +198,10 @@
 	// lastOpen is when a pool last had an open agent.
 	lastOpen map[string]time.Duration
 	runCount uint64
+	// ledger counts the crashes of workers under tasks, and confinement holds the queues
+	// that crash workers.
+	ledger      *quarantine.Ledger
+	confinement *quarantine.Confinement
 	// lastEvent is when the last event was handled, and closedUntil the time until
 	// which jobs are refused after a freeze.
 	lastEvent, closedUntil time.Duration
@@ -206,6 +223,7 @@
 		rand: r, agents: map[LinkID]*agent{}, jobs: map[contract.DurableJobID]*job{},
 		results: map[contract.DurableJobID]result{}, freed: map[string]*freedRate{}, lastOpen: map[string]time.Duration{},
 		runCount: r.Uint64N(runBlocks) << runBlockBits,
+		ledger:   quarantine.NewLedger(), confinement: quarantine.NewConfinement(),
 	}
 }
 
@@ -225,6 +243,8 @@
 		d.handleOffer(now, e)
 	case End:
 		d.handleEnd(now, e)
+	case Crash:
+		d.handleCrash(now, &e.WorkerCrash)
 	case LinkLost:
 		d.handleLinkLost(now, e.Link)
 	case Submit:
@@ -270,6 +290,9 @@
 		d.order = append(d.order, a)
 	}
 	a.offer, a.heardAt, a.free, a.refused = o.DirectOffer, now, o.Free, false
+	if o.Pool != "" {
+		a.pool = o.Pool
+	}
 	for _, t := range a.runs {
 		if t.number > o.Taken {
 			use(&a.free, t.job.need(), 1)
--- a/directstart/jobs.go
+++ b/directstart/jobs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/quarantine"
 )
 
 // phase is the state of a task.
@@ -29,8 +30,9 @@
 	// run is the reference of the last start and number its number on the link.
 	run    contract.RunRef
 	number uint64
-	// failures counts failed runs, and refusals refused starts.
-	failures, refusals int
+	// failures counts failed runs, refusals refused starts, and losses runs that were lost
+	// with their worker or its lease.
+	failures, refusals, losses int
 	// notBefore is the earliest time of the next start.
 	notBefore time.Duration
 }
@@ -99,6 +101,9 @@
 	}
 	j := newJob(s)
 	d.jobs[j.ID] = j
+	if d.judge(now, j); d.jobs[j.ID] != j {
+		return
+	}
 	if d.hasRuns(j.ID) {
 		d.answer(now, j, Answer{Result: Unknown, Reason: "runs of an earlier submission are being stopped"})
 		return
@@ -147,7 +152,13 @@
 	d.forget(j)
 }
 
+// refuse answers that the job has not run. Where a worker has crashed under it before, the
+// outcome is unknown instead.
 func (d *Dispatcher) refuse(now time.Duration, j *job, reason string, retryAfter time.Duration) {
+	if d.crashedUnder(j) {
+		d.answer(now, j, Answer{Result: Unknown, Reason: reason})
+		return
+	}
 	d.answer(now, j, Answer{Result: Refused, Reason: reason, RetryAfter: retryAfter})
 }
 
@@ -208,6 +219,7 @@
 	case contract.EndDone:
 		t.phase = phaseDone
 		if j.doneTasks++; j.doneTasks == len(j.tasks) {
+			d.confinement.JobDone(now, j.arrivedAt, quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
 			d.answer(now, j, Answer{Result: Completed})
 		}
 	case contract.EndFailed:
@@ -217,6 +229,13 @@
 			return
 		}
 		d.wait(j, t)
+	case contract.EndLost:
+		if t.losses++; t.losses >= maxLost {
+			d.giveUp(j, now)
+			d.answer(now, j, Answer{Result: Unknown, Reason: "its workers were lost"})
+			return
+		}
+		d.wait(j, t)
 	case contract.EndNotStarted:
 		d.wait(j, t)
 		d.startRefused(now, j, t)
@@ -242,7 +261,7 @@
 		t.notBefore = now + refusalPause
 	}
 	j.mayHaveRun = slices.ContainsFunc(j.tasks, func(o task) bool {
-		return o.phase != phaseWaiting || o.failures > 0
+		return o.phase != phaseWaiting || o.failures+o.losses > 0
 	})
 	if t.refusals >= maxRefusals && !j.mayHaveRun {
 		d.refuse(now, j, "the agents have no room", minRetryAfter)
@@ -259,6 +278,8 @@
 				d.answer(now, j, Answer{Result: Unknown})
 			}
 		case j.waitingTasks == 0:
+		case d.crashedUnder(j) && j.waitingTasks == len(j.tasks) && now > j.lateStart:
+			d.answer(now, j, Answer{Result: Unknown, Reason: "no room after a crash"})
 		case !j.mayHaveRun && now > j.lateStart:
 			d.refuse(now, j, "no room within the objective", minRetryAfter)
 		case now-d.lastOpen[j.Pool] > noAgentsTime && !j.mayHaveRun:
@@ -268,6 +289,7 @@
 			d.answer(now, j, Answer{Result: Unknown})
 		}
 	}
+	d.ledger.Forget(now, func(id contract.DurableJobID) bool { return d.jobs[id] != nil })
 	n := 0
 	for n < len(d.lastResults) && now-d.results[d.lastResults[n]].at > resultTTL {
 		delete(d.results, d.lastResults[n])
@@ -284,8 +306,12 @@
 	}
 	slices.SortStableFunc(d.waiting, func(a, b *job) int { return a.compare(b, now) })
 	misses := 0
+	reserved := map[string]map[*agent]bool{}
 	for _, j := range d.waiting {
-		if !d.placeJob(now, j) {
+		if _, known := reserved[j.Pool]; !known {
+			reserved[j.Pool] = d.reserved(j.Pool)
+		}
+		if !d.placeJob(now, j, reserved[j.Pool]) && !d.confined(j) {
 			if misses++; misses >= maxMisses {
 				break
 			}
@@ -313,8 +339,8 @@
 }
 
 // placeJob starts the job's waiting tasks until one fits on no worker. It reports
-// whether none is left.
-func (d *Dispatcher) placeJob(now time.Duration, j *job) bool {
+// whether none is left. reserved holds the agents that are left to confined queues.
+func (d *Dispatcher) placeJob(now time.Duration, j *job, reserved map[*agent]bool) bool {
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.phase != phaseWaiting {
@@ -323,11 +349,15 @@
 		if t.notBefore > now {
 			return false
 		}
-		a := d.pickAgent(now, j)
+		confined := d.confined(j)
+		a := d.pickAgent(now, j, reserved)
+		if confined {
+			a = d.pickConfined(now, j)
+		}
 		if a == nil {
 			return false
 		}
-		d.start(j, t, a)
+		d.start(j, t, a, confined)
 	}
 	return true
 }
@@ -335,11 +365,23 @@
 // pickAgent returns the one of two random agents with room for a task that has the
 // larger free share, or nil if no agent has room. If all entries chose the agent with
 // the most room, they would choose the same one.
-func (d *Dispatcher) pickAgent(now time.Duration, j *job) *agent {
+// Agents that are left to confined queues, or on which a suspect runs beside which j would
+// be another one, come after all others.
+func (d *Dispatcher) pickAgent(now time.Duration, j *job, reserved map[*agent]bool) *agent {
+	suspect := d.crashedUnder(j)
+	avoid := func(a *agent) bool { return reserved[a] || suspect && d.suspects(a) }
+	if a := d.pickAmong(now, j, func(a *agent) bool { return !avoid(a) }); a != nil {
+		return a
+	}
+	return d.pickAmong(now, j, avoid)
+}
+
+// pickAmong is pickAgent for the agents that usable names.
+func (d *Dispatcher) pickAmong(now time.Duration, j *job, usable func(*agent) bool) *agent {
 	var first, second *agent
 	n := 0
 	for _, a := range d.order {
-		if a.refused || a.offer.Pool != j.Pool || !a.open(now) || !a.free.HasRoomFor(j.need()) {
+		if !usable(a) || a.refused || a.offer.Pool != j.Pool || !a.open(now) || !a.free.HasRoomFor(j.need()) {
 			continue
 		}
 		n++
@@ -366,8 +408,9 @@
 	return float64(a.free.MilliCPU) / float64(max(1, a.offer.Capacity.MilliCPU))
 }
 
-// start sends the start of a task to an agent.
-func (d *Dispatcher) start(j *job, t *task, a *agent) {
+// start sends the start of a task to an agent. alone says that the worker may run nothing
+// but the job.
+func (d *Dispatcher) start(j *job, t *task, a *agent, alone bool) {
 	// The counter wraps within the entry's block.
 	d.runCount = d.runCount&^(1<<runBlockBits-1) | (d.runCount+1)&(1<<runBlockBits-1)
 	a.lastNumber++
@@ -377,7 +420,7 @@
 	use(&a.free, j.need(), 1)
 	j.waitingTasks--
 	j.mayHaveRun = true
-	d.actions = append(d.actions, Start{a.link, contract.DirectStart{Number: t.number, Start: contract.RunStart{
+	d.actions = append(d.actions, Start{a.link, contract.DirectStart{Number: t.number, Alone: alone, Start: contract.RunStart{
 		RunRef: t.run, Demand: j.need(), Name: fmt.Sprintf("%s.0.0.%d", j.ID, t.index), Spec: j.Spec, Queue: j.Queue,
 	}}})
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -43,6 +43,8 @@
 	attempt  uint32
 	// fastAttempts counts the attempts that ended within gateTimeout.
 	fastAttempts int
+	// lostUpstreams counts the attempts that may have run and got no answer.
+	lostUpstreams int
 	// worker is the worker of the last attempt.
 	worker host.Ref
 	// retryable means that the request may run more than once.
--- a/entry/single.go
+++ b/entry/single.go
@@ -68,6 +68,10 @@
 // limited by the deadline instead.
 const maxFastAttempts = 4
 
+// maxLostUpstreams is the number of upstreams under which a request may get lost until it
+// is not sent to another: a second one points to the request.
+const maxLostUpstreams = 2
+
 func (e *Entry) runSingle(w http.ResponseWriter, r *http.Request, route contract.Route) error {
 	p := e.pool(route.Pool)
 	if p == nil {
@@ -167,7 +171,8 @@
 		metrics.SingleRetries.Add(1)
 		return true
 	case attemptUnknown:
-		if !x.retryable {
+		x.lostUpstreams++
+		if !x.retryable || x.lostUpstreams >= maxLostUpstreams {
 			return false
 		}
 		if !x.entry.retryBudget.spend() {
--- a/gateway/direct.go
+++ b/gateway/direct.go
@@ -146,6 +146,9 @@
 	case *contract.DirectEnd:
 		telemetry.DirectEnds.WithLabelValues(m.Kind.String()).Inc()
 		d.handleLocked(directstart.End{Link: d.ids[l], DirectEnd: *m})
+	case *contract.DirectCrash:
+		d.log.Info("worker crash learned", "agent", l.Remote().Host, "instance", m.Crash.Instance.ID, "alone", m.Crash.Alone(), "runs", len(m.Crash.Runs), "age_ms", m.Crash.Age.Milliseconds())
+		d.handleLocked(directstart.Crash{WorkerCrash: m.Crash})
 	}
 }
 
--- a/hub/crash_test.go
+++ b/hub/crash_test.go
@@ -161,3 +161,34 @@
 	})
 	must.Eq(t, nil, c.runChecker.Violations())
 }
+
+// TestDeadlyTaskIsCountedWithoutALeader: a caller sends a deadly job to one entry after
+// the other while there is no leader, and then to the next leader. Agents carry the count,
+// though one of them is restarted.
+func TestDeadlyTaskIsCountedWithoutALeader(t *testing.T) {
+	c := newDirectCluster(t, nil, "w1", "w2", "w3", "w4", "w5")
+	c.stopHub(0)
+	c.waitDirect(c.entries[0])
+	c.waitDirect(c.entries[1])
+	c.restartCrashed(500 * time.Millisecond)
+	ask := func(e *directEntry) gateway.Answer {
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		defer cancel()
+		return e.gateway.Ask(ctx, deadlyJob("d"))
+	}
+	first := ask(c.entries[0])
+	must.True(t, first.Direct)
+	must.Eq(t, contract.DurableFailed, first.State)
+	crashes := c.runChecker.MostCrashes()
+	must.LessEq(t, quarantine.MaxCrashes, crashes)
+	again := ask(c.entries[1])
+	must.True(t, again.State == contract.DurableFailed || again.Verdict == contract.VerdictUnknown)
+	must.Eq(t, crashes, c.runChecker.MostCrashes(), must.Sprint("the other entry starts it again"))
+	c.agentProcesses["w5"].stop()
+	c.startAgent("w5")
+	c.lead()
+	c.waitFor("the leader has all workers", func() bool { return c.availableWorkers() == len(c.workers) })
+	c.waitFor("the leader knows the job", func() bool { return ask(c.entries[0]).State == contract.DurableFailed })
+	must.LessEq(t, quarantine.MaxCrashes, c.runChecker.MostCrashes())
+	must.Eq(t, nil, c.runChecker.Violations())
+}
--- a/node/request_test.go
+++ b/node/request_test.go
@@ -83,6 +83,16 @@
 		}
 	})
 
+	// A request that crashes its upstream must not go through all of them.
+	t.Run("an idempotent request that loses its upstreams", func(t *testing.T) {
+		for i := range 4 {
+			echo := fmt.Sprint("loses ", i)
+			r := s.sendSingle(0, http.MethodPut, standin.Work{Echo: echo, Drop: true})
+			must.Eq(t, contract.OutcomeUnknown.String(), r.outcome)
+			must.LessEq(t, 2, s.echoStarts(t, echo))
+		}
+	})
+
 	t.Run("idempotent requests are retried within a budget", func(t *testing.T) {
 		const requests = 40
 		for range requests {
--- a/quarantine/confinement.go
+++ b/quarantine/confinement.go
@@ -1,6 +1,11 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+)
 
 // Queue identifies a queue of a pool.
 type Queue struct{ Pool, Queue string }
@@ -72,6 +77,34 @@
 	return true
 }
 
+// Blame confines the queues to which a crash points, and returns those that were not
+// confined before. A crash that ran a task of a confined queue is put down to that queue,
+// unless a task of another one is given up. The ledger must have recorded the crash.
+func (c *Confinement) Blame(now time.Duration, l *Ledger, crash *contract.WorkerCrash) []string {
+	culprits, proven := l.Culprits(crash)
+	if known := c.Involved(crash); !proven && len(known) > 0 {
+		culprits = known
+	}
+	var confined []string
+	for _, queue := range culprits {
+		if c.Crashed(now, Queue{crash.Pool, queue}) {
+			confined = append(confined, queue)
+		}
+	}
+	return confined
+}
+
+// Involved returns the confined queues that had runs on the crashed worker.
+func (c *Confinement) Involved(crash *contract.WorkerCrash) []string {
+	var queues []string
+	for _, r := range crash.Runs {
+		if c.Confined(Queue{crash.Pool, r.Queue}) && !slices.Contains(queues, r.Queue) {
+			queues = append(queues, r.Queue)
+		}
+	}
+	return queues
+}
+
 // JobDone records that a job of the queue that came at the given time is done. It reports
 // whether this frees the queue.
 func (c *Confinement) JobDone(now, arrived time.Duration, q Queue) bool {
@@ -107,6 +140,18 @@
 	return n
 }
 
+// Queues returns the names of the pool's queues that are confined.
+func (c *Confinement) Queues(pool string) []string {
+	var names []string
+	for q, st := range c.queues {
+		if q.Pool == pool && st.active {
+			names = append(names, q.Queue)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // JobsPerWorker returns how many jobs of a confined queue may share a worker. While a
 // job runs alone, a crash is evidence against it.
 func (c *Confinement) JobsPerWorker(q Queue) int {
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -52,7 +52,7 @@
 		c.Age = time.Duration(st.LogTime-st.Crashes[i].At) * time.Millisecond
 		s.ledger.Record(now-c.Age, &c)
 		if c.Age <= confinementMemory {
-			s.confineCulprits(now, &c)
+			s.confinement.Blame(now, s.ledger, &c)
 		}
 	}
 }
@@ -126,8 +126,8 @@
 		}
 	}
 	if c.Age <= confinementMemory {
-		n.Confined = s.confineCulprits(now, &c)
-		if len(s.confinedQueues(&c)) > 0 {
+		n.Confined = s.confinement.Blame(now, s.ledger, &c)
+		if len(s.confinement.Involved(&c)) > 0 {
 			cells := s.cellsOf(c.Pool)
 			cells.lost[h], cells.crashedAt = now-c.Age, max(cells.crashedAt, now-c.Age)
 		}
@@ -135,34 +135,6 @@
 	s.crashNotices = append(s.crashNotices, n)
 }
 
-// confineCulprits confines the queues to which a crash points, and returns those that
-// were not confined before. A crash that ran a task of a confined queue is put down to
-// that queue, unless a task of another one is given up.
-func (s *Scheduler) confineCulprits(now time.Duration, c *contract.WorkerCrash) []string {
-	culprits, proven := s.ledger.Culprits(c)
-	if known := s.confinedQueues(c); !proven && len(known) > 0 {
-		culprits = known
-	}
-	var confined []string
-	for _, queue := range culprits {
-		if s.confinement.Crashed(now, quarantine.Queue{Pool: c.Pool, Queue: queue}) {
-			confined = append(confined, queue)
-		}
-	}
-	return confined
-}
-
-// confinedQueues returns the confined queues that had runs on the crashed worker.
-func (s *Scheduler) confinedQueues(c *contract.WorkerCrash) []string {
-	var queues []string
-	for _, r := range c.Runs {
-		if s.confinement.Confined(quarantine.Queue{Pool: c.Pool, Queue: r.Queue}) && !slices.Contains(queues, r.Queue) {
-			queues = append(queues, r.Queue)
-		}
-	}
-	return queues
-}
-
 // judge updates what follows from the crashes under the job's tasks.
 func (s *Scheduler) judge(j *job) {
 	j.verdict, j.ranAlone = s.ledger.JobVerdict(j.ID), s.ledger.RanAlone(j.ID)
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -68,6 +68,9 @@
 	// authorityEnd is the boot time at which the leader's authority expires.
 	authorityEnd time.Duration
 	instance     *workerInstance
+	// exited is the ID of the last instance that has certainly exited after a session with
+	// this process; empty if there is none.
+	exited contract.HostID
 	// session is the latest session, which may be one without a worker; it is zero
 	// before the first session.
 	session contract.WorkerSession
@@ -153,6 +156,7 @@
 	a.log.Info("new worker instance", "worker", ann.ID, "born", ann.StartedMillis, "addr", ann.Addr, "pool", ann.Pool)
 	a.instance = newWorkerInstance(a, ann)
 	a.instance.leaving = leaving
+	a.instance.fresh = w == nil && a.exited != "" && a.exited != ann.ID
 	if w != nil {
 		a.instance.inheritRuns(w)
 		w.stopTracking("replaced", contract.EndStopped)
--- a/workeragent/crash.go
+++ b/workeragent/crash.go
@@ -36,6 +36,15 @@
 	a := w.agent
 	a.crashes = append(a.crashes, recordedCrash{c, now})
 	a.crashes = a.crashes[max(0, len(a.crashes)-maxRecordedCrashes):]
+	for _, e := range a.entries {
+		e.sendCrash(c)
+	}
+}
+
+// sendCrash reports a crash. A report that is lost with the link is repeated on the next
+// one.
+func (e *entryLink) sendCrash(c contract.WorkerCrash) {
+	_ = e.link.Send(&contract.DirectCrash{Crash: c})
 }
 
 // crashedRuns returns the runs on the instance in the order of their starts. The caller
--- a/workeragent/crash_test.go
+++ b/workeragent/crash_test.go
@@ -96,3 +96,55 @@
 	w.workerExited("test")
 	must.SliceEmpty(t, a.reported()[0].Runs)
 }
+
+// TestEntriesLearnOfACrashBeforeTheEnds: an entry that learned the end first would start
+// the task again uncounted.
+func TestEntriesLearnOfACrashBeforeTheEnds(t *testing.T) {
+	a, w, e := newDirectAgent(t)
+	var received chan contract.Message
+	e.link, received = newLeaderLink(t)
+	a.mu.Lock()
+	a.entries[e.link] = e
+	w.hadSession = true
+	a.handleDirectStart(boottime.Now(), e, directStart("a"))
+	w.stopTracking("test", contract.EndLost)
+	a.mu.Unlock()
+	crash, ok := (<-received).(*contract.DirectCrash)
+	must.True(t, ok)
+	must.True(t, crash.Crash.Alone())
+	end, ok := (<-received).(*contract.DirectEnd)
+	must.True(t, ok)
+	must.Eq(t, contract.EndLost, end.Kind)
+	later, received := newLeaderLink(t)
+	(*entryHandler)(a).LinkUp(later)
+	must.Eq(t, contract.KindDirectCrash, (<-received).MessageKind(), must.Sprint("and on each new link"))
+}
+
+func TestDirectStartOfAJobThatRunsAlone(t *testing.T) {
+	for name, c := range map[string]struct {
+		running      string
+		runningAlone bool
+		alone        bool
+		starts       bool
+	}{
+		"on an idle worker":                    {"", false, true, true},
+		"beside another job":                   {"b", false, true, false},
+		"beside its own":                       {"a", true, true, true},
+		"another job beside one that is alone": {"b", true, false, false},
+		"another job beside another":           {"b", false, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, w, e := newDirectAgent(t)
+			if c.running != "" {
+				w.runs[NamedRun{Name: "x", Run: 1}] = &run{ref: contract.RunRef{Job: contract.DurableJobID(c.running), Task: 1}, alone: c.runningAlone}
+			}
+			before := len(w.runs)
+			st := directStart("a")
+			st.Alone = c.alone
+			a.mu.Lock()
+			a.handleDirectStart(boottime.Now(), e, st)
+			must.Eq(t, c.starts, len(w.runs) > before)
+			a.mu.Unlock()
+		})
+	}
+}
--- a/workeragent/direct.go
+++ b/workeragent/direct.go
@@ -160,13 +160,26 @@
 		a.log.V(1).Info("direct start refused", "job", st.Job, "task", st.Task, "entry", e.host())
 		e.sendEnd(st.RunRef, contract.EndNotStarted, false)
 		return
-	case !w.freeCapacity().HasRoomFor(st.Demand):
+	case !w.freeCapacity().HasRoomFor(st.Demand) || !w.admitsBeside(st.Job, m.Alone):
 		e.sendEnd(st.RunRef, contract.EndNotStarted, true)
 		return
 	}
 	st.Run = contract.DirectRunNumber(a.term, st.Run)
 	telemetry.DirectStarts.WithLabelValues("agent").Inc()
 	w.startRun(st, e)
+	w.runs[NamedRun{Name: st.Name, Run: st.Run}].alone = m.Alone
+}
+
+// admitsBeside reports whether a run of the job may start beside the runs on the worker:
+// none of another job if it is to run alone, and none of another job that does. The
+// caller holds agent.mu.
+func (w *workerInstance) admitsBeside(id contract.DurableJobID, alone bool) bool {
+	for _, r := range w.runs {
+		if r.ref.Job != id && (alone || r.alone) {
+			return false
+		}
+	}
+	return true
 }
 
 // hasTask reports whether a run of the task is or may be on the worker. The caller
@@ -207,7 +220,7 @@
 }
 
 // failDirectRuns reports the end of all direct runs to their entries. kind is
-// EndFailed if they are certainly over. The caller holds agent.mu.
+// EndLost if they are certainly over. The caller holds agent.mu.
 func (w *workerInstance) failDirectRuns(kind contract.RunEndKind) {
 	for _, r := range w.runs {
 		r.tellEntry(kind, false)
@@ -249,10 +262,10 @@
 }
 
 // directEndKind returns the kind of end that an entry is told. After the expiry of the
-// lease the run is certainly over, so it counts as a failure.
+// lease the run is certainly over.
 func directEndKind(k contract.RunEndKind) contract.RunEndKind {
 	if k == contract.EndLeaseExpired {
-		return contract.EndFailed
+		return contract.EndLost
 	}
 	return k
 }
--- a/workeragent/entries.go
+++ b/workeragent/entries.go
@@ -125,7 +125,11 @@
 	a := (*Agent)(h)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.entries[l] = &entryLink{link: l}
+	e := &entryLink{link: l}
+	a.entries[l] = e
+	for _, c := range a.recentCrashes(boottime.Now()) {
+		e.sendCrash(c)
+	}
 	a.offeredAt = 0
 	a.log.Info("entry connected", "entry", l.Remote().Host)
 }
--- a/workeragent/expiry_test.go
+++ b/workeragent/expiry_test.go
@@ -166,3 +166,29 @@
 	must.True(t, r.NoWorker, must.Sprint("the lease has expired"))
 	must.SliceEmpty(t, r.Running)
 }
+
+// TestNewInstanceIsUsedAtOnce: a worker that comes back after a crash need not wait for a
+// lease that nobody can have granted. Under the ID of the crashed instance, or if this
+// process did not see that one exit, it may have got calls that were meant for it.
+func TestNewInstanceIsUsedAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(*Agent, *workerInstance)
+		id      contract.HostID
+		atOnce  bool
+	}{
+		"another ID":               {func(_ *Agent, w *workerInstance) { w.workerExited("test") }, "w2", true},
+		"the same ID":              {func(_ *Agent, w *workerInstance) { w.workerExited("test") }, "w", false},
+		"the exit was not seen":    {func(a *Agent, _ *workerInstance) {}, "w2", false},
+		"the agent has just begun": {func(a *Agent, _ *workerInstance) { a.instance = nil }, "w2", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, w := newInstanceInSession(t, absentClient{})
+			c.prepare(a, w)
+			a.HandleAnnouncement(contract.WorkerAnnouncement{ID: c.id, StartedMillis: 5, Pool: "p"})
+			next := a.instance
+			next.latestLeaseEndMS = 500
+			must.Eq(t, c.atOnce, next.leaseExpired(PollReply{ClockMS: 10}))
+			must.False(t, next.leaseExpired(PollReply{ClockMS: 10, Ended: []EndedRun{{Seq: 1}}}))
+		})
+	}
+}
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -74,6 +74,8 @@
 	// started a direct run, and nil for a leader's run.
 	bound bool
 	entry *entryLink
+	// alone says that no run of another job may start beside the run.
+	alone bool
 	// startUnanswered says that the start call got no answer.
 	startUnanswered bool
 }
@@ -105,6 +107,9 @@
 	inheritedUntil time.Duration
 	// hadSession says that this process has begun a session with the instance.
 	hadSession bool
+	// fresh says that no earlier agent process can have called the instance: this process
+	// saw the instance before it exit, which had another ID, and calls name the ID.
+	fresh bool
 	// leaving says that the instance has announced its end.
 	leaving bool
 	// starts counts the starts on the instance.
@@ -289,11 +294,14 @@
 
 // leaseExpired reports whether no start call of an earlier session can be carried out
 // any more, and the run ends in reply are certainly void: the lease has expired since the
-// last of them. It allows for an earlier agent process that renewed the lease or called
+// last of them, or the instance is fresh. It allows for an earlier agent process that renewed the lease or called
 // the worker just before the first poll. Runs left by that process are not stopped.
 func (w *workerInstance) leaseExpired(reply PollReply) bool {
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
+	if w.fresh && !w.hadSession && len(reply.Ended) == 0 {
+		return true
+	}
 	if w.hadSession && (len(reply.Ended) == 0 || reply.Ended[len(reply.Ended)-1].Kind == contract.EndLeaseExpired) {
 		return true
 	}
@@ -487,9 +495,9 @@
 	if w.agent.instance != w {
 		return
 	}
-	w.stopTracking(why, contract.EndFailed)
+	w.stopTracking(why, contract.EndLost)
 	clear(w.runs)
-	w.agent.instance = nil
+	w.agent.instance, w.agent.exited = nil, w.id
 	w.agent.newSession()
 }
 
@@ -512,7 +520,7 @@
 	w.leaseRunsOut = false
 	w.recordVoidRuns(boottime.Now())
 	w.ackedSeq = w.lastSeq
-	w.failDirectRuns(contract.EndFailed)
+	w.failDirectRuns(contract.EndLost)
 	if w.direct && !w.agent.sessionReported {
 		w.agent.log.Info("direct session ended", "worker", w.id, "session", w.agent.session, "why", "lease expired")
 	}
