A queue is confined when all crashes agree on it; suspects wait while sound jobs are refused

Sound requests of the confined queue got few cells, since suspects were tried again first. Cause: a crash was put down to the queue of a task that was under a second one, which is an innocent task as often as not while several deadly ones are at work. And a suspect was placed when no other job waited, although others were being refused. Change: runs report how long they had run; a queue is confined if it had just started a run before each of the last crashes and no other queue had. Suspects wait while jobs are refused or other tasks have workers lost. The next leader knows the lost workers. Cells are bounded by the recent rate of the other queues too. Runs without a crash let jobs share cells sooner. The summary of a pool tells cells, lost workers and their limit.

--- a/contract/crash.go
+++ b/contract/crash.go
@@ -19,6 +19,8 @@
 	Ref RunRef
 	// Queue is the queue of the run's job.
 	Queue string
+	// Elapsed is how long before the crash was noticed the run was started.
+	Elapsed time.Duration
 }
 
 // Task returns the task of the run.
--- a/hub/direct_test.go
+++ b/hub/direct_test.go
@@ -131,7 +131,7 @@
 	n := 0
 	h.runInLoop(func() {
 		if h.leader != nil {
-			for _, p := range h.leader.sched.PoolSummaries() {
+			for _, p := range h.leader.sched.PoolSummaries(boottime.Now()) {
 				n += p.AvailableWorkers
 			}
 		}
--- a/hub/evacuate_test.go
+++ b/hub/evacuate_test.go
@@ -172,7 +172,9 @@
 	c.waitCompleted("after")
 	c.waitFor("the new worker has attached", func() (both bool) {
 		h := c.leaderHub()
-		h.runInLoop(func() { both = h.leader != nil && h.leader.sched.PoolSummaries()[0].EvacuatedWorkers == 2 })
+		h.runInLoop(func() {
+			both = h.leader != nil && h.leader.sched.PoolSummaries(boottime.Now())[0].EvacuatedWorkers == 2
+		})
 		return both
 	})
 	c.submitUntilAccepted(testJob("later", 30, 50))
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -107,16 +107,16 @@
 	}
 	if now-h.leader.lastSummaryAt >= summaryInterval {
 		h.leader.lastSummaryAt = now
-		h.logSummaries()
+		h.logSummaries(now)
 	}
 }
 
 // summaryInterval is how often the leader logs a summary of each pool.
 const summaryInterval = time.Second
 
-func (h *Hub) logSummaries() {
+func (h *Hub) logSummaries(now time.Duration) {
 	unattached := h.leader.countUnattached()
-	for _, p := range h.leader.sched.PoolSummaries() {
+	for _, p := range h.leader.sched.PoolSummaries(now) {
 		h.log.Info("pool summary", append(poolFields(p, unattached), "viable", p.ViableJobs, "late", p.LateJobs, "jobs", p.Jobs)...)
 	}
 }
@@ -127,7 +127,7 @@
 func poolFields(p schedule.PoolSummary, unattached int) []any {
 	return []any{
 		"pool", p.Pool, "workers", p.AvailableWorkers, "slow", p.SlowWorkers, "suspects", p.SuspectedWorkers, "away", p.UnavailableWorkers,
-		"cells", p.Cells, "confined_queues", p.ConfinedQueues, "unreachable", p.UnreachableWorkers, "evacuated", p.EvacuatedWorkers, "unattached", unattached, "room", p.CapacityMilliCPU, "used", p.UsedMilliCPU,
+		"cells", p.Cells, "lost", p.LostWorkers, "cell_limit", p.CellLimit, "confined_queues", p.ConfinedQueues, "unreachable", p.UnreachableWorkers, "evacuated", p.EvacuatedWorkers, "unattached", unattached, "room", p.CapacityMilliCPU, "used", p.UsedMilliCPU,
 	}
 }
 
@@ -153,7 +153,7 @@
 	if ls.poolFields == nil || now-ls.poolFieldsAt > refusalFieldsTTL {
 		ls.poolFields, ls.poolFieldsAt = map[string][]any{}, now
 		unattached := ls.countUnattached()
-		for _, p := range ls.sched.PoolSummaries() {
+		for _, p := range ls.sched.PoolSummaries(now) {
 			ls.poolFields[p.Pool] = poolFields(p, unattached)
 		}
 	}
--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -521,7 +521,7 @@
 	report := func() *contract.WorkerReport { return testReport(h, 7, 1) }
 	h.runInLoop(func() { h.handleAgentMessage(boottime.Now(), l, report()) })
 	c.submitUntilAccepted(testJob("a", 1, 1000))
-	usedCPU := func() int { return h.leader.sched.PoolSummaries()[0].UsedMilliCPU }
+	usedCPU := func() int { return h.leader.sched.PoolSummaries(boottime.Now())[0].UsedMilliCPU }
 	c.waitFor("the task is placed", func() bool {
 		used := 0
 		h.runInLoop(func() {
@@ -580,7 +580,7 @@
 	report := func(attachID int64) *contract.WorkerReport { return testReport(h, 7, attachID) }
 	h.runInLoop(func() { h.handleAgentMessage(boottime.Now(), fast, report(2)) })
 	c.submitUntilAccepted(testJob("a", 1, 1000))
-	usedCPU := func() int { return h.leader.sched.PoolSummaries()[0].UsedMilliCPU }
+	usedCPU := func() int { return h.leader.sched.PoolSummaries(boottime.Now())[0].UsedMilliCPU }
 	c.waitFor("the task is placed", func() bool {
 		used := 0
 		h.runInLoop(func() {
--- a/quarantine/confinement.go
+++ b/quarantine/confinement.go
@@ -19,9 +19,14 @@
 	quietTime   = 5 * time.Second
 	maxRelapses = 4
 	relapseTime = time.Minute
-	// cleanPerShare is the number of such jobs after which one job more may share a
-	// worker.
+	// evidenceTime is how long a crash is compared with later ones, and youngTime the time
+	// since its start up to which a run is likely to have caused a crash.
+	evidenceTime = 2 * time.Second
+	youngTime    = 50 * time.Millisecond
+	// cleanPerShare is the number of such jobs, and timePerShare the time, after which one
+	// job more may share a worker.
 	cleanPerShare = 5
+	timePerShare  = time.Second
 	// minBackoff and maxBackoff bound how long after a crash a confined queue stays off
 	// the last worker of a pool, which it would have to take from the other queues.
 	minBackoff = 5 * time.Second
@@ -33,6 +38,8 @@
 type Confinement struct {
 	queues map[Queue]*confined
 	active int
+	// evidence holds the crashes of the last evidenceTime that no queue was blamed for.
+	evidence []evidence
 }
 
 // confined is the state of a queue that is or was confined.
@@ -78,12 +85,17 @@
 }
 
 // Blame confines the queues to which a crash points, and returns those that were not
-// confined before. A crash that ran a task of a confined queue is put down to that queue,
-// unless a task of another one is given up. The ledger must have recorded the crash.
+// confined before. A task that is given up proves that its queue is to blame. Any other
+// crash that ran a task of a confined queue is put down to that queue. What is left points
+// to a queue if it agrees with the other crashes of the last evidenceTime; see suspect. The
+// ledger must have recorded the crash.
 func (c *Confinement) Blame(now time.Duration, l *Ledger, crash *contract.WorkerCrash) []string {
-	culprits, proven := l.Culprits(crash)
-	if known := c.Involved(crash); !proven && len(known) > 0 {
-		culprits = known
+	culprits := l.proven(crash)
+	if len(culprits) == 0 {
+		culprits = c.Involved(crash)
+	}
+	if len(culprits) == 0 && !crash.Partial {
+		culprits = c.suspect(now-crash.Age, l, crash)
 	}
 	var confined []string
 	for _, queue := range culprits {
@@ -94,6 +106,44 @@
 	return confined
 }
 
+// evidence is a crash that no queue has been blamed for.
+type evidence struct {
+	at   time.Duration
+	pool string
+	// young lists the queues that had started a run on the worker just before.
+	young []string
+	// repeated says that a task was under a crash for the second time.
+	repeated bool
+}
+
+// suspect returns the one queue that had just started a run on the worker before each of
+// the last crashes of the pool, if there are two or more of them and one was under a task
+// that another was under too. Tasks that crash their workers mostly do so at their start;
+// the innocent ones that start beside them are now of this queue, now of that.
+func (c *Confinement) suspect(at time.Duration, l *Ledger, crash *contract.WorkerCrash) []string {
+	e := evidence{at: at, pool: crash.Pool, repeated: l.repeated(crash)}
+	for _, r := range crash.Runs {
+		if r.Elapsed <= youngTime && !slices.Contains(e.young, r.Queue) {
+			e.young = append(e.young, r.Queue)
+		}
+	}
+	c.evidence = slices.DeleteFunc(c.evidence, func(o evidence) bool { return at-o.at > evidenceTime })
+	c.evidence = append(c.evidence, e)
+	common, crashes, repeated := e.young, 0, false
+	for _, o := range c.evidence {
+		if o.pool == crash.Pool {
+			common = slices.DeleteFunc(slices.Clone(common), func(q string) bool { return !slices.Contains(o.young, q) })
+			crashes++
+			repeated = repeated || o.repeated
+		}
+	}
+	if crashes < 2 || !repeated || len(common) != 1 {
+		return nil
+	}
+	c.evidence = slices.DeleteFunc(c.evidence, func(o evidence) bool { return o.pool == crash.Pool })
+	return common
+}
+
 // Involved returns the confined queues that had runs on the crashed worker.
 func (c *Confinement) Involved(crash *contract.WorkerCrash) []string {
 	var queues []string
@@ -153,12 +203,14 @@
 }
 
 // JobsPerWorker returns how many jobs of a confined queue may share a worker. While a
-// job runs alone, a crash is evidence against it.
-func (c *Confinement) JobsPerWorker(q Queue) int {
-	if st := c.queues[q]; st != nil {
-		return 1 + st.clean/cleanPerShare
+// job runs alone, a crash is evidence against it. Time without a crash counts only if jobs
+// have run in it.
+func (c *Confinement) JobsPerWorker(now time.Duration, q Queue) int {
+	st := c.queues[q]
+	if st == nil || st.clean == 0 {
+		return 1
 	}
-	return 1
+	return 1 + st.clean/cleanPerShare + int((now-st.crashedAt)/timePerShare)
 }
 
 // Backoff returns how long after a crash the queue stays off the last worker of a pool.
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -27,8 +27,6 @@
 	// up, if one of them is evidence against its job. A single crash may be the
 	// worker's own.
 	crashesToGiveUp = 2
-	// lastStarted is the number of runs that count as the last to start before a crash.
-	lastStarted = 2
 	// Retention is how long after its last crash a task is remembered. Callers send
 	// a job again within seconds.
 	Retention = time.Minute
@@ -150,28 +148,20 @@
 	})
 }
 
-// Culprits returns the queues to which a crash points: those of its tasks that are given
-// up, which is proof, or, if there are none, that of a task under a second crash that was
-// among the last to start on the worker. Tasks that crash their workers mostly do so at
-// once; an innocent one that meets a second crash has mostly run for longer.
-func (l *Ledger) Culprits(c *contract.WorkerCrash) (queues []string, proven bool) {
+// proven returns the queues of the tasks under the crash that are given up.
+func (l *Ledger) proven(c *contract.WorkerCrash) []string {
+	var queues []string
 	for i := range c.Runs {
 		if l.Verdict(c.Runs[i].Task()) == GivenUp && !slices.Contains(queues, c.Runs[i].Queue) {
 			queues = append(queues, c.Runs[i].Queue)
 		}
 	}
-	if len(queues) > 0 || c.Partial {
-		return queues, len(queues) > 0
-	}
-	for _, r := range c.Runs[max(0, len(c.Runs)-lastStarted):] {
-		if l.Crashes(r.Task()) >= crashesToGiveUp && !slices.Contains(queues, r.Queue) {
-			queues = append(queues, r.Queue)
-		}
-	}
-	if len(queues) > 1 {
-		return nil, false
-	}
-	return queues, false
+	return queues
+}
+
+// repeated reports whether a task under the crash was under another one before.
+func (l *Ledger) repeated(c *contract.WorkerCrash) bool {
+	return slices.ContainsFunc(c.Runs, func(r contract.CrashedRun) bool { return l.Crashes(r.Task()) >= crashesToGiveUp })
 }
 
 // Empty reports whether no crash is remembered.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,24 +77,57 @@
 	must.Eq(t, Separate, l.Verdict(first("a")))
 }
 
-func TestCulprits(t *testing.T) {
-	l := NewLedger()
-	culprits := func(c *contract.WorkerCrash) ([]string, bool) {
-		l.Record(time.Second, c)
-		return l.Culprits(c)
+// TestCrashesPointToAQueue lists crashes by the runs on the worker, those that had just
+// started last, after the mark "old"; the queue that is confined by the last crash, if
+// any.
+func TestCrashesPointToAQueue(t *testing.T) {
+	for name, c := range map[string]struct {
+		crashes [][]string
+		want    []string
+	}{
+		"one crash":                        {[][]string{{"a", "x@x"}}, nil},
+		"two under one task":               {[][]string{{"a", "x@x"}, {"y@y", "a"}}, []string{"q"}},
+		"two under different tasks":        {[][]string{{"a", "x@x"}, {"b", "y@y"}}, nil},
+		"two queues started before both":   {[][]string{{"a", "x@x"}, {"a", "x2@x"}}, nil},
+		"a third tells them apart":         {[][]string{{"a", "x@x"}, {"a", "x2@x"}, {"b"}}, []string{"q"}},
+		"an innocent one is under two":     {[][]string{{"a", "x@x"}, {"x@x", "b"}, {"c"}}, []string{"q"}},
+		"an old run is under two":          {[][]string{{"x@x", "old", "a"}, {"x@x", "old", "b"}}, []string{"q"}},
+		"proof counts without agreement":   {[][]string{{"x@x", "a"}, {"y@y"}, {"a"}}, []string{"q"}},
+		"each crash by itself, other pool": {[][]string{{"a", "x@x"}, {"p2", "a", "y@y"}}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, conf := NewLedger(), NewConfinement()
+			var got []string
+			for i, jobs := range c.crashes {
+				pool, old := "p", slices.Index(jobs, "old")
+				if jobs[0] == "p2" {
+					pool, jobs = "p2", jobs[1:]
+				}
+				names := slices.DeleteFunc(slices.Clone(jobs), func(j string) bool { return j == "old" })
+				w := crash(i, names...)
+				w.Pool = pool
+				for r := range max(old, 0) {
+					w.Runs[r].Elapsed = youngTime + 1
+				}
+				l.Record(time.Second, w)
+				got = conf.Blame(time.Second, l, w)
+			}
+			must.Eq(t, c.want, got)
+		})
+	}
+}
+
+func TestOldEvidenceDoesNotCount(t *testing.T) {
+	l, conf := NewLedger(), NewConfinement()
+	blame := func(at time.Duration, w *contract.WorkerCrash) []string {
+		l.Record(at, w)
+		return conf.Blame(at, l, w)
 	}
-	queues, _ := culprits(crash(1, "bad", "x@x", "y@y"))
-	must.SliceEmpty(t, queues, must.Sprint("one crash points to no queue"))
-	queues, proven := culprits(crash(2, "z@x", "bad"))
-	must.Eq(t, []string{"q"}, queues)
-	must.False(t, proven)
-	queues, _ = culprits(crash(3, "x@x", "y@y"))
-	must.SliceEmpty(t, queues, must.Sprint("tasks of two queues are under a second crash"))
-	queues, _ = culprits(crash(5, "z@x", "new", "new2"))
-	must.SliceEmpty(t, queues, must.Sprint("the task under a second crash has run for longer than others"))
-	queues, proven = culprits(crash(4, "bad"))
-	must.Eq(t, []string{"q"}, queues)
-	must.True(t, proven)
+	must.SliceEmpty(t, blame(time.Second, crash(1, "a", "x@x")))
+	must.SliceEmpty(t, blame(2*time.Second+evidenceTime, crash(2, "a", "y@y")))
+	must.Eq(t, []string{"q"}, blame(3*time.Second+evidenceTime, crash(3, "z@z", "b")))
+	must.SliceEmpty(t, blame(3*time.Second+evidenceTime, crash(4, "z@z", "c")), must.Sprint("put down to the confined queue"))
+	must.False(t, conf.Confined(Queue{"p", "z"}))
 }
 
 func TestForget(t *testing.T) {
@@ -137,12 +171,13 @@
 func TestConfinedJobsShareWorkersAgainAfterCleanOnes(t *testing.T) {
 	c, q := NewConfinement(), Queue{"p", "q"}
 	c.Crashed(time.Second, q)
-	must.Eq(t, 1, c.JobsPerWorker(q))
+	must.Eq(t, 1, c.JobsPerWorker(time.Second, q))
 	for range 2 * cleanPerShare {
 		c.JobDone(time.Second, time.Second, q)
 	}
-	must.Eq(t, 3, c.JobsPerWorker(q))
+	must.Eq(t, 3, c.JobsPerWorker(time.Second, q))
+	must.Eq(t, 4, c.JobsPerWorker(time.Second+timePerShare, q))
 	c.Crashed(time.Second, q)
-	must.Eq(t, 1, c.JobsPerWorker(q))
+	must.Eq(t, 1, c.JobsPerWorker(time.Second+2*timePerShare, q), must.Sprint("no job has run since"))
 	must.Greater(t, minBackoff, c.Backoff(q))
 }
--- a/schedule/confine.go
+++ b/schedule/confine.go
@@ -26,10 +26,14 @@
 	usualReturnTime = 4 * time.Second
 	// otherQueuesLoad is the load of the workers that are left to the other queues, as a
 	// share of their capacity, that decides how many workers may be cells.
-	otherQueuesLoad = 0.85
+	otherQueuesLoad = 0.9
+	// recentMargin is added to the recent rate of a queue, as a factor, for its bursts.
+	recentMargin = 1.2
 	// convictWait is how long after its arrival a job that will probably crash a worker
-	// waits behind others.
-	convictWait = 1500 * time.Millisecond
+	// waits behind others, and refusalMemory how long after a refusal of a confined job
+	// others are still expected.
+	convictWait   = 1500 * time.Millisecond
+	refusalMemory = time.Second
 	// confinedOverhead is the time between two jobs on a cell.
 	confinedOverhead = 15 * time.Millisecond
 )
@@ -44,8 +48,9 @@
 	lost    map[contract.HostID]time.Duration
 	// returnTime is the average time for which crashed workers are away.
 	returnTime time.Duration
-	// crashedAt is when the last of these workers crashed.
-	crashedAt time.Duration
+	// crashedAt is when the last of these workers crashed, and refusedAt when a confined
+	// job was last refused.
+	crashedAt, refusedAt time.Duration
 }
 
 // cellsOf returns the cells of a pool.
@@ -58,6 +63,11 @@
 	return c
 }
 
+// refusedLately reports whether a confined job was refused within refusalMemory.
+func (c *cells) refusedLately(now time.Duration) bool {
+	return c.refusedAt > 0 && now-c.refusedAt < refusalMemory
+}
+
 // confined reports whether the job may run on cells only.
 func (s *Scheduler) confined(j *job) bool {
 	return j.verdict >= quarantine.Isolate || s.confinement.Confined(quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
@@ -121,11 +131,12 @@
 	return max(1, min(size-needed, size/2))
 }
 
-// othersMilliCPU returns what the queues of the pool that are not confined usually use.
+// othersMilliCPU returns what the queues of the pool that are not confined use: their usual
+// rate, unless they send much less at present.
 func (s *Scheduler) othersMilliCPU(now time.Duration, pool string) float64 {
 	total := 0.0
 	for _, q := range s.ratesOf(now, pool) {
-		total += q.usualRate()
+		total += min(q.usualRate(), recentMargin*q.recent)
 	}
 	return total
 }
@@ -193,7 +204,7 @@
 	var best *Worker
 	bestRank := 0
 	for _, w := range s.cellsOf(j.Pool).workers {
-		rank, ok := s.cellRank(w, j)
+		rank, ok := s.cellRank(now, w, j)
 		if ok && s.eligible(now, w, j, step) && (best == nil || rank < bestRank) {
 			best, bestRank = w, rank
 		}
@@ -209,7 +220,7 @@
 
 // cellRank returns the rank of a cell for a task of the job, the lowest first, and whether
 // the job may run there beside what the cell runs.
-func (s *Scheduler) cellRank(w *Worker, j *job) (int, bool) {
+func (s *Scheduler) cellRank(now time.Duration, w *Worker, j *job) (int, bool) {
 	jobs := map[contract.DurableJobID]bool{}
 	isolated := false
 	for ref, r := range w.runs {
@@ -228,7 +239,7 @@
 		return 1, true
 	}
 	shared := !isolated && j.verdict < quarantine.Isolate &&
-		(jobs[j.ID] || len(jobs) < s.confinement.JobsPerWorker(quarantine.Queue{Pool: j.Pool, Queue: j.Queue}))
+		(jobs[j.ID] || len(jobs) < s.confinement.JobsPerWorker(now, quarantine.Queue{Pool: j.Pool, Queue: j.Queue}))
 	return 2, shared
 }
 
@@ -275,6 +286,16 @@
 	return j.ranAlone || j.verdict >= quarantine.Isolate && s.confinement.Confined(quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
 }
 
+// manyDeadly reports whether other tasks than those of the job have crashed workers that
+// are not back yet. One worker more is then better spent on a job that may be sound.
+func (s *Scheduler) manyDeadly(j *job) bool {
+	own := 0
+	for t := range j.tasks {
+		own = max(own, s.ledger.Crashes(contract.DurableTask{Job: j.ID, Task: uint32(t)}))
+	}
+	return len(s.cellsOf(j.Pool).lost) > own
+}
+
 // admitConfined decides on a job of a confined queue: it is admitted if a cell should be
 // free for it in time.
 func (s *Scheduler) admitConfined(now time.Duration, j *job) Admission {
@@ -282,6 +303,7 @@
 	if ok && now+wait <= j.latestStart {
 		return Admission{OK: true, PredictedWait: wait}
 	}
+	s.cellsOf(j.Pool).refusedAt = now
 	back := wait
 	if !ok {
 		back = s.untilReturn(now, j.Pool)
@@ -295,7 +317,7 @@
 // there is no cell and none can be set aside.
 func (s *Scheduler) cellWait(now time.Duration, j *job) (time.Duration, bool) {
 	c := s.cellsOf(j.Pool)
-	room := (len(c.workers) + s.spareCells(now, j)) * s.confinement.JobsPerWorker(quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
+	room := (len(c.workers) + s.spareCells(now, j)) * s.confinement.JobsPerWorker(now, quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
 	if room == 0 {
 		return 0, false
 	}
--- a/schedule/confine_test.go
+++ b/schedule/confine_test.go
@@ -132,6 +132,9 @@
 		h.end(o, contract.EndDone)
 	}
 	h.sch.JobEnded("b1")
+	h.sch.cellsOf("formula").refusedAt = h.now
+	must.Eq(t, "", hostOf(h.place(), "d1"), must.Sprint("a sound job could have had the cell"))
+	h.now += refusalMemory
 	must.NotEq(t, "", hostOf(h.place(), "d1"), must.Sprint("no other job waits for the cell"))
 }
 
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -71,6 +71,9 @@
 		}
 		s.recordCrash(now, r.Host, c)
 	}
+	if n := len(r.Crashes); r.NoWorker && n > 0 {
+		s.noteLostWorker(now, r.Host, &r.Crashes[n-1])
+	}
 	if !r.NoWorker && w.instance != r.Worker.Instance() {
 		delete(s.lostRuns, r.Host)
 		w.instance, w.largest = r.Worker.Instance(), contract.Capacity{}
@@ -127,14 +130,19 @@
 	}
 	if c.Age <= confinementMemory {
 		n.Confined = s.confinement.Blame(now, s.ledger, &c)
-		if len(s.confinement.Involved(&c)) > 0 {
-			cells := s.cellsOf(c.Pool)
-			cells.lost[h], cells.crashedAt = now-c.Age, max(cells.crashedAt, now-c.Age)
-		}
 	}
 	s.crashNotices = append(s.crashNotices, n)
 }
 
+// noteLostWorker records that a worker is away after a crash if that ran a task of a
+// confined queue.
+func (s *Scheduler) noteLostWorker(now time.Duration, h contract.HostID, c *contract.WorkerCrash) {
+	if c.Age < lostWorkerTime && len(s.confinement.Involved(c)) > 0 {
+		cells := s.cellsOf(c.Pool)
+		cells.lost[h], cells.crashedAt = now-c.Age, max(cells.crashedAt, now-c.Age)
+	}
+}
+
 // judge updates what follows from the crashes under the job's tasks.
 func (s *Scheduler) judge(j *job) {
 	j.verdict, j.ranAlone = s.ledger.JobVerdict(j.ID), s.ledger.RanAlone(j.ID)
--- a/schedule/direct_test.go
+++ b/schedule/direct_test.go
@@ -27,7 +27,7 @@
 	must.Len(t, 1, orders)
 	must.Eq(t, 1, orders[0].Start.Task, must.Sprint("the task of the direct run must wait"))
 	must.False(t, orders[0].Start.RunRef.Direct())
-	must.Eq(t, 30, h.sch.PoolSummaries()[0].UsedMilliCPU)
+	must.Eq(t, 30, h.sch.PoolSummaries(h.now)[0].UsedMilliCPU)
 
 	must.Nil(t, h.sch.RunEnded(h.now, "w", contract.RunEnded{RunRef: ref, Seq: 1, Kind: contract.EndDone}))
 	must.False(t, h.sch.HasDirectRuns("a"))
--- a/schedule/evacuate_test.go
+++ b/schedule/evacuate_test.go
@@ -44,7 +44,7 @@
 	orders := h.place()
 	must.Eq(t, map[contract.HostID]int{"b1": 1}, hosts(orders))
 	must.Len(t, 1, orders, must.Sprint("a run in progress was stopped"))
-	summary := h.sch.PoolSummaries()[0]
+	summary := h.sch.PoolSummaries(h.now)[0]
 	must.Eq(t, []int{1, 2, 2, 10}, []int{summary.AvailableWorkers, summary.UnavailableWorkers, summary.EvacuatedWorkers, summary.CapacityMilliCPU})
 	h.sch.SetEvacuated(nil)
 	must.Eq(t, map[contract.HostID]int{"a1": 1, "a2": 2}, hosts(h.place()))
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -84,7 +84,8 @@
 )
 
 // placeBehindOthers places the confined jobs that wait behind the others of their pools,
-// where none of these waits.
+// where none of these waits or has been refused of late, and workers are not lost to many
+// jobs.
 func (s *Scheduler) placeBehindOthers(now time.Duration) {
 	if s.ledger.Empty() {
 		return
@@ -96,7 +97,7 @@
 		}
 	}
 	for _, j := range s.viableJobs {
-		if s.confined(j) && s.behindOthers(now, j) && !occupied[j.Pool] {
+		if s.confined(j) && s.behindOthers(now, j) && !occupied[j.Pool] && !s.cellsOf(j.Pool).refusedLately(now) && !s.manyDeadly(j) {
 			s.placeJob(now, j)
 		}
 	}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -254,7 +254,7 @@
 	must.Eq(t, started.RunRef, *orders[0].Stop)
 	h.worker("a", 10)
 	must.SliceEmpty(t, h.place())
-	must.Zero(t, h.sch.PoolSummaries()[0].UsedMilliCPU)
+	must.Zero(t, h.sch.PoolSummaries(h.now)[0].UsedMilliCPU)
 }
 
 func TestSessionEndRequeuesTasks(t *testing.T) {
@@ -386,7 +386,7 @@
 		}
 		h.sch.CheckRuns(h.now)
 		if slowness > suspectSlowness {
-			must.Eq(t, 2, h.sch.PoolSummaries()[0].SuspectedWorkers)
+			must.Eq(t, 2, h.sch.PoolSummaries(h.now)[0].SuspectedWorkers)
 		}
 		h.submit(testJob("j", step(40, 10, 100)))
 		must.Len(t, 40, h.place(), must.Sprint(slowness))
@@ -394,7 +394,7 @@
 			w.failures = suspectFailures
 		}
 		h.sch.CheckRuns(h.now)
-		must.Eq(t, 6, h.sch.PoolSummaries()[0].SuspectedWorkers)
+		must.Eq(t, 6, h.sch.PoolSummaries(h.now)[0].SuspectedWorkers)
 	}
 }
 
@@ -439,7 +439,7 @@
 	for _, o := range h.place() {
 		must.Eq(t, "healthy", o.Host)
 	}
-	must.Eq(t, 1, h.sch.PoolSummaries()[0].SuspectedWorkers)
+	must.Eq(t, 1, h.sch.PoolSummaries(h.now)[0].SuspectedWorkers)
 }
 
 // TestForecastSeesWhatShortTasksFree checks admission to a full pool in which
--- a/schedule/summary.go
+++ b/schedule/summary.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "time"
+
 // PoolSummary is the state of a pool, for logs and metrics.
 type PoolSummary struct {
 	Pool string
@@ -8,6 +10,9 @@
 	// are unreachable or take no new work, and Cells those set aside for confined jobs.
 	// Each worker is in one of the four counts.
 	AvailableWorkers, SuspectedWorkers, UnavailableWorkers, Cells int
+	// LostWorkers counts the workers that crashed under confined jobs and are not back,
+	// and CellLimit is how many workers may be lost or cells.
+	LostWorkers, CellLimit int
 	// ConfinedQueues is the number of the pool's queues that are confined.
 	ConfinedQueues int
 	// UnreachableWorkers counts those of UnavailableWorkers that the hub can't reach.
@@ -32,7 +37,7 @@
 
 // PoolSummaries returns the state of each pool that has a worker. The pools are in
 // the order in which the first worker of each reported.
-func (s *Scheduler) PoolSummaries() []PoolSummary {
+func (s *Scheduler) PoolSummaries(now time.Duration) []PoolSummary {
 	var out []PoolSummary
 	indexOf := map[string]int{}
 	for _, w := range s.workerList {
@@ -44,6 +49,9 @@
 			i = len(out)
 			indexOf[w.Pool] = i
 			out = append(out, PoolSummary{Pool: w.Pool, ViableJobs: len(s.viableJobs), LateJobs: len(s.lateJobs) + len(s.deferredJobs), Jobs: len(s.jobs), ConfinedQueues: s.confinement.Count(w.Pool)})
+			if c := s.cells[w.Pool]; c != nil {
+				out[i].LostWorkers, out[i].CellLimit = len(c.lost), s.cellLimit(now, w.Pool)
+			}
 		}
 		p := &out[i]
 		switch {
--- a/workeragent/crash.go
+++ b/workeragent/crash.go
@@ -30,7 +30,7 @@
 	if w.leaving {
 		return
 	}
-	c := contract.WorkerCrash{Instance: w.worker.Instance(), Pool: w.worker.Pool, Runs: w.crashedRuns(), Partial: !w.hadSession || len(w.unknownRuns) > 0}
+	c := contract.WorkerCrash{Instance: w.worker.Instance(), Pool: w.worker.Pool, Runs: w.crashedRuns(now), Partial: !w.hadSession || len(w.unknownRuns) > 0}
 	telemetry.WorkerCrashes.Inc()
 	w.agent.log.Info("worker crashed", "worker", w.id, "born", w.worker.StartedMillis, "alone", c.Alone(), "runs", c.Runs)
 	a := w.agent
@@ -49,10 +49,10 @@
 
 // crashedRuns returns the runs on the instance in the order of their starts. The caller
 // holds agent.mu.
-func (w *workerInstance) crashedRuns() []contract.CrashedRun {
+func (w *workerInstance) crashedRuns(now time.Duration) []contract.CrashedRun {
 	var out []contract.CrashedRun
 	for _, r := range w.runsInOrder() {
-		out = append(out, contract.CrashedRun{Ref: r.ref, Queue: r.queue})
+		out = append(out, contract.CrashedRun{Ref: r.ref, Queue: r.queue, Elapsed: now - r.startedAt})
 	}
 	return out
 }
--- a/workeragent/runs.go
+++ b/workeragent/runs.go
@@ -19,7 +19,7 @@
 		return
 	}
 	w.starts++
-	w.runs[name] = &run{ref: st.RunRef, queue: st.Queue, need: st.Demand, bound: st.Bound, entry: e, number: w.starts}
+	w.runs[name] = &run{ref: st.RunRef, queue: st.Queue, need: st.Demand, bound: st.Bound, entry: e, number: w.starts, startedAt: boottime.Now()}
 	w.nameByRef[st.RunRef] = name
 	c := StartCall{Name: st.Name, Run: st.Run, Spec: st.Spec, DeadlineMS: w.nextLeaseEndMS(), Token: w.agent.term}
 	w.agent.group.Go(func() error { w.callStart(name, c); return nil })
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -64,8 +64,10 @@
 	queue string
 	need  contract.Demand
 	phase phase
-	// number orders the starts on the instance.
-	number uint64
+	// number orders the starts on the instance, and startedAt is the boot time of the
+	// start.
+	number    uint64
+	startedAt time.Duration
 	// stopAckedAtPoll is the value of workerInstance.polls when the worker
 	// acknowledged the stop.
 	stopAckedAtPoll uint64
