Isolated jobs are bound to no shard, and go on at once after a single crash

Under a leader, in a pool of which one worker is left, such a job would have waited for 1.5 s. Cause: an isolated job was treated like one of a confined queue. A single crash, though it ran nothing but the job, may be the worker's own. Change: an isolated job may use any idle agent, or one that runs only itself; a shard is for confined queues. The scheduler sets a worker aside at once for a job under its first crash. A stored job gets a worker after 1.5 s although others are lost. The ledger looks for old tasks once a second.

--- a/directstart/crash.go
+++ b/directstart/crash.go
@@ -67,8 +67,8 @@
 	return d.ledger.JobVerdict(j.ID) != quarantine.Clear
 }
 
-// confined reports whether the job may only run alone, and on the agents of its queue's
-// shard.
+// confined reports whether the job may only run alone and, if its queue is confined, on the
+// agents of the queue's shard.
 func (d *Dispatcher) confined(j *job) bool {
 	return d.queueConfined(j) || d.ledger.JobVerdict(j.ID) >= quarantine.Isolate
 }
@@ -98,12 +98,16 @@
 }
 
 // pickConfined returns the agent for a task of a confined job: one that runs the job
-// already, or an idle one, of the queue's shard.
+// already, or an idle one.
 func (d *Dispatcher) pickConfined(now time.Duration, j *job) *agent {
+	agents := d.order
+	if d.queueConfined(j) {
+		agents = d.shard(j.Pool, j.Queue)
+	}
 	var idle *agent
-	for _, a := range d.shard(j.Pool, j.Queue) {
+	for _, a := range agents {
 		switch {
-		case a.refused || !a.open(now) || !a.free.HasRoomFor(j.need()):
+		case a.pool != j.Pool || a.refused || !a.open(now) || !a.free.HasRoomFor(j.need()):
 		case a.runsOnly(j):
 			return a
 		case idle == nil && a.idle():
--- a/directstart/crash_test.go
+++ b/directstart/crash_test.go
@@ -165,3 +165,19 @@
 		must.False(t, used[s.Link])
 	}
 }
+
+// TestSuspectIsNotBoundToAShard: the only agent of the shard may be the one whose worker has
+// crashed.
+func TestSuspectIsNotBoundToAShard(t *testing.T) {
+	for first := range LinkID(2) {
+		h := newHarness(t)
+		h.agents(2)
+		h.submit("a", 2, 600)
+		must.Len(t, 2, h.starts)
+		if h.starts[0].Link == h.starts[1].Link {
+			continue
+		}
+		h.crash(first + 1)
+		must.Len(t, 3, h.starts, must.Sprint("beside its own task, on the agent that is left"))
+	}
+}
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -30,6 +30,8 @@
 	// Retention is how long after its last crash a task is remembered. Callers send
 	// a job again within seconds.
 	Retention = time.Minute
+	// forgetInterval is how often the ledger looks for tasks to forget.
+	forgetInterval = time.Second
 	// maxTasks bounds the ledger: crashes of a hundred workers with a hundred runs.
 	maxTasks = 10_000
 )
@@ -75,6 +77,8 @@
 	jobs map[contract.DurableJobID][]uint32
 	// byAge lists the tasks in the order of their first crashes.
 	byAge []contract.DurableTask
+	// forgotAt is when Forget last looked at the tasks.
+	forgotAt time.Duration
 }
 
 // NewLedger returns an empty ledger.
@@ -167,9 +171,14 @@
 // Empty reports whether no crash is remembered.
 func (l *Ledger) Empty() bool { return len(l.tasks) == 0 }
 
-// Forget removes the tasks whose last crash is older than Retention and which keep does
-// not name, and the oldest ones beyond the bound of the ledger.
+// Forget removes the tasks whose last crash is older than Retention and whose job keep does
+// not name, and the oldest ones beyond the bound of the ledger. It does so at most every
+// forgetInterval.
 func (l *Ledger) Forget(now time.Duration, keep func(contract.DurableJobID) bool) {
+	if len(l.tasks) == 0 || now-l.forgotAt < forgetInterval {
+		return
+	}
+	l.forgotAt = now
 	excess := len(l.byAge) - maxTasks
 	l.byAge = slices.DeleteFunc(l.byAge, func(t contract.DurableTask) bool {
 		expired := now-l.tasks[t].lastAt > Retention && !keep(t.Job)
--- a/schedule/confine.go
+++ b/schedule/confine.go
@@ -163,11 +163,17 @@
 	return max(0, min(s.cellLimit(now, j.Pool)-len(c.workers)-len(c.lost), free))
 }
 
-// hasTurn reports whether the job has waited for so long, or its queue has been without a
-// crash for so long, that one worker is set aside in any case.
+// hasTurn reports whether one worker is set aside for the job in any case: it is kept or
+// isolated and has waited for long, it was under a single crash, which may be the worker's
+// own, or its queue has been without a crash for long.
 func (s *Scheduler) hasTurn(now time.Duration, j *job) bool {
-	if j.verdict >= quarantine.Isolate {
-		return now-j.arrivedAt > convictWait
+	waited := now-max(j.arrivedAt, j.crashedAt) > convictWait
+	queueConfined := s.confinement.Confined(quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
+	if !queueConfined && j.verdict == quarantine.Isolate && s.mostCrashes(j) == 1 {
+		return true
+	}
+	if j.verdict >= quarantine.Isolate || !j.transient && waited {
+		return waited
 	}
 	return now-s.cellsOf(j.Pool).crashedAt > s.confinement.Backoff(quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
 }
@@ -289,11 +295,16 @@
 // manyDeadly reports whether other tasks than those of the job have crashed workers that
 // are not back yet. One worker more is then better spent on a job that may be sound.
 func (s *Scheduler) manyDeadly(j *job) bool {
-	own := 0
+	return len(s.cellsOf(j.Pool).lost) > s.mostCrashes(j)
+}
+
+// mostCrashes returns the highest number of crashes under one task of the job.
+func (s *Scheduler) mostCrashes(j *job) int {
+	most := 0
 	for t := range j.tasks {
-		own = max(own, s.ledger.Crashes(contract.DurableTask{Job: j.ID, Task: uint32(t)}))
+		most = max(most, s.ledger.Crashes(contract.DurableTask{Job: j.ID, Task: uint32(t)}))
 	}
-	return len(s.cellsOf(j.Pool).lost) > own
+	return most
 }
 
 // admitConfined decides on a job of a confined queue: it is admitted if a cell should be
--- a/schedule/confine_test.go
+++ b/schedule/confine_test.go
@@ -156,3 +156,39 @@
 	h.nextLeader(3)
 	must.False(t, h.sch.confinement.Confined(q))
 }
+
+// TestStoredJobGetsItsTurn: a stored job is not left waiting while workers are idle, although
+// those that its queue has crashed do not come back.
+func TestStoredJobGetsItsTurn(t *testing.T) {
+	h := confinedHarness(t, 4)
+	for _, host := range []string{"w1", "w2"} {
+		h.sch.cellsOf("formula").lost[contract.HostID(host)] = h.now
+	}
+	h.submit(queued("s", "bad", 2))
+	must.SliceEmpty(t, h.place())
+	h.now += convictWait + ms
+	must.Len(t, 2, h.place())
+}
+
+// TestJobOfACrashInASmallPoolGoesOnAtOnce: the only crash under a job that ran alone may be
+// the worker's own, so the job does not wait although the last worker has other work.
+func TestJobOfACrashInASmallPoolGoesOnAtOnce(t *testing.T) {
+	h := crashHarness(t, 2)
+	must.True(t, h.admitOne("x", "x").OK)
+	for _, o := range h.place() {
+		h.end(o, contract.EndDone)
+	}
+	h.sch.JobEnded("x")
+	must.True(t, h.admitOne("a", "q").OK)
+	host := hostOf(h.place(), "a")
+	for _, w := range h.sch.workerList {
+		for ref := range w.runs {
+			if string(w.Host) != host {
+				h.end(Order{Host: w.Host, Start: &contract.RunStart{RunRef: ref}}, contract.EndDone)
+			}
+		}
+	}
+	h.crash(host, 1)
+	must.Eq(t, quarantine.Isolate, h.sch.jobs["a"].verdict)
+	must.NotEq(t, "", hostOf(h.place(), "a"))
+}
