Cells may be most of a pool that the other queues hardly need

What callers saw: with two deadly queues, or one that is most of the load, sound requests of these were refused although workers were idle. Cause: cells were bounded by half of the pool whatever the other queues need. Change: more than half, as long as the other queues keep twice what they need, once their rates are known. One name for a job's queue.

--- a/directstart/crash.go
+++ b/directstart/crash.go
@@ -73,8 +73,11 @@
 	return d.queueConfined(j) || d.ledger.JobVerdict(j.ID) >= quarantine.Isolate
 }
 
+// queueID returns the job's queue.
+func (j *job) queueID() quarantine.Queue { return quarantine.Queue{Pool: j.Pool, Queue: j.Queue} }
+
 func (d *Dispatcher) queueConfined(j *job) bool {
-	return d.confinement.Confined(quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
+	return d.confinement.Confined(j.queueID())
 }
 
 // shard returns the agents that a confined queue may use: those of the pool with the
--- a/directstart/jobs.go
+++ b/directstart/jobs.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/contract"
-	"github.com/carawaylanding/carawaylanding/quarantine"
 )
 
 // phase is the state of a task.
@@ -219,7 +218,7 @@
 	case contract.EndDone:
 		t.phase = phaseDone
 		if j.doneTasks++; j.doneTasks == len(j.tasks) {
-			d.confinement.JobDone(now, j.arrivedAt, quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
+			d.confinement.JobDone(now, j.arrivedAt, j.queueID())
 			d.answer(now, j, Answer{Result: Completed})
 		}
 	case contract.EndFailed:
--- a/schedule/confine.go
+++ b/schedule/confine.go
@@ -68,9 +68,12 @@
 	return c.refusedAt > 0 && now-c.refusedAt < refusalMemory
 }
 
+// queueID returns the job's queue.
+func (j *job) queueID() quarantine.Queue { return quarantine.Queue{Pool: j.Pool, Queue: j.Queue} }
+
 // confined reports whether the job may run on cells only.
 func (s *Scheduler) confined(j *job) bool {
-	return j.verdict >= quarantine.Isolate || s.confinement.Confined(quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
+	return j.verdict >= quarantine.Isolate || s.confinement.Confined(j.queueID())
 }
 
 // workerReturned records that a worker takes work again after a crash.
@@ -119,8 +122,9 @@
 }
 
 // cellLimit returns how many workers of the pool may be cells, or lost to the confined
-// queues, at a time: what the usual load of the other queues leaves, at most half of the
-// pool and at least one.
+// queues, at a time: what the load of the other queues leaves, at most half of the pool, or
+// more if the others keep twice what they need, and at least one. Until their rates are
+// known, they may need half of the pool.
 func (s *Scheduler) cellLimit(now time.Duration, pool string) int {
 	present, milliCPU := s.poolWorkers(pool)
 	size := present + len(s.cellsOf(pool).lost)
@@ -128,7 +132,11 @@
 		return 0
 	}
 	needed := int(math.Ceil(s.othersMilliCPU(now, pool) / (otherQueuesLoad * float64(milliCPU) / float64(present))))
-	return max(1, min(size-needed, size/2))
+	most := size / 2
+	if s.ratesKnown(now) {
+		most = max(most, size-2*needed)
+	}
+	return max(1, min(size-needed, most))
 }
 
 // othersMilliCPU returns what the queues of the pool that are not confined use: their usual
@@ -168,14 +176,13 @@
 // own, or its queue has been without a crash for long.
 func (s *Scheduler) hasTurn(now time.Duration, j *job) bool {
 	waited := now-max(j.arrivedAt, j.crashedAt) > convictWait
-	queueConfined := s.confinement.Confined(quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
-	if !queueConfined && j.verdict == quarantine.Isolate && s.mostCrashes(j) == 1 {
+	if !s.confinement.Confined(j.queueID()) && j.verdict == quarantine.Isolate && s.mostCrashes(j) == 1 {
 		return true
 	}
 	if j.verdict >= quarantine.Isolate || !j.transient && waited {
 		return waited
 	}
-	return now-s.cellsOf(j.Pool).crashedAt > s.confinement.Backoff(quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
+	return now-s.cellsOf(j.Pool).crashedAt > s.confinement.Backoff(j.queueID())
 }
 
 // placeConfined starts the waiting tasks of a confined job on cells.
@@ -245,7 +252,7 @@
 		return 1, true
 	}
 	shared := !isolated && j.verdict < quarantine.Isolate &&
-		(jobs[j.ID] || len(jobs) < s.confinement.JobsPerWorker(now, quarantine.Queue{Pool: j.Pool, Queue: j.Queue}))
+		(jobs[j.ID] || len(jobs) < s.confinement.JobsPerWorker(now, j.queueID()))
 	return 2, shared
 }
 
@@ -289,7 +296,7 @@
 	if now-j.arrivedAt >= convictWait {
 		return false
 	}
-	return j.ranAlone || j.verdict >= quarantine.Isolate && s.confinement.Confined(quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
+	return j.ranAlone || j.verdict >= quarantine.Isolate && s.confinement.Confined(j.queueID())
 }
 
 // manyDeadly reports whether other tasks than those of the job have crashed workers that
@@ -328,7 +335,7 @@
 // there is no cell and none can be set aside.
 func (s *Scheduler) cellWait(now time.Duration, j *job) (time.Duration, bool) {
 	c := s.cellsOf(j.Pool)
-	room := (len(c.workers) + s.spareCells(now, j)) * s.confinement.JobsPerWorker(now, quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
+	room := (len(c.workers) + s.spareCells(now, j)) * s.confinement.JobsPerWorker(now, j.queueID())
 	if room == 0 {
 		return 0, false
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -343,7 +343,7 @@
 	}
 	s.learnSpeeds(j)
 	if j.State == contract.DurableCompleted {
-		s.confinement.JobDone(s.checkedAt, j.arrivedAt, quarantine.Queue{Pool: j.Pool, Queue: j.Queue})
+		s.confinement.JobDone(s.checkedAt, j.arrivedAt, j.queueID())
 	}
 	delete(s.jobs, id)
 	s.viableJobs.remove(j)
