--- a/schedule/confine_test.go
+++ b/schedule/confine_test.go
@@ -166,7 +166,7 @@
 	}
 	h.submit(queued("s", "bad", 2))
 	must.SliceEmpty(t, h.place())
-	h.now += convictWait + ms
+	h.now += repeatWait + ms
 	must.Len(t, 2, h.place())
 }
 
--- a/schedule/late.go
+++ b/schedule/late.go
@@ -161,7 +161,7 @@
 	for _, w := range s.workerList {
 		w.overdueRuns = 0
 		for ref, r := range w.runs {
-			if r.suspect && now-r.placedAt > probation {
+			if r.onProbation && now-r.placedAt > probation {
 				w.endProbation(r)
 			}
 			j := s.jobs[ref.Job]
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -178,7 +178,7 @@
 	j.begun = true
 	ref := contract.RunRef{Job: j.ID, Task: uint32(t), Run: tk.currentRun}
 	need := j.Steps[step].Demand
-	s.addRun(w, ref, &run{need: need, placedAt: now, usualDuration: s.usualDuration(j, step), queue: j.Queue, suspect: s.taskVerdict(j, t) != quarantine.Clear})
+	s.addRun(w, ref, &run{need: need, placedAt: now, usualDuration: s.usualDuration(j, step), queue: j.Queue, onProbation: s.taskVerdict(j, t) != quarantine.Clear})
 	w.recordStart(now)
 	s.pendingOrders = append(s.pendingOrders, Order{Host: w.Host, Session: w.Session, Start: &contract.RunStart{
 		RunRef: ref, Demand: need, Name: fmt.Sprintf("%s.0.%d.%d", j.ID, step, index), Spec: j.Spec, Bound: j.bound, Queue: j.Queue,
@@ -194,19 +194,19 @@
 	pool := s.poolSpeedOf(j.Pool)
 	var best, bestSlow *Worker
 	var bestCost, bestSlowCost float64
-	suspect := s.taskVerdict(j, index) != quarantine.Clear
+	crashed := s.taskVerdict(j, index) != quarantine.Clear
 	apart := false
 	for _, w := range s.workerList {
 		if w.cell || !s.eligible(now, w, j, step) {
 			continue
 		}
 		cost := w.cost(st)
-		if suspect && w.suspects > 0 {
+		if crashed && w.probationRuns > 0 {
 			if now-j.crashedAt < apartTime {
 				apart = true
 				continue
 			}
-			cost += suspectCost
+			cost += afterCrashCost
 		}
 		if w.cold(now) {
 			cost += coldCost
@@ -244,9 +244,9 @@
 const avoidCost = 100
 
 const (
-	// suspectCost is added to the cost of a worker that runs a task under which a worker
+	// afterCrashCost is added to the cost of a worker that runs a task under which a worker
 	// has crashed, for another such task: a further crash then points to one of them.
-	suspectCost = 40
+	afterCrashCost = 40
 	// apartTime is how long after a crash the tasks under it are kept apart at the price of
 	// a delay, and probation how long such a run keeps others away: tasks that crash
 	// their workers mostly do so within milliseconds of their start.
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -31,9 +31,9 @@
 	direct bool
 	// bound marks a run of a job that is bound to its entry.
 	bound bool
-	// suspect says that a worker has crashed under the run's task before, and that the run
-	// has started a short time ago.
-	suspect bool
+	// onProbation says that a worker has crashed under the run's task before, and that the
+	// run has started a short time ago.
+	onProbation bool
 	// authorityLimit is set once the run was ordered to stop because the entry of its
 	// job is silent, its caller has gone, or no entry submitted the job again; see
 	// AuthorityLimit.
@@ -52,9 +52,9 @@
 	// a job last needed it.
 	cell       bool
 	cellUsedAt time.Duration
-	// suspects is the number of runs whose suspect is set.
-	suspects int
-	cap      contract.Capacity
+	// probationRuns is the number of runs that are on probation.
+	probationRuns int
+	cap           contract.Capacity
 	// largest is the largest capacity that the instance has announced.
 	largest contract.Capacity
 	labels  []string
@@ -214,8 +214,8 @@
 // addRun adds a run and its resources to the worker.
 func (s *Scheduler) addRun(w *Worker, ref contract.RunRef, r *run) {
 	w.runs[ref] = r
-	if r.suspect {
-		w.suspects++
+	if r.onProbation {
+		w.probationRuns++
 	}
 	if r.direct {
 		s.countDirect(ref, 1)
@@ -227,16 +227,16 @@
 
 // endProbation lets other tasks under crashes start beside the run.
 func (w *Worker) endProbation(r *run) {
-	r.suspect = false
-	w.suspects--
+	r.onProbation = false
+	w.probationRuns--
 }
 
 // removeRun removes a run and its resources from the worker.
 func (s *Scheduler) removeRun(w *Worker, ref contract.RunRef, r *run) {
 	delete(w.runs, ref)
 	s.forgetUnclaimed(ref)
-	if r.suspect {
-		w.suspects--
+	if r.onProbation {
+		w.probationRuns--
 	}
 	if r.direct {
 		s.countDirect(ref, -1)
