Crashes of the same moment, and runs that had lasted, are no evidence against a queue

Cause: any task under a second crash counted, also one that had run for long or whose first crash was noticed milliseconds before, on another worker that died with the first. Change: the evidence is a run that had just started, of a task that has been started again since its earlier crash.

--- a/quarantine/confinement.go
+++ b/quarantine/confinement.go
@@ -110,34 +110,40 @@
 type evidence struct {
 	at   time.Duration
 	pool string
-	// young lists the queues that had started a run on the worker just before.
-	young []string
-	// repeated says that a task was under a crash for the second time.
-	repeated bool
+	// young lists the queues that had started a run on the worker just before, and repeated
+	// those of them of which such a run was of a task under an earlier crash.
+	young, repeated []string
 }
 
 // suspect returns the one queue that had just started a run on the worker before each of
-// the last crashes of the pool, if there are two or more of them and one was under a task
-// that another was under too. Tasks that crash their workers mostly do so at their start;
-// the innocent ones that start beside them are now of this queue, now of that.
+// the last crashes of the pool, if there are two or more of them and one of these runs was
+// of a task under an earlier crash. Tasks that crash their workers mostly do so at their
+// start; the innocent ones that start beside them are now of this queue, now of that, and
+// those that meet a second crash have mostly run for longer.
 func (c *Confinement) suspect(at time.Duration, l *Ledger, crash *contract.WorkerCrash) []string {
-	e := evidence{at: at, pool: crash.Pool, repeated: l.repeated(crash)}
+	e := evidence{at: at, pool: crash.Pool}
 	for _, r := range crash.Runs {
-		if r.Elapsed <= youngTime && !slices.Contains(e.young, r.Queue) {
+		if r.Elapsed > youngTime {
+			continue
+		}
+		if !slices.Contains(e.young, r.Queue) {
 			e.young = append(e.young, r.Queue)
 		}
+		if l.repeated(r.Task()) {
+			e.repeated = append(e.repeated, r.Queue)
+		}
 	}
 	c.evidence = slices.DeleteFunc(c.evidence, func(o evidence) bool { return at-o.at > evidenceTime })
 	c.evidence = append(c.evidence, e)
-	common, crashes, repeated := e.young, 0, false
+	common, crashes, repeated := e.young, 0, []string(nil)
 	for _, o := range c.evidence {
 		if o.pool == crash.Pool {
 			common = slices.DeleteFunc(slices.Clone(common), func(q string) bool { return !slices.Contains(o.young, q) })
 			crashes++
-			repeated = repeated || o.repeated
+			repeated = append(repeated, o.repeated...)
 		}
 	}
-	if crashes < 2 || !repeated || len(common) != 1 {
+	if crashes < 2 || len(common) != 1 || !slices.Contains(repeated, common[0]) {
 		return nil
 	}
 	c.evidence = slices.DeleteFunc(c.evidence, func(o evidence) bool { return o.pool == crash.Pool })
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -30,6 +30,9 @@
 	// Retention is how long after its last crash a task is remembered. Callers send
 	// a job again within seconds.
 	Retention = time.Minute
+	// minRestartTime is the least time from a crash to that under the next start of a task:
+	// it must be noticed, and the task ordered and started.
+	minRestartTime = 15 * time.Millisecond
 	// forgetInterval is how often the ledger looks for tasks to forget.
 	forgetInterval = time.Second
 	// maxTasks bounds the ledger: crashes of a hundred workers with a hundred runs.
@@ -67,7 +70,8 @@
 	// nothing but the task's job.
 	instances []contract.WorkerInstance
 	alone     int
-	lastAt    time.Duration
+	// lastAt and previousAt are the times of the last crash and of the one before.
+	lastAt, previousAt time.Duration
 }
 
 // Ledger counts the crashes under tasks. It is not safe for concurrent use.
@@ -102,7 +106,7 @@
 		if slices.Contains(r.instances, c.Instance) {
 			continue
 		}
-		r.queue, r.lastAt = c.Runs[i].Queue, max(r.lastAt, at)
+		r.queue, r.previousAt, r.lastAt = c.Runs[i].Queue, r.lastAt, max(r.lastAt, at)
 		r.instances = append(r.instances, c.Instance)
 		if c.Alone() {
 			r.alone++
@@ -136,6 +140,13 @@
 	return Separate
 }
 
+// repeated reports whether the task was under an earlier crash, after which it has been
+// started again. Workers that crash at the same moment have a common cause.
+func (l *Ledger) repeated(t contract.DurableTask) bool {
+	r := l.tasks[t]
+	return len(r.instances) >= crashesToGiveUp && r.lastAt-r.previousAt >= minRestartTime
+}
+
 // JobVerdict returns the worst verdict on the tasks of a job.
 func (l *Ledger) JobVerdict(id contract.DurableJobID) Verdict {
 	worst := Clear
@@ -163,11 +174,6 @@
 	return queues
 }
 
-// repeated reports whether a task under the crash was under another one before.
-func (l *Ledger) repeated(c *contract.WorkerCrash) bool {
-	return slices.ContainsFunc(c.Runs, func(r contract.CrashedRun) bool { return l.Crashes(r.Task()) >= crashesToGiveUp })
-}
-
 // Empty reports whether no crash is remembered.
 func (l *Ledger) Empty() bool { return len(l.tasks) == 0 }
 
