Comments that had grown past their line

Cause: two comments were extended in place. Change: wrapped, and pickWorker's says when a task waits to start apart; no code.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -185,10 +185,10 @@
 	}})
 }
 
-// pickWorker returns the eligible worker with the lowest cost, the one that is
-// expected to finish the task index of the job first; in an uneven pool the one that outlook.choose
-// prefers. It returns nil, and why, if no worker is eligible or the task should wait for
-// a fast one.
+// pickWorker returns the eligible worker with the lowest cost for the task index of the
+// job, the one that is expected to finish it first; in an uneven pool the one that
+// outlook.choose prefers. It returns nil, and why, if no worker is eligible, or if the task
+// should wait for a fast one or until it can start apart from other tasks under a crash.
 func (s *Scheduler) pickWorker(now time.Duration, j *job, step, index int) (*Worker, placement) {
 	st, t := &j.Steps[step], &j.tasks[index]
 	pool := s.poolSpeedOf(j.Pool)
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -296,8 +296,9 @@
 
 // leaseExpired reports whether no start call of an earlier session can be carried out
 // any more, and the run ends in reply are certainly void: the lease has expired since the
-// last of them, or the instance is fresh. It allows for an earlier agent process that renewed the lease or called
-// the worker just before the first poll. Runs left by that process are not stopped.
+// last of them, or the instance is fresh. It allows for an earlier agent process that
+// renewed the lease or called the worker just before the first poll. Runs left by that
+// process are not stopped.
 func (w *workerInstance) leaseExpired(reply PollReply) bool {
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
