quarantine: one ConfinementMemory; a field that nothing read is gone

Cause: reading the change as a newcomer: a constant stood in two packages, record.queue was only written since the blame goes by crashes, and a comment had to be read twice. The entry's bound of the age includes its end now, as the leader's did.

--- a/directstart/crash.go
+++ b/directstart/crash.go
@@ -13,9 +13,8 @@
 
 // Load pattern: while no control host leads, a few requests crash each worker that starts
 // them, and several entries start tasks on the same workers. Each agent tells all entries
-// of its worker's crashes, so that all count the same. Without a word among each other
-// the entries confine a queue to the same agents, a shard of the pool that the queue's
-// name selects.
+// of its worker's crashes, so that all count the same. Entries exchange no messages; they
+// confine a queue to the same agents, since a hash of the queue's name selects them.
 
 const (
 	// confinedShare is the share of a pool's agents that a confined queue may use. It is
@@ -37,7 +36,7 @@
 	if len(d.ledger.Record(at, c)) == 0 {
 		return
 	}
-	if c.Age < confinementMemory {
+	if c.Age <= quarantine.ConfinementMemory {
 		d.confinement.Blame(now, d.ledger, c)
 	}
 	for i := range c.Runs {
@@ -47,10 +46,6 @@
 	}
 }
 
-// confinementMemory is how old a crash may be when it is learned, to say something of the
-// requests that come now.
-const confinementMemory = 10 * time.Second
-
 // judge answers a job of which a task crashes workers, or may not start again.
 func (d *Dispatcher) judge(now time.Duration, j *job) {
 	switch d.ledger.JobVerdict(j.ID) {
--- a/quarantine/confinement.go
+++ b/quarantine/confinement.go
@@ -23,6 +23,10 @@
 	// since its start up to which a run is likely to have caused a crash.
 	evidenceTime = 2 * time.Second
 	youngTime    = 50 * time.Millisecond
+	// ConfinementMemory is how old a crash may be when it is learned, by a new leader or an
+	// entry, to say something of the requests that come now. If these are sound, the queue
+	// is free again after some seconds.
+	ConfinementMemory = 10 * time.Second
 	// cleanPerShare is the number of such jobs, and timePerShare the time, after which one
 	// job more may share a worker.
 	cleanPerShare = 5
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -65,9 +65,8 @@
 
 // record holds the crashes under one task.
 type record struct {
-	queue string
-	// instances holds the instances that crashed, and alone those of them that ran
-	// nothing but the task's job.
+	// instances holds the instances that crashed, and alone is how many of them ran nothing
+	// but the task's job.
 	instances []contract.WorkerInstance
 	alone     int
 	// lastAt and previousAt are the times of the last crash and of the one before.
@@ -106,7 +105,7 @@
 		if slices.Contains(r.instances, c.Instance) {
 			continue
 		}
-		r.queue, r.previousAt, r.lastAt = c.Runs[i].Queue, r.lastAt, max(r.lastAt, at)
+		r.previousAt, r.lastAt = r.lastAt, max(r.lastAt, at)
 		r.instances = append(r.instances, c.Instance)
 		if c.Alone() {
 			r.alone++
--- a/schedule/confine_test.go
+++ b/schedule/confine_test.go
@@ -152,7 +152,7 @@
 	h.state.LogTime = h.now.Milliseconds()
 	h.nextLeader(2)
 	must.True(t, h.sch.confinement.Confined(q))
-	h.state.LogTime += confinementMemory.Milliseconds()
+	h.state.LogTime += quarantine.ConfinementMemory.Milliseconds()
 	h.nextLeader(3)
 	must.False(t, h.sch.confinement.Confined(q))
 }
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -45,23 +45,18 @@
 }
 
 // restoreCrashes counts the crashes that the replicated state lists. Queues that a crash
-// of the last confinementMemory points to are confined again.
+// of the last quarantine.ConfinementMemory points to are confined again.
 func (s *Scheduler) restoreCrashes(now time.Duration, st *durable.State) {
 	for i := range st.Crashes {
 		c := st.Crashes[i].WorkerCrash
 		c.Age = time.Duration(st.LogTime-st.Crashes[i].At) * time.Millisecond
 		s.ledger.Record(now-c.Age, &c)
-		if c.Age <= confinementMemory {
+		if c.Age <= quarantine.ConfinementMemory {
 			s.confinement.Blame(now, s.ledger, &c)
 		}
 	}
 }
 
-// confinementMemory is how long after a crash a new leader confines the queue to which
-// it points. If the requests are sound by then, the queue is free again after
-// some seconds.
-const confinementMemory = 10 * time.Second
-
 // recordCrashes counts the crashes that an agent reports.
 func (s *Scheduler) recordCrashes(now time.Duration, w *Worker, r *contract.WorkerReport) {
 	for i := range r.Crashes {
@@ -128,7 +123,7 @@
 			s.judge(j)
 		}
 	}
-	if c.Age <= confinementMemory {
+	if c.Age <= quarantine.ConfinementMemory {
 		n.Confined = s.confinement.Blame(now, s.ledger, &c)
 	}
 	s.crashNotices = append(s.crashNotices, n)
