schedule: only a burst beyond chance is held to its share of a short pool

In a pool of 11 workers a queue of 7 jobs a second varies by a third from second to second. Shares cut each queue at nine tenths of its share whenever it varied upwards, and gave the room to none when it varied downwards. The long kind paid. Change: a queue is limited only if it exceeds its usual rate by more than two standard deviations, which follow from the work of its own jobs, as well as by a quarter, and more than all queues together.

--- a/schedule/rates.go
+++ b/schedule/rates.go
@@ -36,6 +36,9 @@
 	queue               string
 	priorityClass       int
 	fast, recent, usual float64
+	// usualSquares is the usual average of the squared work of a job, from which
+	// deviation is derived.
+	usualSquares float64
 	// admitted is the recent average of the work that was admitted, promoted that of
 	// the work that was put before its class.
 	admitted, promoted float64
@@ -58,7 +61,9 @@
 	if short {
 		elapsed /= shortageFactor
 	}
-	q.usual *= math.Exp(-float64(elapsed) / float64(usualWindow))
+	decay := math.Exp(-float64(elapsed) / float64(usualWindow))
+	q.usual *= decay
+	q.usualSquares *= decay
 	q.usualTime += elapsed
 	return q
 }
@@ -67,10 +72,12 @@
 func (q *queueRate) add(work, seconds float64, short bool) {
 	q.fast += work / fastWindow.Seconds()
 	q.recent += work / recentWindow.Seconds()
+	weight := 1.0
 	if short {
-		work /= shortageFactor
+		weight = 1.0 / shortageFactor
 	}
-	q.usual += work / usualWindow.Seconds()
+	q.usual += weight * work / usualWindow.Seconds()
+	q.usualSquares += weight * work * work / usualWindow.Seconds()
 	if q.seconds == 0 {
 		q.seconds = seconds
 	}
@@ -78,8 +85,17 @@
 }
 
 // usualRate returns the usual rate, corrected for the time before it was learned.
-func (q *queueRate) usualRate() float64 {
-	return q.usual / max(1-math.Exp(-float64(q.usualTime)/float64(usualWindow)), 0.01)
+func (q *queueRate) usualRate() float64 { return q.usual / q.learnedShare() }
+
+// learnedShare returns how much of the usual averages has been learned so far.
+func (q *queueRate) learnedShare() float64 {
+	return max(1-math.Exp(-float64(q.usualTime)/float64(usualWindow)), 0.01)
+}
+
+// deviation returns the standard deviation of the recent rate while the queue sends its
+// usual rate of independent jobs, in thousandths of a core.
+func (q *queueRate) deviation() float64 {
+	return math.Sqrt(q.usualSquares / q.learnedShare() / (2 * recentWindow.Seconds()))
 }
 
 // recordOffer adds a submitted job to its queue's rates.
--- a/schedule/replay_test.go
+++ b/schedule/replay_test.go
@@ -38,15 +38,28 @@
 	length  time.Duration
 	factors [3]float64
 	lost    int
+	// workers is the size of the pool, with rates in proportion; replayWorkers if zero.
+	workers int
+}
+
+// size returns the number of workers, and the rates as a multiple of those of
+// replayQueues.
+func (l replayLoad) size() (workers int, rates float64) {
+	workers = l.workers
+	if workers == 0 {
+		workers = replayWorkers
+	}
+	return workers, float64(workers) / replayWorkers
 }
 
 var (
-	longBurst     = replayLoad{"burst of long jobs", 6 * time.Second, [3]float64{1, 1, 2.3}, 0}
-	thirdLost     = replayLoad{"a third of the workers lost", 6 * time.Second, [3]float64{1, 1, 1}, replayWorkers / 3}
-	shortOverload = replayLoad{"short overload", 4 * time.Second, [3]float64{1.5, 1.5, 1.5}, 0}
-	burstAndLoss  = replayLoad{"burst of long jobs on three quarters of the pool", 6 * time.Second, [3]float64{1, 1, 2.3}, replayWorkers / 4}
-	firstBurst    = replayLoad{"burst of the first priority", 6 * time.Second, [3]float64{6, 1, 1}, 0}
-	underloaded   = replayLoad{"underloaded", 6 * time.Second, [3]float64{0.8, 0.8, 0.8}, 0}
+	longBurst     = replayLoad{"burst of long jobs", 6 * time.Second, [3]float64{1, 1, 2.3}, 0, 0}
+	thirdLost     = replayLoad{"a third of the workers lost", 6 * time.Second, [3]float64{1, 1, 1}, replayWorkers / 3, 0}
+	shortOverload = replayLoad{"short overload", 4 * time.Second, [3]float64{1.5, 1.5, 1.5}, 0, 0}
+	burstAndLoss  = replayLoad{"burst of long jobs on three quarters of the pool", 6 * time.Second, [3]float64{1, 1, 2.3}, replayWorkers / 4, 0}
+	firstBurst    = replayLoad{"burst of the first priority", 6 * time.Second, [3]float64{6, 1, 1}, 0, 0}
+	smallPoolLoss = replayLoad{"a small pool that has lost a quarter", 6 * time.Second, [3]float64{1.1, 1.1, 1.1}, 3, 11}
+	underloaded   = replayLoad{"underloaded", 6 * time.Second, [3]float64{0.8, 0.8, 0.8}, 0, 0}
 )
 
 // replayCounts are the outcomes of one queue's jobs that arrived during the trouble.
@@ -71,7 +84,8 @@
 func replay(t testing.TB, load replayLoad, seed uint64, late bool, counts *[3]replayCounts) {
 	h := newHarness(t)
 	start := h.now
-	for i := range replayWorkers {
+	workers, rates := load.size()
+	for i := range workers {
 		h.worker(fmt.Sprint("w", i), 64_000)
 	}
 	h.now += attachGracePeriod
@@ -93,7 +107,7 @@
 		delete(ends, h.now)
 		trouble := h.now >= troubleAt && h.now < troubleEnd
 		for q, p := range replayQueues {
-			rate := p.rate
+			rate := p.rate * rates
 			if trouble {
 				rate *= load.factors[q]
 			}
@@ -258,6 +272,10 @@
 		// that were lost.
 		{thirdLost, [3]float64{0.95, 0.84, 0.6}, [3]float64{0.95, 0.84, 0.8}},
 		{shortOverload, [3]float64{0.95, 0.75, 0.75}, [3]float64{0.95, 0.84, 0.84}},
+		// Room for 93% of the work. A queue of seven jobs a second varies by a third,
+		// which is no burst: the long jobs keep what their callers need, and what is
+		// missing is missed by the short ones, which use half of the room.
+		{smallPoolLoss, [3]float64{0.88, 0.75, 0.88}, [3]float64{0.88, 0.75, 0.88}},
 		// Priority 0 goes first, the others keep a quarter, in time or nearly so.
 		{firstBurst, [3]float64{0.85, 0.2, 0.2}, [3]float64{0.85, 0.25, 0.25}},
 	} {
--- a/schedule/shares.go
+++ b/schedule/shares.go
@@ -4,21 +4,22 @@
 	"time"
 )
 
-// Shares address a burst of one queue, and a pool that has lost workers: the order by
-// latest start alone refuses nearly all jobs of the queue with the shortest objective,
-// because the long jobs of the others may wait longer and so always fill the line. In a
-// shortage, each queue is therefore entitled to a share of the pool that follows from
-// what it usually sends. A queue that sends more may borrow only what the entitled work
-// of the others leaves.
+// Shares address a burst of one queue in a pool without room for it: the order by latest
+// start alone refuses nearly all jobs of the queue with the shortest objective, because
+// the long jobs of the burst may wait longer and so always fill the line. In a shortage,
+// each queue is therefore entitled to a share of the pool that follows from what it
+// usually sends, and a queue that bursts may borrow only what the entitled work of the
+// others leaves. The queues that send what they usually do are not limited, also if the
+// pool has lost workers: who is served then follows from who can still be in time.
 
 const (
-	// shareTolerance is how far a queue's recent rate may exceed its usual rate
-	// before it counts as a burst. A queue of 35 jobs per second varies by an eighth
-	// from second to second.
-	shareTolerance = 1.25
-	// limitFrom is the part of its share from which on a queue is limited. Below it,
-	// a queue is admitted like those that do not exceed their share, since the room
-	// that others leave varies.
+	// A queue's recent rate counts as a burst if it exceeds the usual rate by more than
+	// the factor shareTolerance, and by more than burstDeviations of its own standard
+	// deviations: a queue of few or uneven jobs varies by a half from second to second.
+	shareTolerance  = 1.25
+	burstDeviations = 2
+	// limitFrom is the part of its allowance from which on a burst is limited. Below it,
+	// the queue is admitted like the others, since the room that they leave varies.
 	limitFrom = 0.9
 	// guaranteedShare is the part of its usual rate that a queue keeps whatever
 	// queues of higher priority send: a quarter, and a fifth of that for work that
@@ -90,6 +91,13 @@
 	return given
 }
 
+// bursts reports whether the queue sends more than usual by more than chance explains,
+// and more so than all queues together, which send growth times what they usually do.
+func (q *queueRate) bursts(growth float64) bool {
+	usual := q.usualRate()
+	return q.recent > growth*max(shareTolerance*usual, usual+burstDeviations*q.deviation())
+}
+
 func (q *share) weight() float64 { return max(q.usual, 1) }
 
 // totals returns what the queues ask for together, and what they usually do.
@@ -103,14 +111,15 @@
 
 // limits is what the shares mean for a queue.
 type limits struct {
-	// limited says that the queue is over its share, room what the others leave.
+	// limited says that the queue bursts and is over its share, room what the others
+	// leave.
 	limited bool
 	room    room
 	// short says that the queues ask for more than the pool has. Its line fills only
 	// after this is known.
 	short bool
-	// reserve is what the queue leaves free, in thousandths of a core: nothing, or,
-	// if its burst exceeds that of the others, what their loads vary by.
+	// reserve is what the queue leaves free while it bursts, in thousandths of a core:
+	// what the loads of the others vary by.
 	reserve float64
 	// minimum is the work that the queue may put before its class, in thousandths
 	// of a core: its guaranteed minimum if class 0 leaves it hardly more.
@@ -148,11 +157,13 @@
 			if l.minimum = 0; own.priorityClass > 0 && own.entitled < own.recent && own.entitled < minimumTolerance*own.guaranteed {
 				l.minimum = own.guaranteed
 			}
-			allowed := own.entitled
-			if own.priorityClass > 0 && own.recent > shareTolerance*growth*own.usual {
-				allowed, l.reserve = min(allowed, own.usual), reserveShare*capacity
+			if q.bursts(growth) {
+				allowed := own.entitled
+				if own.priorityClass > 0 {
+					allowed, l.reserve = min(allowed, max(own.usual, own.guaranteed)), reserveShare*capacity
+				}
+				l.limited = q.admitted > limitFrom*allowed
 			}
-			l.limited = own.recent > min(shareTolerance*own.usual, own.entitled) && q.admitted > limitFrom*allowed
 		case own.priorityClass <= j.priorityClass:
 			others.add(q, own.entitled)
 		default:
