schedule: jobs wait in the order of their safe start; the margin follows the slack

Cause: callers count an objective from the actual duration of the job. One that takes less than declared ends earlier by the difference d, and its objective is shorter by slack times d: the margin for an error of 40% is 0.4 x (slack - 1) of the estimate, not 0.4. Admission refused jobs that would have been in time. Change: the margin is derived from the slack; jobs are ordered by the start that includes it, in the line and among the jobs of a lost leader. No bound has moved.

--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -115,13 +115,14 @@
 	maxMarginShare = 0.75
 )
 
-// admissionMargin returns the part of the allowed waiting time that admission
-// keeps in reserve for the error of the declared durations. A job that is admitted
-// without it, in a pool that stays full, waits until its latest start and then is late
-// if it takes longer than declared.
+// admissionMargin returns the part of the allowed waiting time that admission keeps in
+// reserve for the error of the declared durations. Callers count a job's objective from
+// its actual duration: one that takes less than declared ends earlier by the difference,
+// but its objective is shorter by Slack times the difference.
 func (j *job) admissionMargin() time.Duration {
 	wait := float64(j.latestStart - j.arrivedAt)
-	return time.Duration(min(max(durationError*float64(j.estimate), minMarginShare*wait), maxMarginShare*wait))
+	margin := (j.Slack - 1) * durationError * float64(j.estimate)
+	return time.Duration(min(max(margin, minMarginShare*wait), maxMarginShare*wait))
 }
 
 // safeStart is the latest start at which the job should still be in time although its
--- a/schedule/demand.go
+++ b/schedule/demand.go
@@ -68,5 +68,5 @@
 
 // priorityClassOf returns 0 for priority 0 and 1 for all others. Jobs of
 // priority 0 go before the others, which share the remaining capacity in the
-// order of their latest start.
+// order of their safe start.
 func priorityClassOf(d *contract.DurableJob) int { return min(d.Priority, 1) }
--- a/schedule/joblist.go
+++ b/schedule/joblist.go
@@ -1,30 +1,25 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
-// jobList holds jobs with waiting tasks, ordered by priority class, then by
-// latest start, then by ID.
+// jobList holds jobs with waiting tasks, ordered by priority class, then by safe start,
+// then by ID. In a short pool jobs start close to the time that orders them: at their
+// latest start, those whose durations are off would miss their objective.
 type jobList []*job
 
+// compareJobs orders jobs as in a jobList.
+func compareJobs(a, b *job) int {
+	return cmp.Or(a.priorityClass-b.priorityClass, cmp.Compare(a.safeStart(), b.safeStart()), cmp.Compare(a.ID, b.ID))
+}
+
 // search returns the index of the job, or where it would be inserted, and
 // whether it is in the list.
 func (l *jobList) search(j *job) (int, bool) {
-	return slices.BinarySearchFunc(*l, j, func(a, b *job) int {
-		switch {
-		case a.priorityClass != b.priorityClass:
-			return a.priorityClass - b.priorityClass
-		case a.latestStart != b.latestStart:
-			return int(min(max(a.latestStart-b.latestStart, -1), 1))
-		case a.ID < b.ID:
-			return -1
-		case a.ID > b.ID:
-			return 1
-		}
-		return 0
-	})
+	return slices.BinarySearchFunc(*l, j, compareJobs)
 }
 
 // add inserts the job in order unless it is in the list already.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -97,7 +97,7 @@
 	// latestStart is the latest time at which the job can start and still meet
 	// its objective.
 	latestStart time.Duration
-	// priorityClass is the first sort key of waiting jobs, before latestStart;
+	// priorityClass is the first sort key of waiting jobs, before safeStart;
 	// 0 goes first.
 	priorityClass int
 	// verdict is the worst verdict on the job's tasks, and ranAlone says that a worker
--- a/schedule/settle.go
+++ b/schedule/settle.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -118,9 +117,7 @@
 		}
 	}
 	s.Release()
-	slices.SortFunc(fresh, func(a, b *job) int {
-		return cmp.Or(a.priorityClass-b.priorityClass, cmp.Compare(a.latestStart, b.latestStart), cmp.Compare(a.ID, b.ID))
-	})
+	slices.SortFunc(fresh, compareJobs)
 	settled := make([]Settlement, 0, len(fresh))
 	for _, j := range fresh {
 		admission := s.Admit(now, j.arrivedAt, &j.DurableJob)
