consensus: members that have all just started need not wait to vote

Cause: a member grants no vote for an election timeout (300 ms) after its start, since its process before may have answered a leader whose lease relies on that.

Change: the wait ends once each other member of the group, those with a lost disk included, has said since this member's start that it knows no leader, and that its log names the same group. Hubs say it in HubState, which both versions read with more fields, and on the links that they dial too. A member that does not answer, or is of an earlier version, keeps the wait. Pre-votes that were refused because of the wait are answered when it ends.

Tests: random histories with restarts of all, of most around a leader that is cut off, and with lost disks; at most one lease in every step of every simulation; they fail if two answers suffice.

--- a/consensus/consensus.go
+++ b/consensus/consensus.go
@@ -120,6 +120,7 @@
 	// lastLeaderContact is when this member last heard from a leader. Its initial
 	// value is the time of the member's start: before a restart the member may
 	// have answered a leader, whose lease relies on the member granting no vote.
+	// endRestartWait sets it back once no such leader can be left.
 	lastLeaderContact time.Duration
 	// electionDeadline is when this member, if it is a voter, starts a pre-vote.
 	// It is moved later whenever the member hears from a leader or grants a vote.
@@ -133,6 +134,8 @@
 	// in its term.
 	termStartIndex uint64
 	leaderSince    time.Duration
+	// restart is set until this member may vote or has heard from a leader; see restart.go.
+	restart *restartWait
 
 	ready Ready
 }
@@ -147,6 +150,7 @@
 	n.commit, n.applied = s.Snapshot.Index, s.Snapshot.Index
 	n.refreshGroup()
 	n.lastLeaderContact = now
+	n.restart = newRestartWait(now)
 	n.resetElectionDeadline(now)
 	return n
 }
@@ -160,6 +164,7 @@
 	n.appendEntry(contract.LogEntry{Term: 1, Group: &g})
 	n.refreshGroup()
 	n.lastLeaderContact = now - n.timing.ElectionTimeout
+	n.restart = nil
 	n.electionDeadline = now
 }
 
--- a/consensus/consensus_test.go
+++ b/consensus/consensus_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -61,6 +62,17 @@
 	lossRate    float64
 	applied     map[contract.LogMember][]string
 	committed   []string
+	// statements are what processes say of themselves, on their way to others. talkative
+	// processes say it in each step.
+	statements []statement
+	talkative  bool
+}
+
+// statement is a PeerState on its way to a process.
+type statement struct {
+	to      *Node
+	state   PeerState
+	arrives int
 }
 
 func newCluster(t *testing.T, seed uint64, n int) *cluster {
@@ -105,6 +117,7 @@
 			n.Step(c.now, &m)
 		}
 	}
+	c.exchangeStates()
 	for _, m := range c.members {
 		n := c.nodes[m]
 		if n == nil {
@@ -114,6 +127,45 @@
 		n.Flush(c.now)
 		c.handleReady(m, n)
 	}
+	c.checkLeases()
+}
+
+// checkLeases fails the test if two members hold the leader lease.
+func (c *cluster) checkLeases() {
+	holders := 0
+	for _, n := range c.nodes {
+		if n != nil && n.LeaseUntil(c.now) > c.now {
+			holders++
+		}
+	}
+	must.LessEq(c.t, 1, holders, must.Sprintf("step %d", c.stepCount))
+}
+
+// exchangeStates delivers what processes have said of themselves, and lets each say it
+// again to some others. A statement reaches only the process it was made to, as on a
+// connection, but maybe after its sender has ended.
+func (c *cluster) exchangeStates() {
+	for i, s := range c.statements {
+		if s.to != nil && s.arrives <= c.stepCount {
+			c.statements[i].to = nil
+			if to := c.nodes[s.to.Self()]; to == s.to && !c.partitioned[to.Self()] {
+				to.PeerReported(c.now, s.state)
+			}
+		}
+	}
+	c.statements = slices.DeleteFunc(c.statements, func(s statement) bool { return s.to == nil })
+	for _, from := range c.members {
+		n := c.nodes[from]
+		if n == nil || c.partitioned[from] {
+			continue
+		}
+		state := PeerState{Self: from, Leaderless: n.LeaderMember() == contract.LogMember{}, GroupID: GroupID(n.Group())}
+		for _, to := range c.members {
+			if c.nodes[to] != nil && to != from && !c.partitioned[to] && (c.talkative || c.rng.IntN(3) == 0) {
+				c.statements = append(c.statements, statement{c.nodes[to], state, c.stepCount + 1 + c.rng.IntN(4)})
+			}
+		}
+	}
 }
 
 // handleReady does the work of the driver of m for one step.
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -213,6 +213,7 @@
 		n.becomeFollower(now, n.hard.Term, from)
 	}
 	n.lastLeaderContact = now
+	n.restart = nil
 	n.resetElectionDeadline(now)
 }
 
@@ -230,6 +231,8 @@
 		if !hasLeader && upToDate && m.Term > n.hard.Term {
 			reply.Refused = false
 			reply.Term = m.Term
+		} else if n.restart != nil {
+			n.restart.preVotes[m.From] = *m
 		}
 		n.send(reply)
 		return
--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -42,6 +42,11 @@
 	Evacuated []string
 	// Stamp is the sender's clock in nanoseconds, which entries echo (StateEcho).
 	Stamp int64
+	// Member is the sender as a member of the replicated log, and GroupID identifies the
+	// newest group in its log. They are set while the sender knows no leader, unless it
+	// is of an earlier version.
+	Member  LogMember
+	GroupID uint64
 }
 
 // MessageKind returns KindHubState.
--- a/hub/bound.go
+++ b/hub/bound.go
@@ -30,9 +30,7 @@
 	h.stampedAt = now
 	s := h.hubState(now)
 	for l := range h.entryAliveAt {
-		if err := l.Send(&s); err != nil {
-			h.log.V(1).Info("hub state not sent", "peer", l.Remote().Host, "err", err)
-		}
+		h.sendState(l, s)
 	}
 }
 
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -45,16 +45,27 @@
 	addr string
 }
 
-// LinkUp logs the connection.
+// LinkUp tells the peer the state of this hub: the peer may not reach this hub by a link
+// of its own yet.
 func (p peerHandler) LinkUp(l *link.Link) {
-	p.h.post(func() { p.h.log.Info("hub connected", "peer", p.addr) })
+	p.h.post(func() {
+		p.h.log.Info("hub connected", "peer", p.addr)
+		s := p.h.hubState(boottime.Now())
+		if err := l.Send(&s); err != nil {
+			p.h.log.V(1).Info("hub state not sent", "peer", p.addr, "err", err)
+		}
+	})
 }
 
-// Receive dials the hubs that the peer announces. The peer sends its consensus
-// messages on the link that it dialled itself.
+// Receive dials the hubs that the peer announces, and passes on what the peer says of
+// itself as a member of the log. The peer sends its consensus messages on the link that
+// it dialled itself.
 func (p peerHandler) Receive(l *link.Link, _ uint64, m contract.Message) {
 	if s, ok := m.(*contract.HubState); ok {
-		p.h.post(func() { p.h.dialHubs(s) })
+		p.h.post(func() {
+			p.h.dialHubs(s)
+			p.h.recordPeerState(s)
+		})
 	}
 }
 
@@ -94,6 +105,14 @@
 	}
 }
 
+// recordPeerState passes on what another hub says of itself as a member of the log. A hub
+// of an earlier version says nothing.
+func (h *Hub) recordPeerState(s *contract.HubState) {
+	if s.Member.Addr != "" {
+		h.node.PeerReported(boottime.Now(), consensus.PeerState{Self: s.Member, Leaderless: s.Leader == "", GroupID: s.GroupID})
+	}
+}
+
 // knownHubs returns the sorted addresses of the group's members or, while there
 // is no group, those of this hub and its peers.
 func (h *Hub) knownHubs() []string {
@@ -283,10 +302,7 @@
 	h.post(func() {
 		h.inbound[l] = true
 		h.recordHubDomain(l.Remote())
-		s := h.hubState(boottime.Now())
-		if err := l.Send(&s); err != nil {
-			h.log.V(1).Info("hub state not sent", "peer", l.Remote().Host, "err", err)
-		}
+		h.sendState(l, h.hubState(boottime.Now()))
 		h.sendKnownWorker(l)
 		h.relayLinkUp(l)
 	})
@@ -332,6 +348,8 @@
 	switch m := m.(type) {
 	case *contract.LogMessage:
 		h.node.Step(now, m)
+	case *contract.HubState:
+		h.recordPeerState(m)
 	case *contract.JoinLog:
 		h.handleJoin(now, m.Member)
 	case *contract.DiskQuery:
@@ -370,6 +388,9 @@
 	if s.Leads {
 		s.Evacuated = h.state.Evacuated
 	}
+	if s.Leader == "" {
+		s.Member, s.GroupID = h.self, consensus.GroupID(h.node.Group())
+	}
 	return s
 }
 
@@ -393,8 +414,13 @@
 	h.lastBroadcast, h.lastBroadcastAt = s, now
 	s.Hubs, s.Stamp = h.knownHubs(), int64(now)
 	for l := range h.inbound {
-		if err := l.Send(&s); err != nil {
-			h.log.V(1).Info("hub state not sent", "peer", l.Remote().Host, "err", err)
-		}
+		h.sendState(l, s)
+	}
+}
+
+// sendState sends this hub's state on an inbound link.
+func (h *Hub) sendState(l *link.Link, s contract.HubState) {
+	if err := l.Send(&s); err != nil {
+		h.log.V(1).Info("hub state not sent", "peer", l.Remote().Host, "err", err)
 	}
 }
