workeragent: a token that no predecessor can know ends the wait for its leases

Cause: an agent that starts waits 0.5 s, the longest lease that its predecessor may have asked for, before its first session, since the worker may still carry out a start call of that process. After a stop of everything no worker is attached until then.

Change: a leader tells each process whether it has told another process of that host before that it leads (HubState.FirstOfHost). If not, no predecessor can have known the term, and once the worker has answered a poll under that token it carries out no call of one. The session then begins with the next poll that lists no run and no end that may still count. leftover.go holds the decision, pure; a leader of an earlier version does not say it, and the wait stays. A first attempt compared the age of the leadership with that of the link: it failed where agents connect after the election, which is the rule now.

--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -42,6 +42,9 @@
 	Evacuated []string
 	// Stamp is the sender's clock in nanoseconds, which entries echo (StateEcho).
 	Stamp int64
+	// FirstOfHost is set if the sender leads and has told no earlier process of the
+	// receiver's host so in Term.
+	FirstOfHost bool
 	// Member is the sender as a member of the replicated log, and GroupID identifies the
 	// newest group in its log. They are set while the sender knows no leader, unless it
 	// is of an earlier version.
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -207,6 +207,9 @@
 	// agentByLink holds the agents that have reported on a link that is up, by
 	// that link.
 	agentByLink map[*link.Link]*agent
+	// toldFirst holds, by host, the first process that was told that this hub leads the
+	// term.
+	toldFirst map[contract.HostID]contract.Incarnation
 	// withOrders lists the agents whose queued orders are to be sent.
 	withOrders []*agent
 	// pending collects the changes for the next proposal.
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -61,6 +61,7 @@
 			sched:       schedule.New(h.node.Term(), h.state, now),
 			agents:      map[contract.HostID]*agent{},
 			agentByLink: map[*link.Link]*agent{},
+			toldFirst:   map[contract.HostID]contract.Incarnation{},
 			pending:     &proposal{},
 			proposed:    map[uint64]*proposal{},
 			submissions: map[contract.DurableJobID]*submission{},
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -418,8 +418,16 @@
 	}
 }
 
-// sendState sends this hub's state on an inbound link.
+// sendState sends this hub's state on an inbound link. While this hub leads, the receiver
+// learns whether an earlier process of its host may know the term.
 func (h *Hub) sendState(l *link.Link, s contract.HubState) {
+	if s.Leads {
+		remote := l.Remote()
+		if _, told := h.leader.toldFirst[remote.Host]; !told {
+			h.leader.toldFirst[remote.Host] = remote.Incarnation
+		}
+		s.FirstOfHost = h.leader.toldFirst[remote.Host] == remote.Incarnation
+	}
 	if err := l.Send(&s); err != nil {
 		h.log.V(1).Info("hub state not sent", "peer", l.Remote().Host, "err", err)
 	}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -98,6 +98,9 @@
 	// notified is the link that the listener knows as that to the leader.
 	notified *link.Link
 	term     uint64
+	// newTerm is the last term that no earlier process of this host can know, by what its
+	// leader says; zero if there is none.
+	newTerm uint64
 	// groupAddrs are the hub addresses that a leader announced last.
 	groupAddrs []string
 	// relays are the addresses of the relays that a hub announced last.
@@ -167,6 +170,14 @@
 	return now - u.leader.heardAt
 }
 
+// UnknownBefore reports whether no earlier process of this host can have known the term of
+// a leader, by what the leader says. A leader of an earlier version does not say it.
+func (u *Uplink) UnknownBefore(term uint64) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return term != 0 && term == u.newTerm
+}
+
 // Evacuated reports whether the failure domain is evacuated, as far as a leader has
 // told this process.
 func (u *Uplink) Evacuated(domain string) bool {
@@ -321,6 +332,9 @@
 	}
 	if s.Leads {
 		h.u.groupAddrs = s.Hubs
+		if s.FirstOfHost {
+			h.u.newTerm = max(h.u.newTerm, s.Term)
+		}
 	}
 	// Messages on a direct and a relayed path may arrive in another order than they were sent.
 	if s.Leads && (s.Term > h.u.evacuatedTerm || s.Term == h.u.evacuatedTerm && s.Stamp >= h.u.evacuatedStamp) {
--- a/workeragent/expiry_test.go
+++ b/workeragent/expiry_test.go
@@ -108,35 +108,6 @@
 	must.SliceEmpty(t, w.pendingStarts)
 }
 
-// TestFirstSessionWaitsForLateStarts checks when a session may begin. The worker may
-// carry out a start call of an earlier agent process until the lease that the process
-// may have asked for has passed, although it lists no run and its last lease has
-// expired.
-func TestFirstSessionWaitsForLateStarts(t *testing.T) {
-	lapsed := []EndedRun{{Seq: 1, Kind: contract.EndLeaseExpired}}
-	done := []EndedRun{{Seq: 1, Kind: contract.EndDone}}
-	cases := []struct {
-		name       string
-		hadSession bool
-		clock      int64
-		ended      []EndedRun
-		want       bool
-	}{
-		{"first session, no end listed", false, 1400, nil, false},
-		{"first session, a lease has expired", false, 1400, lapsed, false},
-		{"first session, after the longest lease", false, 1530, lapsed, true},
-		{"later session, no end listed", true, 1400, nil, true},
-		{"later session, the lease has expired", true, 1400, lapsed, true},
-		{"later session, an end under the lease", true, 1400, done, false},
-		{"later session, after the longest lease", true, 1530, done, true},
-	}
-	for _, c := range cases {
-		_, w := newInstanceInSession(t, noClient{})
-		w.latestLeaseEndMS, w.hadSession = 1500, c.hadSession
-		must.Eq(t, c.want, w.leaseExpired(PollReply{ClockMS: c.clock, Ended: c.ended}), must.Sprint(c.name))
-	}
-}
-
 // TestReportAfterTheWorkerWasReplaced changes the link to the leader just after a new
 // instance of the worker has announced itself. The earlier one may be alive until its
 // lease has expired; a report without its runs makes the leader start their tasks
@@ -187,8 +158,8 @@
 			a.HandleAnnouncement(contract.WorkerAnnouncement{ID: c.id, StartedMillis: 5, Pool: "p"})
 			next := a.instance
 			next.latestLeaseEndMS = 500
-			must.Eq(t, c.atOnce, next.leaseExpired(PollReply{ClockMS: 10}))
-			must.False(t, next.leaseExpired(PollReply{ClockMS: 10, Ended: []EndedRun{{Seq: 1}}}))
+			must.Eq(t, c.atOnce, next.leftovers().over(PollReply{ClockMS: 10}))
+			must.False(t, next.leftovers().over(PollReply{ClockMS: 10, Ended: []EndedRun{{Seq: 1}}}))
 		})
 	}
 }
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -112,6 +112,9 @@
 	// fresh says that no earlier agent process can have called the instance: this process
 	// saw the instance before it exit, which had another ID, and calls name the ID.
 	fresh bool
+	// fenced says that the worker has answered a poll under the token of a leader that no
+	// earlier agent process can have known. It then carries out no call of such a process.
+	fenced bool
 	// leaving says that the instance has announced its end.
 	leaving bool
 	// starts counts the starts on the instance.
@@ -274,11 +277,9 @@
 	}
 }
 
-// recover waits until no run of an earlier session is left on the worker, and until
-// the lease has expired if the worker still lists run ends. Before the first session of
-// this process it always waits for the lease: the worker may still carry out a start
-// call of an earlier agent process until then. It then begins a session and returns
-// true. It returns false when the instance has ended.
+// recover polls the worker until nothing is left of the calls made before, by this agent
+// process or an earlier one; leftover.go has the conditions. It then begins a session and
+// returns true. It returns false when the instance has ended.
 func (w *workerInstance) recover() bool {
 	for w.ctx.Err() == nil {
 		reply, err := w.poll(PollCall{AckedSeq: w.loadAckedSeq()})
@@ -286,7 +287,7 @@
 			w.sleep(retryInterval)
 			continue
 		}
-		if len(reply.Running) == 0 && w.leaseExpired(reply) && w.beginSession(reply) {
+		if w.leftovers().over(reply) && w.beginSession(reply) {
 			return true
 		}
 		w.sleep(retryInterval)
@@ -294,21 +295,13 @@
 	return false
 }
 
-// leaseExpired reports whether no start call of an earlier session can be carried out
-// any more, and the run ends in reply are certainly void: the lease has expired since the
-// last of them, or the instance is fresh. It allows for an earlier agent process that
-// renewed the lease or called the worker just before the first poll. Runs left by that
-// process are not stopped.
-func (w *workerInstance) leaseExpired(reply PollReply) bool {
+// leftovers returns what may be left of the calls made before a session.
+func (w *workerInstance) leftovers() leftovers {
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
-	if w.fresh && !w.hadSession && len(reply.Ended) == 0 {
-		return true
-	}
-	if w.hadSession && (len(reply.Ended) == 0 || reply.Ended[len(reply.Ended)-1].Kind == contract.EndLeaseExpired) {
-		return true
+	return leftovers{
+		newInstance: w.fresh && !w.hadSession, hadSession: w.hadSession, fenced: w.fenced, latestLeaseEndMS: w.latestLeaseEndMS,
 	}
-	return reply.ClockMS > w.latestLeaseEndMS+clockSlack.Milliseconds()
 }
 
 // priorLeaseBound returns how long a lease granted by an earlier agent process
@@ -343,7 +336,7 @@
 	w.inSession, w.hadSession = true, true
 	w.confirmedLeaseEndMS = 0
 	telemetry.Sessions.Inc()
-	w.agent.log.Info("session started", "worker", w.id, "void_ends", len(reply.Ended))
+	w.agent.log.Info("session started", "worker", w.id, "void_ends", len(reply.Ended), "fenced", w.fenced)
 	w.agent.newSession()
 	return true
 }
@@ -366,8 +359,13 @@
 		}
 		w.agent.mu.Unlock()
 	}
-	if err == nil && c.Token == 0 {
+	switch {
+	case err == nil && c.Token == 0:
 		err = ErrNoLeader
+	case err == nil && w.agent.uplink.UnknownBefore(c.Token):
+		w.agent.mu.Lock()
+		w.fenced = true
+		w.agent.mu.Unlock()
 	}
 	if err != nil {
 		w.agent.log.V(1).Info("poll of the worker failed", "worker", w.id, "err", err)
