schedule: the margin of admission follows from the durations on record

Cause: durationError, 0.4, was the error of declared durations on the users' old sheets. Callers that declare exactly were refused for it, and with a larger error jobs were admitted that came late.

Change: the error is the share by which a task may be shorter than expected, which one in twenty exceeds, from the durations on record for its queue; 0.4 stands until 100 tasks have ended. The replays take the error of declared durations as a parameter; no bound moved.

--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -107,8 +107,9 @@
 }
 
 const (
-	// durationError is how far declared task durations are off, as a share of them.
-	durationError = 0.4
+	// unknownDurationError is the share by which a task may be shorter than expected,
+	// while no durations are on record.
+	unknownDurationError = 0.4
 	// minMarginShare and maxMarginShare bound the margin of admission, as shares of
 	// a job's allowed waiting time.
 	minMarginShare = 0.1
@@ -121,7 +122,7 @@
 // but its objective is shorter by Slack times the difference.
 func (j *job) admissionMargin() time.Duration {
 	wait := float64(j.latestStart - j.arrivedAt)
-	margin := (j.Slack - 1) * durationError * float64(j.estimate)
+	margin := (j.Slack - 1) * j.durationError * float64(j.estimate)
 	return time.Duration(min(max(margin, minMarginShare*wait), maxMarginShare*wait))
 }
 
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -84,7 +84,7 @@
 		b.Run(load.name, func(b *testing.B) {
 			var counts [3]replayCounts
 			for b.Loop() {
-				replay(b, load, 1, true, &counts)
+				replay(b, load, usualError, 1, true, &counts)
 			}
 			b.ReportMetric(b.Elapsed().Seconds()/float64(b.N)/replayLength.Seconds(), "cores")
 		})
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -71,7 +71,18 @@
 		ends[i] = begin + s.expectedDuration(j, i)
 		j.estimate = max(j.estimate, ends[i])
 	}
+	j.durationError = s.durationErrorOf(j.Queue)
 	j.objective = time.Duration(float64(j.estimate)*j.Slack) + j.Target
 	j.latestStart = j.arrivedAt + j.objective - j.estimate - networkOverhead
 	j.priorityClass = priorityClassOf(&j.DurableJob)
 }
+
+// durationErrorOf returns by which share the tasks of the queue may be shorter than
+// expected: nine in ten are not.
+func (s *Scheduler) durationErrorOf(queue string) float64 {
+	tail := s.tailOf(queue)
+	if !tail.known() {
+		return unknownDurationError
+	}
+	return max(0, 1-tail.shorter)
+}
--- a/schedule/replay_test.go
+++ b/schedule/replay_test.go
@@ -76,12 +76,19 @@
 	longest time.Duration
 }
 
+// declaredError says how far declared durations are off: by up to the share off for each
+// job, and by the factor bias for all.
+type declaredError struct{ off, bias float64 }
+
+// usualError is that of the users' sheets.
+var usualError = declaredError{0.4, 1}
+
 // replay feeds a load to a scheduler in fake time, as the leading hub would, and adds the
 // outcomes to counts. The same load and seed have the same arrivals and task durations,
-// whatever the scheduler decides: durations are off by 40% for each job, and by 15% for
-// each of its tasks. The objective of a job follows from the duration of its longest
+// whatever the scheduler decides: durations are off by the error for each job, and by 15%
+// for each of its tasks. The objective of a job follows from the duration of its longest
 // task, which the scheduler doesn't know.
-func replay(t testing.TB, load replayLoad, seed uint64, late bool, counts *[3]replayCounts) {
+func replay(t testing.TB, load replayLoad, declared declaredError, seed uint64, late bool, counts *[3]replayCounts) {
 	h := newHarness(t)
 	start := h.now
 	workers, rates := load.size()
@@ -128,7 +135,7 @@
 			if o.Start != nil {
 				j := jobs[o.Start.Job]
 				r := rand.New(rand.NewPCG(1, math.Float64bits(unitHash(j.ID))))
-				actual := float64(j.Steps[0].Demand.DeclaredMillis) * (0.6 + 0.8*r.Float64())
+				actual := float64(j.Steps[0].Demand.DeclaredMillis) * declared.bias * (1 - declared.off + 2*declared.off*r.Float64())
 				for range o.Start.Task {
 					r.Float64()
 				}
@@ -323,7 +330,7 @@
 // replaySeeds replays a load with several seeds and adds up the outcomes.
 func replaySeeds(t *testing.T, load replayLoad, late bool) (counts [3]replayCounts) {
 	for seed := range uint64(3) {
-		replay(t, load, seed, late, &counts)
+		replay(t, load, usualError, seed, late, &counts)
 	}
 	for q, c := range counts {
 		t.Logf("%s, late admission %v: %s: worth %.3f, %+v", load.name, late, replayQueues[q].name, c.worth(), c)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -86,8 +86,10 @@
 	// entryAliveAt is the last proof that the entry is alive.
 	bound        bool
 	entryAliveAt time.Duration
-	// estimate is the expected duration of the job's critical path.
-	estimate time.Duration
+	// estimate is the expected duration of the job's critical path, and durationError the
+	// share by which it may be shorter.
+	estimate      time.Duration
+	durationError float64
 	// stepEnds holds, for each step, the expected time from the job's start to the
 	// step's end.
 	stepEnds []time.Duration
--- a/schedule/tail.go
+++ b/schedule/tail.go
@@ -37,6 +37,8 @@
 	// run counts as hung, and unknownHungFactor the multiple of the expected
 	// duration if no straggler has ended yet.
 	hungFactor, unknownHungFactor = 1.5, 12
+	// shorterShare is the share of the tasks that are shorter than durationTail.shorter.
+	shorterShare = 0.05
 )
 
 // durationTail is the distribution of a queue's task durations.
@@ -47,8 +49,9 @@
 	// survival and mean hold, for each multiple of tailStep, the share of the tasks
 	// that take longer, and the average duration of these.
 	survival, mean [tailPoints]float64
-	// longest is the longest duration on record.
-	longest float64
+	// longest is the longest duration on record, and shorter the one that shorterShare
+	// of the tasks fall short of.
+	longest, shorter float64
 	// late counts the late runs of workers that ended others as usual, and ended
 	// all runs that ended on such workers. Both are halved from time to time.
 	late, ended float64
@@ -116,6 +119,21 @@
 			t.mean[i] = sumAbove / countAbove
 		}
 	}
+	t.shorter = t.quantile(shorterShare)
+}
+
+// quantile returns the duration that the share of the tasks fall short of, interpolated
+// between the points of the table.
+func (t *durationTail) quantile(share float64) float64 {
+	i := 0
+	for i < tailPoints-1 && 1-t.survival[i+1] < share {
+		i++
+	}
+	if i == tailPoints-1 {
+		return t.longest
+	}
+	within := (t.survival[i] - (1 - share)) / (t.survival[i] - t.survival[i+1])
+	return (float64(i) + within) * tailStep
 }
 
 // share returns the share of the tasks that take longer than the given ratio, by
