schedule: runs say nothing of their workers while their agents are out of touch

Change: a run is late only as far as its agent has been heard since, which sends the ends of all runs before each heartbeat. A worker that hangs beside an agent that is heard is suspected as before.

--- a/hub/agents.go
+++ b/hub/agents.go
@@ -130,6 +130,7 @@
 		return
 	}
 	a.lastHeardAt = h.eventAt
+	ls.sched.AgentHeard(h.eventAt, a.host)
 	if r, ok := m.(*contract.WorkerReport); ok {
 		h.registerWorker(a, r)
 	}
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -140,8 +140,7 @@
 
 // recordRunEnd updates the worker's health, and what is known of its speed and of
 // the queue, from the end of a run. Runs whose job is not known or has ended don't
-// count. The duration of a taken-over run is ignored, since the time of its start is
-// not known.
+// count. The duration of a run is ignored if the time of its start or end is not known.
 func (s *Scheduler) recordRunEnd(now time.Duration, w *Worker, r *run, e contract.RunEnded) {
 	if r.unclaimed {
 		return
@@ -156,7 +155,7 @@
 	case e.Kind == contract.EndDone:
 		w.failures, w.unansweredStarts = 0, 0
 		w.probeInterval = minProbeInterval
-		if !r.takenOver {
+		if r.timed() {
 			s.recordDone(now, w, s.jobs[e.Job], r, e.RunRef)
 		}
 	}
--- a/schedule/late.go
+++ b/schedule/late.go
@@ -83,7 +83,7 @@
 // yet, or the run was taken over, the run is compared with its expected duration.
 func (s *Scheduler) isLate(now time.Duration, w *Worker, j *job, r *run) bool {
 	elapsed, slowness := now-r.placedAt, w.soundSlowness()
-	if j.hasPeer(w) && !r.takenOver {
+	if j.hasPeer(w) && r.timed() {
 		return elapsed > scale(max(r.usualDuration, time.Millisecond), lateFactor*slowness*j.shortestRatio)+lateSlack
 	}
 	return r.usualDuration > 0 && elapsed > scale(r.usualDuration, noPeerLateFactor*slowness)+noPeerLateSlack
@@ -96,7 +96,7 @@
 
 // noteLate counts a late run, once, against its worker.
 func (s *Scheduler) noteLate(w *Worker, r *run) {
-	if r.late || r.takenOver {
+	if r.late || !r.timed() {
 		return
 	}
 	r.late = true
@@ -160,17 +160,18 @@
 	var late []lateRun
 	for _, w := range s.workerList {
 		w.overdueRuns = 0
+		seen := w.seenUntil(now)
 		for ref, r := range w.runs {
 			if r.onProbation && now-r.placedAt > probation {
 				w.endProbation(r)
 			}
 			j := s.jobs[ref.Job]
-			if r.unclaimed || r.direct || j == nil || !s.isLate(now, w, j, r) {
+			if r.unclaimed || r.direct || j == nil || !s.isLate(seen, w, j, r) {
 				continue
 			}
 			s.noteLate(w, r)
-			l := lateRun{w, j, r, ref, r.usualRatio(now-r.placedAt) / w.soundSlowness() / j.prediction(w), false}
-			l.explained = !r.takenOver && s.tailOf(r.queue).explains(l.ratio)
+			l := lateRun{w, j, r, ref, r.usualRatio(seen-r.placedAt) / w.soundSlowness() / j.prediction(w), false}
+			l.explained = r.timed() && s.tailOf(r.queue).explains(l.ratio)
 			if !l.explained {
 				w.overdueRuns++
 			}
@@ -198,7 +199,7 @@
 		}
 		for ref, r := range w.runs {
 			j := s.jobs[ref.Job]
-			if j == nil || r.unclaimed || r.direct || r.takenOver || r.late || int(ref.Task) >= len(j.tasks) || j.tasks[ref.Task].startCount >= stopMaxStarts {
+			if j == nil || r.unclaimed || r.direct || !r.timed() || r.late || int(ref.Task) >= len(j.tasks) || j.tasks[ref.Task].startCount >= stopMaxStarts {
 				continue
 			}
 			step, _ := j.StepOf(ref.Task)
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -24,6 +24,9 @@
 	// takenOver marks a run that an earlier leader ordered. The time of its
 	// start is not known.
 	takenOver bool
+	// delayed marks a run whose start or end may be delayed, since its agent was out of
+	// touch.
+	delayed bool
 	// unclaimed marks a run that belongs to no job that this leader knows; the
 	// job has ended or has not been submitted again yet.
 	unclaimed bool
@@ -69,7 +72,9 @@
 	// unreachable says that the hub can't reach the agent; the worker gets no new
 	// work.
 	unreachable bool
-	runs        map[contract.RunRef]*run
+	// heardAt is when the last message of the agent arrived; zero if that is not known.
+	heardAt time.Duration
+	runs    map[contract.RunRef]*run
 	// used is the sum of the resources that runs need.
 	used contract.Demand
 	health
@@ -276,6 +281,7 @@
 func (s *Scheduler) WorkerUnreachable(h contract.HostID) {
 	if w := s.workers[h]; w != nil {
 		w.unreachable = true
+		w.outOfTouch()
 	}
 }
 
