schedule: agents that are connected to a new leader are expected at once

Cause: admission counted all workers that had not attached as free 550 ms after a takeover, the time of a restarted agent that waits out a lease. Agents now attach 10 to 110 ms after it, so what had room was refused.

Change: a worker whose agent is connected to the leader is expected 60 ms after that, and only if it has not attached by then, like the others, when the longest lease has passed.

--- a/hub/lead.go
+++ b/hub/lead.go
@@ -75,6 +75,7 @@
 		}
 		for l := range h.inbound {
 			h.sendKnownWorker(l)
+			h.leader.sched.AgentConnected(now, l.Remote().Host)
 		}
 		h.log.Info("leadership acquired", "term", h.node.Term(), "jobs", len(h.state.Jobs), "agents", len(h.state.Agents))
 	}
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -301,6 +301,9 @@
 	h := (*Hub)(i)
 	h.post(func() {
 		h.inbound[l] = true
+		if h.leader != nil {
+			h.leader.sched.AgentConnected(boottime.Now(), l.Remote().Host)
+		}
 		h.recordHubDomain(l.Remote())
 		h.sendState(l, h.hubState(boottime.Now()))
 		h.sendKnownWorker(l)
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -137,7 +137,7 @@
 	if len(s.viableJobs) == 0 && s.freeCPUExceedsReserve() && !j.wouldExpire(now) {
 		return Admission{OK: true}
 	}
-	if s.expectedMilliCPU(now, j.Pool) > 0 && !j.wouldExpire(now+s.expectedDelay(now)) {
+	if delay, ok := s.firstExpected(now, j.Pool); ok && !j.wouldExpire(now+delay) {
 		return Admission{OK: true}
 	}
 	return Admission{RetryAfter: s.retryAfter(now, j, minRetryAfter), Reason: "the objective has passed", mayBeLate: true}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -132,6 +132,9 @@
 	// expected holds the workers that the replicated state lists and that have not
 	// been reported to this leader yet, by the host of their agent.
 	expected map[contract.HostID]contract.WorkerAnnouncement
+	// connectedAt holds, for the agents of expected workers that are connected to this
+	// hub, since when.
+	connectedAt map[contract.HostID]time.Duration
 	// workerList holds the same workers as the workers map, in the order of
 	// their first report.
 	workerList []*Worker
@@ -218,6 +221,7 @@
 		jobs:             map[contract.DurableJobID]*job{},
 		workers:          map[contract.HostID]*Worker{},
 		expected:         maps.Clone(s.Agents),
+		connectedAt:      map[contract.HostID]time.Duration{},
 		statsByQueue:     map[string]*queueStats{},
 		demandRates:      map[demandKey]*demandRate{},
 		queueRates:       map[queueKey]*queueRate{},
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -84,6 +84,7 @@
 // the run ends in the report that count for their tasks.
 func (s *Scheduler) WorkerReported(now time.Duration, r *contract.WorkerReport) []TaskEnd {
 	delete(s.expected, r.Host)
+	delete(s.connectedAt, r.Host)
 	w := s.workers[r.Host]
 	if w == nil {
 		w = &Worker{Host: r.Host, runs: map[contract.RunRef]*run{}, health: newHealth()}
