workeragent: a process's own earlier calls are not fenced

A worker that is restarted under its ID was used at once, as its agent took the present token for unknown to everybody. It is the token of this very process, whose calls to the instance before may still arrive: a second run of a task was possible.

Change: the token counts only before the first session of the process. TestOwnEarlierCallsAreNotFenced fails without it.

--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -55,8 +55,10 @@
 	cfg    Config
 	log    logr.Logger
 	uplink *uplink.Uplink
-	ctx    context.Context
-	group  *errgroup.Group
+	// unknownBefore is Uplink.UnknownBefore.
+	unknownBefore func(term uint64) bool
+	ctx           context.Context
+	group         *errgroup.Group
 
 	mu sync.Mutex // guards the fields below and those marked so in workerInstance
 	// link is the link to the leader, or nil if no leader is known. attachID
@@ -97,6 +99,7 @@
 func New(cfg Config) *Agent {
 	a := &Agent{cfg: cfg, log: cfg.Uplink.Log, entries: map[*link.Link]*entryLink{}, leaderLostAt: boottime.Now()}
 	a.uplink = uplink.New(cfg.Uplink, a)
+	a.unknownBefore = a.uplink.UnknownBefore
 	if a.cfg.Evacuated == nil {
 		a.cfg.Evacuated = a.uplink.Evacuated
 	}
--- a/workeragent/leftover.go
+++ b/workeragent/leftover.go
@@ -23,8 +23,9 @@
 	// hadSession says that this process has had a session with the worker. It has then
 	// resolved all its start calls, and waited for those of an earlier process.
 	hadSession bool
-	// fenced says that the worker has seen a fencing token that no earlier agent process
-	// can have known.
+	// fenced says that the worker has seen a fencing token that no call from before the
+	// session can carry: no earlier agent process can have known it, and this one has had
+	// no session yet.
 	fenced bool
 	// latestLeaseEndMS is the latest end of a lease that was asked for, in milliseconds.
 	latestLeaseEndMS int64
--- a/workeragent/leftover_test.go
+++ b/workeragent/leftover_test.go
@@ -1,6 +1,7 @@
 package workeragent
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 
@@ -47,6 +48,34 @@
 	}
 }
 
+// emptyClient is a client of a worker that lists nothing.
+type emptyClient struct{ absentClient }
+
+func (emptyClient) Poll(context.Context, PollCall) (PollReply, error) {
+	return PollReply{ClockMS: 10}, nil
+}
+
+// TestOwnEarlierCallsAreNotFenced: a worker that was restarted under its ID may carry out
+// late calls of this very process, whose token is as new.
+func TestOwnEarlierCallsAreNotFenced(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		session contract.WorkerSession
+		unknown bool
+		fenced  bool
+	}{
+		{"the process has begun, and nobody knew the term", 0, true, true},
+		{"an earlier process may have known the term", 0, false, false},
+		{"the process has had a session", 7, true, false},
+	} {
+		a, w := newInstanceInSession(t, emptyClient{})
+		a.session, a.unknownBefore = c.session, func(uint64) bool { return c.unknown }
+		_, err := w.poll(PollCall{})
+		must.NoError(t, err)
+		must.Eq(t, c.fenced, w.fenced, must.Sprint(c.name))
+	}
+}
+
 // modelWorker is a worker as its protocol describes it. Its clock counts milliseconds.
 type modelWorker struct {
 	clock, leaseEnd int64
--- a/workeragent/session.go
+++ b/workeragent/session.go
@@ -112,8 +112,9 @@
 	// fresh says that no earlier agent process can have called the instance: this process
 	// saw the instance before it exit, which had another ID, and calls name the ID.
 	fresh bool
-	// fenced says that the worker has answered a poll under the token of a leader that no
-	// earlier agent process can have known. It then carries out no call of such a process.
+	// fenced says that the worker has answered a poll under a token that no earlier agent
+	// process can have known, before the first session of this process. It then carries out
+	// no call from before.
 	fenced bool
 	// leaving says that the instance has announced its end.
 	leaving bool
@@ -359,12 +360,14 @@
 		}
 		w.agent.mu.Unlock()
 	}
-	switch {
-	case err == nil && c.Token == 0:
+	if err == nil && c.Token == 0 {
 		err = ErrNoLeader
-	case err == nil && w.agent.uplink.UnknownBefore(c.Token):
+	}
+	if err == nil {
 		w.agent.mu.Lock()
-		w.fenced = true
+		// Calls of this process to an earlier instance may reach this one if it has the
+		// same ID, and they carry the same token.
+		w.fenced = w.fenced || w.agent.session == 0 && w.agent.unknownBefore(c.Token)
 		w.agent.mu.Unlock()
 	}
 	if err != nil {
