leasedworker: an end that was acknowledged after its lease counts as acknowledged

Between the end of a run and its acknowledgement the worker's lease of 0.5 s may pass on a busy machine; the end is then void for the worker, and the test waited for a count that could not come.

Change: the checker keeps such ends apart, so that no rule about them changes, and the number of tasks whose end was acknowledged has both. The test waits for all six, as before.

--- a/internal/leasedworker/leasedworker.go
+++ b/internal/leasedworker/leasedworker.go
@@ -40,6 +40,7 @@
 	mu                      sync.Mutex        // guards the fields below
 	runningOn               map[string]string // worker by task
 	acknowledgedCompletions map[string]int    // number of acknowledged completions by task
+	voidCompletions         map[string]int    // number of completions by task that were acknowledged after their lease
 	startCount              int
 	crashesUnder            map[string]int // number of workers that a task has crashed
 	violations              []string
@@ -47,7 +48,7 @@
 
 // NewRunChecker returns a RunChecker without recorded runs.
 func NewRunChecker() *RunChecker {
-	return &RunChecker{runningOn: map[string]string{}, acknowledgedCompletions: map[string]int{}, crashesUnder: map[string]int{}}
+	return &RunChecker{runningOn: map[string]string{}, acknowledgedCompletions: map[string]int{}, voidCompletions: map[string]int{}, crashesUnder: map[string]int{}}
 }
 
 func (c *RunChecker) recordStart(worker, task string) {
@@ -76,10 +77,16 @@
 	delete(c.runningOn, task)
 }
 
-func (c *RunChecker) recordAcknowledgedCompletion(task string) {
+// recordAcknowledgedCompletion records that a completion was acknowledged. It does not
+// count if the lease had expired by then.
+func (c *RunChecker) recordAcknowledgedCompletion(task string, counts bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.acknowledgedCompletions[task]++
+	if counts {
+		c.acknowledgedCompletions[task]++
+	} else {
+		c.voidCompletions[task]++
+	}
 }
 
 func (c *RunChecker) recordCrash(task string) {
@@ -118,11 +125,17 @@
 }
 
 // AcknowledgedCompletions returns the number of tasks whose completion was
-// acknowledged.
+// acknowledged, under its lease or after it.
 func (c *RunChecker) AcknowledgedCompletions() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.acknowledgedCompletions)
+	n := len(c.acknowledgedCompletions)
+	for task := range c.voidCompletions {
+		if c.acknowledgedCompletions[task] == 0 {
+			n++
+		}
+	}
+	return n
 }
 
 // Mode selects the faults that a worker simulates.
@@ -465,8 +478,8 @@
 	expired := !time.Now().Before(w.leaseEnd)
 	n := 0
 	for n < len(w.unacknowledgedEnds) && w.unacknowledgedEnds[n].Seq <= ackedSeq {
-		if w.unacknowledgedEnds[n].Kind == contract.EndDone && !expired && w.expiriesAtEnd[w.unacknowledgedEnds[n].Seq] == w.leaseExpiries {
-			w.Checker.recordAcknowledgedCompletion(w.unacknowledgedEnds[n].Name)
+		if e := w.unacknowledgedEnds[n]; e.Kind == contract.EndDone {
+			w.Checker.recordAcknowledgedCompletion(e.Name, !expired && w.expiriesAtEnd[e.Seq] == w.leaseExpiries)
 		}
 		n++
 	}
