hub: a refusal's log line says the predicted wait and the room that is about to come

Cause: from the line of a job that was refused after a restart an operator could not tell what the leader counted.

Change: `job refused` has wait_ms, and with `pool summary` expected and expected_ms, the CPU of workers that are about to attach and when the first should. Names and comments.

No decision changes.

--- a/hub/hub.go
+++ b/hub/hub.go
@@ -225,7 +225,9 @@
 	// poolFields holds, by pool, the log fields of refusalFields as of poolFieldsAt.
 	poolFields   map[string][]any
 	poolFieldsAt time.Duration
-	lastCheckAt  time.Duration
+	// refusedWait is the predicted wait of the job that was refused last, for its log line.
+	refusedWait time.Duration
+	lastCheckAt time.Duration
 }
 
 // Run runs a hub that accepts links on ln until ctx is done. It passes the hub to
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -130,6 +130,7 @@
 	return []any{
 		"pool", p.Pool, "workers", p.AvailableWorkers, "slow", p.SlowWorkers, "suspects", p.SuspectedWorkers, "away", p.UnavailableWorkers,
 		"cells", p.Cells, "lost", p.LostWorkers, "cell_limit", p.CellLimit, "confined_queues", p.ConfinedQueues, "unreachable", p.UnreachableWorkers, "evacuated", p.EvacuatedWorkers, "unattached", unattached, "room", p.CapacityMilliCPU, "used", p.UsedMilliCPU,
+		"expected", p.ExpectedMilliCPU, "expected_ms", p.ExpectedDelay.Milliseconds(),
 	}
 }
 
@@ -261,6 +262,7 @@
 		fields := []any{"path", m.Path, "verdict", r.Verdict, "reason", r.Reason, "retry_ms", r.RetryAfter.Milliseconds()}
 		if r.Verdict == contract.VerdictOverload {
 			if q, _ := h.state.MatchQueue(m.Host, m.Path); q != nil {
+				fields = append(fields, "wait_ms", h.leader.refusedWait.Milliseconds())
 				fields = append(fields, h.leader.refusalFields(now, q.Pool)...)
 			}
 		}
@@ -339,6 +341,7 @@
 			admission = h.leader.sched.AdmitLate(now, now-m.Age, &job, admission)
 		}
 		if !admission.OK && !mayHaveStarted {
+			h.leader.refusedWait = admission.PredictedWait
 			return refusal(admission)
 		}
 	}
--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -78,7 +78,7 @@
 }
 
 // durationErrorOf returns by which share the tasks of the queue may be shorter than
-// expected: nine in ten are not.
+// expected; only shorterShare of them are shorter still.
 func (s *Scheduler) durationErrorOf(queue string) float64 {
 	tail := s.tailOf(queue)
 	if !tail.known() {
--- a/schedule/expected.go
+++ b/schedule/expected.go
@@ -80,11 +80,11 @@
 // firstExpected returns how long from now the first of the pool's expected workers should
 // have attached, and whether there is one.
 func (s *Scheduler) firstExpected(now time.Duration, pool string) (time.Duration, bool) {
-	first, any := time.Duration(0), false
+	first, found := time.Duration(0), false
 	s.eachExpected(now, pool, func(h contract.HostID, milliCPU int) {
-		if d := s.expectedDelay(now, h); milliCPU > 0 && (!any || d < first) {
-			first, any = d, true
+		if d := s.expectedDelay(now, h); milliCPU > 0 && (!found || d < first) {
+			first, found = d, true
 		}
 	})
-	return first, any
+	return first, found
 }
--- a/schedule/summary.go
+++ b/schedule/summary.go
@@ -26,6 +26,10 @@
 	// CapacityMilliCPU is the total CPU of the workers counted in AvailableWorkers,
 	// and UsedMilliCPU the part of it that runs use, in thousandths of a core.
 	CapacityMilliCPU, UsedMilliCPU int
+	// ExpectedMilliCPU is the CPU of the workers that have not attached to this leader and
+	// are expected to; the first of them in ExpectedDelay.
+	ExpectedMilliCPU int
+	ExpectedDelay    time.Duration
 	// ViableJobs is the number of jobs with waiting tasks that began in time or
 	// can still meet their objective. LateJobs is the number of jobs with waiting
 	// tasks that missed their latest start before they began, or were admitted late.
@@ -48,7 +52,8 @@
 		if !ok {
 			i = len(out)
 			indexOf[w.Pool] = i
-			out = append(out, PoolSummary{Pool: w.Pool, ViableJobs: len(s.viableJobs), LateJobs: len(s.lateJobs) + len(s.deferredJobs), Jobs: len(s.jobs), ConfinedQueues: s.confinement.Count(w.Pool)})
+			first, _ := s.firstExpected(now, w.Pool)
+			out = append(out, PoolSummary{Pool: w.Pool, ExpectedMilliCPU: s.expectedMilliCPU(now, w.Pool), ExpectedDelay: first, ViableJobs: len(s.viableJobs), LateJobs: len(s.lateJobs) + len(s.deferredJobs), Jobs: len(s.jobs), ConfinedQueues: s.confinement.Count(w.Pool)})
 			if c := s.cells[w.Pool]; c != nil {
 				out[i].LostWorkers, out[i].CellLimit = len(c.lost), s.cellLimit(now, w.Pool)
 			}
