--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -47,7 +47,10 @@
 	if err != nil {
 		return false, err
 	}
-	for _, m := range c.cores[:3] {
+	for i, m := range c.cores[:3] {
+		if i > 0 {
+			time.Sleep(2 * catchUp)
+		}
 		if trouble {
 			m.kill()
 			if err := os.RemoveAll(m.dataDir); err != nil {
@@ -60,7 +63,6 @@
 			}
 			c.rec.say("%s is back with an empty disk", m.name)
 		}
-		time.Sleep(2 * catchUp)
 	}
 	time.Sleep(finish)
 	for _, m := range c.cores {
@@ -68,7 +70,7 @@
 	}
 	c.rec.say("GET /config -> %d", c.readConfig())
 	unanswered, asked := 0, 0
-	for i := 0; i < len(ids); i += len(ids) / 6 {
+	for i := 0; i < len(ids); i += len(ids) / 3 {
 		asked++
 		if status, state := c.state(ids[i]); state == "" {
 			unanswered++
@@ -143,9 +145,9 @@
 const ackDelay = 12 * time.Millisecond
 
 // playFailed: short jobs come of which some tasks fail once, with two attempts allowed. The
-// process that leads is killed, five times, each after the one before is back.
+// process that leads is killed, eight times, each after the one before is back and has had its time.
 func playFailed(c *cluster, trouble bool) (bool, error) {
-	const kills, between = 5, 5 * time.Second
+	const kills, between = 8, 4500 * time.Millisecond
 	const every = 8 * time.Millisecond
 	var ids []string
 	var submitted error
