Accepted jobs follow their route when the tables change

Cause: the name, pool and priority of the queue are copied into the job at its admission, and nothing matched accepted jobs again. Evidence: the new version is in force on the leader, the task waits, and only workers of the copied pool are eligible. Ruled out: a run that is taken for alive (the session has ended), a member that has not applied the tables.

Change: jobs that have not ended are matched again where the tables are applied, by the host and prefix of their queue, else by its name. Queue, pool and priority follow; attempts and objective hold as promised. Runs go on; waiting tasks move. A transient job that has not begun is refused at once if no worker of the new service could run it.

--- a/directstart/directstart.go
+++ b/directstart/directstart.go
@@ -63,7 +63,7 @@
 // LinkID identifies a link to an agent. A new link of the same agent has another ID.
 type LinkID uint64
 
-// Event is an input: Offer, End, Crash, LinkLost, Submit, Abandon or Tick.
+// Event is an input: Offer, End, Crash, LinkLost, Submit, Abandon, QueuesChanged or Tick.
 type Event interface{ isEvent() }
 
 // Offer is an agent's offer of capacity.
@@ -94,16 +94,20 @@
 // Abandon says that no caller waits for the job any more.
 type Abandon struct{ ID contract.DurableJobID }
 
+// QueuesChanged says that a newer list of the queues has arrived.
+type QueuesChanged struct{ Change *contract.QueueChange }
+
 // Tick makes time pass without another event.
 type Tick struct{}
 
-func (Offer) isEvent()    {}
-func (End) isEvent()      {}
-func (Crash) isEvent()    {}
-func (LinkLost) isEvent() {}
-func (Submit) isEvent()   {}
-func (Abandon) isEvent()  {}
-func (Tick) isEvent()     {}
+func (Offer) isEvent()         {}
+func (End) isEvent()           {}
+func (Crash) isEvent()         {}
+func (LinkLost) isEvent()      {}
+func (Submit) isEvent()        {}
+func (Abandon) isEvent()       {}
+func (QueuesChanged) isEvent() {}
+func (Tick) isEvent()          {}
 
 // Action is an output: Start, Stop or Answer.
 type Action interface{ isAction() }
@@ -251,6 +255,8 @@
 		d.submit(now, e)
 	case Abandon:
 		d.abandon(e.ID)
+	case QueuesChanged:
+		d.rematch(e.Change)
 	}
 	d.place(now)
 	out := d.actions
--- a/directstart/directstart_test.go
+++ b/directstart/directstart_test.go
@@ -263,3 +263,24 @@
 	h.submit("later", 1, 60)
 	must.Len(t, 2, h.starts)
 }
+
+// TestWaitingTasksFollowTheQueues guards against a job that waits for agents of a pool that
+// its route has left.
+func TestWaitingTasksFollowTheQueues(t *testing.T) {
+	h := newHarness(t)
+	h.offer(1, 1, 1, 0)
+	h.submit("j", 2, 100)
+	must.Len(t, 1, h.starts)
+	capacity := contract.Capacity{MilliCPU: 1000, MemoryMB: 1000}
+	h.do(Offer{2, contract.DirectOffer{Open: true, Pool: "p2", Capacity: capacity, Free: capacity}})
+	must.Len(t, 1, h.starts, must.Sprint("an agent of another pool"))
+	queues := func(pool string) []contract.Queue {
+		return []contract.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: pool}}
+	}
+	h.do(QueuesChanged{contract.NewQueueChange(queues("p"), queues("p2"))})
+	must.Len(t, 2, h.starts)
+	must.Eq(t, 2, h.starts[1].Link)
+	h.end(h.starts[0], contract.EndDone)
+	h.end(h.starts[1], contract.EndDone)
+	must.Eq(t, Completed, h.answers["j"].Result)
+}
--- a/directstart/jobs.go
+++ b/directstart/jobs.go
@@ -195,6 +195,14 @@
 	}
 }
 
+// rematch makes the jobs follow their queues. Tasks that wait start on workers of the new
+// pool; runs go on where they are.
+func (d *Dispatcher) rematch(change *contract.QueueChange) {
+	for _, j := range d.jobs {
+		change.Rematch(&j.DurableJob)
+	}
+}
+
 // handleEnd processes the end of a run. Ends of runs that were stopped only free
 // capacity.
 func (d *Dispatcher) handleEnd(now time.Duration, e End) {
--- a/durable/durable.go
+++ b/durable/durable.go
@@ -36,6 +36,9 @@
 	Crashes []Crash
 	// Failed lists the jobs that are given up since a task of them crashes workers.
 	Failed []contract.DurableJobID
+	// SubmitTables is the version of the tables by which the first of Submits was matched;
+	// zero in a batch of an earlier version.
+	SubmitTables uint64
 }
 
 // Empty reports whether the batch has no other effect than to advance the log
@@ -123,6 +126,8 @@
 	// Crashes lists the crashes of the last CrashRetention, and the older ones under
 	// jobs that have not ended, in the order in which a leader learned of them.
 	Crashes []Crash
+	// Dropped lists the queues that have left the tables and that jobs may still name.
+	Dropped []DroppedQueue
 }
 
 // GoneAgentRetention is how long, in log time, the removal of an agent is kept. It
@@ -142,13 +147,18 @@
 }
 
 // Restore decodes a state from the data of a snapshot that Encode returned.
-// Empty data gives an empty state.
+// Empty data gives an empty state. A member of an earlier version does not match jobs to
+// new tables, so those of its snapshot are matched here.
 func Restore(data []byte) (*State, error) {
 	s := New()
 	if len(data) == 0 {
 		return s, nil
 	}
-	return s, msgpack.Unmarshal(data, s)
+	if err := msgpack.Unmarshal(data, s); err != nil {
+		return s, err
+	}
+	s.rematchJobs(s.queuesSeen())
+	return s, nil
 }
 
 // Encode returns the state as the data of a snapshot.
@@ -184,6 +194,10 @@
 	Ended []*Job
 	// TablesChanged says that queue tables of a higher version took effect.
 	TablesChanged bool
+	// Queues is the change of the queues, and Rematched lists the jobs that follow it with
+	// another queue, pool or priority. Both are nil if the tables have not changed.
+	Queues    *contract.QueueChange
+	Rematched []*Job
 	// Evacuations lists the orders that changed the set of evacuated domains.
 	Evacuations []EvacuationOrder
 }
@@ -193,14 +207,10 @@
 	var c Changes
 	s.LogTime = max(s.LogTime, b.LogTime)
 	if b.Tables != nil && b.Tables.Version > s.Tables.Version {
-		s.Tables = *b.Tables
+		s.replaceTables(b.Tables, &c)
 		c.TablesChanged = true
 	}
-	for i := range b.Submits {
-		if j := s.addJob(&b.Submits[i]); j != nil {
-			c.Accepted = append(c.Accepted, j)
-		}
-	}
+	s.addJobs(b, &c)
 	for _, id := range b.Cancels {
 		if j := s.Jobs[id]; j != nil && !j.State.Ended() {
 			s.finishJob(j, contract.DurableCancelled, &c)
@@ -241,6 +251,25 @@
 	}
 }
 
+// addJobs adds the submitted jobs. Those that were matched by earlier tables are matched
+// again.
+func (s *State) addJobs(b *Batch, c *Changes) {
+	var change *contract.QueueChange
+	if len(b.Submits) > 0 && b.SubmitTables != s.Tables.Version {
+		change = s.queuesSeen()
+	}
+	for i := range b.Submits {
+		j := s.addJob(&b.Submits[i])
+		if j == nil {
+			continue
+		}
+		if change != nil {
+			change.Rematch(&j.DurableJob)
+		}
+		c.Accepted = append(c.Accepted, j)
+	}
+}
+
 // addJob adds a job and returns it, or returns nil if the state holds a job
 // with the same ID.
 func (s *State) addJob(d *contract.DurableJob) *Job {
--- a/gateway/direct.go
+++ b/gateway/direct.go
@@ -152,12 +152,14 @@
 	}
 }
 
-// setQueues keeps the newest list of the queues.
+// setQueues keeps the newest list of the queues. Jobs that wait for a start follow it.
 func (d *directStarts) setQueues(q *contract.QueueList) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if q.Version > d.queues.Version {
+		change := contract.NewQueueChange(d.queues.Queues, q.Queues)
 		d.queues = *q
+		d.handleLocked(directstart.QueuesChanged{Change: change})
 	}
 	d.seenVersion = max(d.seenVersion, q.Version)
 }
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -221,7 +221,7 @@
 		ch <- nil
 	}
 	if changes.TablesChanged {
-		h.log.Info("tables in force", "version", h.state.Tables.Version, "queues", len(h.state.Tables.Queues))
+		h.tablesChanged(now, changes)
 	}
 	for _, seen := range p.batch.RegisteredAgents {
 		h.agentRegistered(now, seen.Host)
@@ -355,6 +355,9 @@
 		return nil
 	}
 	h.leader.submissions[id] = &submission{receivedAt: now, waiters: []replyTo{to}}
+	if len(h.leader.pending.batch.Submits) == 0 {
+		h.leader.pending.batch.SubmitTables = h.state.Tables.Version
+	}
 	h.leader.pending.batch.Submits = append(h.leader.pending.batch.Submits, job)
 	return nil
 }
--- /dev/null
+++ b/hub/reroute_test.go
@@ -0,0 +1,79 @@
+package hub
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+)
+
+const otherPool = "recipe"
+
+// tablesTo returns tables whose first queue is served by the pool.
+func tablesTo(version uint64, pool string) *contract.QueueTables {
+	t := tables(version)
+	t.Queues[0].Pool = pool
+	return t
+}
+
+// newTwoPoolCluster returns a cluster whose workers w1 and w2 are of testPool and
+// otherPool.
+func newTwoPoolCluster(t *testing.T) *cluster {
+	c := newCluster(t, 3)
+	c.pools = map[string]string{"w2": otherPool}
+	for _, name := range []string{"w1", "w2"} {
+		c.addWorker(name)
+	}
+	c.storeTables(tablesTo(1, testPool))
+	return c
+}
+
+// twoSteps returns a job whose second step starts after the first has ended.
+func twoSteps(id string, millis int) *contract.JobSubmit {
+	m := testJob(id, 1, millis)
+	second := m.Steps[0]
+	second.After = []int{0}
+	m.Steps = append(m.Steps, second)
+	return m
+}
+
+// TestAcceptedJobFollowsItsRoute guards against a job that stays with the pool that its
+// route has left: once that pool has no worker, the job never goes on.
+func TestAcceptedJobFollowsItsRoute(t *testing.T) {
+	for name, transient := range map[string]bool{"stored": false, "transient": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newTwoPoolCluster(t)
+			m := twoSteps("a", 400)
+			m.Transient = transient
+			answered := make(chan contract.DurableState, 1)
+			if transient {
+				go func() { answered <- c.sendToLeader(m).State }()
+			} else {
+				c.submitUntilAccepted(m)
+			}
+			c.waitFor("the first step runs", func() bool { return c.workers["w1"].Running() == 1 })
+			c.storeTables(tablesTo(2, otherPool))
+			c.waitFor("the second step runs on a worker of the new pool", func() bool { return c.workers["w2"].Running() == 1 })
+			if transient {
+				must.Eq(t, contract.DurableCompleted, <-answered)
+			} else {
+				c.waitCompleted("a")
+			}
+			must.Eq(t, nil, c.runChecker.Violations())
+		})
+	}
+}
+
+// TestRerouteSurvivesAChangeOfLeader guards against a later leader that knows only the
+// pool that the route had when the job was accepted.
+func TestRerouteSurvivesAChangeOfLeader(t *testing.T) {
+	c := newTwoPoolCluster(t)
+	c.submitUntilAccepted(twoSteps("a", 1500))
+	c.waitFor("the first step runs", func() bool { return c.workers["w1"].Running() == 1 })
+	c.storeTables(tablesTo(2, otherPool))
+	c.stopHub(c.waitLeader())
+	c.waitFor("the second step runs on a worker of the new pool", func() bool { return c.workers["w2"].Running() == 1 })
+	c.waitCompleted("a")
+	must.Eq(t, nil, c.runChecker.Violations())
+}
--- a/hub/settle.go
+++ b/hub/settle.go
@@ -107,6 +107,6 @@
 func (h *Hub) refuseTransient(t *transientJob, a schedule.Admission) {
 	reply := refusal(a)
 	telemetry.JobsRefused.WithLabelValues(reply.Reason).Inc()
-	h.log.Info("resubmitted job refused", "job", t.job.ID, "verdict", reply.Verdict, "reason", reply.Reason, "retry_ms", reply.RetryAfter.Milliseconds())
+	h.log.Info("transient job refused", "job", t.job.ID, "verdict", reply.Verdict, "reason", reply.Reason, "retry_ms", reply.RetryAfter.Milliseconds())
 	h.dropTransient(t, reply)
 }
--- a/hub/system_test.go
+++ b/hub/system_test.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -64,6 +65,8 @@
 	directStarts bool
 	// agentSeeds replaces the seeds of agents by worker name.
 	agentSeeds map[string][]string
+	// pools holds, by worker name, the pools of the workers that are not of testPool.
+	pools map[string]string
 }
 
 // newCluster starts the given number of hubs as a new group, an agent for each
@@ -86,8 +89,7 @@
 		c.runHub(i, ln, true)
 	}
 	for _, name := range workers {
-		c.workers[name] = leasedworker.New(name, c.runChecker)
-		c.startAgent(name)
+		c.addWorker(name)
 	}
 	c.gateway = gateway.New(c.uplinkConfig("gw", contract.RoleEntry), false)
 	gw := c.startProcess(c.gateway.Run)
@@ -164,6 +166,12 @@
 	c.runHub(i, ln, false)
 }
 
+// addWorker starts a worker and its agent.
+func (c *cluster) addWorker(name string) {
+	c.workers[name] = leasedworker.New(name, c.runChecker)
+	c.startAgent(name)
+}
+
 func (c *cluster) startAgent(name string) {
 	w := c.workers[name]
 	up := c.uplinkConfig(name, contract.RoleAgent)
@@ -180,7 +188,7 @@
 	c.agentProcesses[name] = c.startProcess(func(ctx context.Context) error {
 		go func() {
 			for ctx.Err() == nil && w.Announcing() {
-				workerAgent.HandleAnnouncement(w.Announcement(testPool, 1000))
+				workerAgent.HandleAnnouncement(w.Announcement(c.poolOf(name), 1000))
 				time.Sleep(100 * time.Millisecond)
 			}
 		}()
@@ -188,6 +196,11 @@
 	})
 }
 
+// poolOf returns the pool of a worker.
+func (c *cluster) poolOf(worker string) string {
+	return cmp.Or(c.pools[worker], testPool)
+}
+
 // waitFor fails the test unless cond returns true within waitTimeout.
 func (c *cluster) waitFor(what string, cond func() bool) {
 	c.t.Helper()
@@ -222,7 +235,10 @@
 	}}
 }
 
-func (c *cluster) putTables(version uint64) {
+func (c *cluster) putTables(version uint64) { c.storeTables(tables(version)) }
+
+// storeTables makes the leader store the tables.
+func (c *cluster) storeTables(t *contract.QueueTables) {
 	c.waitFor("the tables are stored", func() bool {
 		leader := c.waitLeader()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -230,7 +246,7 @@
 		c.mu.Lock()
 		h := c.hubInstances[leader]
 		c.mu.Unlock()
-		return h != nil && h.PutTables(ctx, tables(version)) == nil
+		return h != nil && h.PutTables(ctx, t) == nil
 	})
 }
 
--- a/hub/tables.go
+++ b/hub/tables.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/carawaylanding/carawaylanding/boottime"
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/durable"
 )
 
 // ErrNotLeader is returned for requests that only the leader can answer, while
@@ -64,6 +66,28 @@
 	p.waiters = append(p.waiters, ch)
 }
 
+// tablesChanged makes the accepted jobs follow their queues after a change of the tables.
+func (h *Hub) tablesChanged(now time.Duration, changes durable.Changes) {
+	rematched, stranded := len(changes.Rematched), 0
+	for _, j := range changes.Rematched {
+		if !h.leader.sched.JobRematched(now, j.ID).OK {
+			stranded++
+		}
+	}
+	for id, t := range h.leader.transients.jobs {
+		if t.endedAt != 0 || !changes.Queues.Rematch(&t.job.DurableJob) {
+			continue
+		}
+		rematched++
+		admission := h.leader.sched.JobRematched(now, id)
+		if !admission.OK && !t.mayHaveStarted && !h.leader.sched.Begun(id) {
+			h.refuseTransient(t, admission)
+		}
+	}
+	h.log.Info("tables in force", "version", h.state.Tables.Version, "queues", len(h.state.Tables.Queues), "dropped", len(h.state.Dropped),
+		"rematched", rematched, "stranded", stranded)
+}
+
 // Tables returns the queue tables in force. It returns ErrNotLeader if this hub
 // does not lead, and ctx.Err() if ctx is done first.
 func (h *Hub) Tables(ctx context.Context) (contract.QueueTables, error) {
--- a/schedule/admit.go
+++ b/schedule/admit.go
@@ -40,6 +40,9 @@
 	// attachGracePeriod is how long agents may take to attach to a new leader.
 	// Until then, jobs are admitted even though no worker is known.
 	attachGracePeriod = time.Second
+
+	noWorkerReason  = "no worker of the pool takes work"
+	neverFitsReason = "no worker of the pool is large enough for a task, or has its label"
 )
 
 // Admit decides whether to admit a job that was submitted at the time arrived.
@@ -47,18 +50,18 @@
 // is predicted to miss its objective, and one that would make an already
 // admitted job miss its own.
 func (s *Scheduler) Admit(now, arrived time.Duration, d *contract.DurableJob) Admission {
-	milliCPU := s.poolMilliCPU(d.Pool)
 	if s.BlockedByEvacuation(now, d) {
 		return Admission{RetryAfter: NoWorkerRetryAfter, Reason: EvacuatedReason}
 	}
-	if milliCPU == 0 && s.expectsWorkers(now) {
+	noWorker := s.poolMilliCPU(d.Pool) == 0
+	if noWorker && s.expectsWorkers(now) {
 		return Admission{OK: true}
 	}
-	if milliCPU == 0 {
-		return Admission{RetryAfter: NoWorkerRetryAfter, Reason: "no worker of the pool takes work"}
+	if noWorker {
+		return Admission{RetryAfter: NoWorkerRetryAfter, Reason: noWorkerReason}
 	}
 	if !s.fitsIdleWorkers(now, d) {
-		return Admission{NeverFits: true, Reason: "no worker of the pool is large enough for a task, or has its label"}
+		return Admission{NeverFits: true, Reason: neverFitsReason}
 	}
 	if s.blockedByShrinking(now, d) {
 		return Admission{RetryAfter: NoWorkerRetryAfter, Reason: ShrunkReason}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -56,6 +56,9 @@
 	for _, j := range c.Accepted {
 		h.sch.AddAccepted(j, h.now)
 	}
+	for _, j := range c.Rematched {
+		h.sch.JobRematched(h.now, j.ID)
+	}
 	for _, e := range batch.Ends {
 		h.sch.TaskEndApplied(e.DurableTask)
 	}
