A job keeps its ID when another queue matches its path

Callers saw: a job that was accepted at /q/inner/ID is answered with 410 once the queue at /q/inner/ has been dropped and the one at /q/ matches the path. Sent again, which callers do after a lost answer, it was a new job and ran a second time.

Cause: the ID was the rest of the path after the prefix of the queue that matches now, so it changed with the tables (inner/ID instead of ID).

Change: the ID is the last segment of the path, at the hub and at entries that start jobs directly. Platform callers have always had to end the path in an ID of 16 digits, so no accepted path changes its meaning otherwise.

--- a/contract/durable.go
+++ b/contract/durable.go
@@ -57,6 +57,13 @@
 	return best, path[len(best.PathPrefix):]
 }
 
+// JobIDIn returns the ID of the job that a request names: the last segment of its path, or
+// of the rest of the path after the prefix of its queue. It does not depend on which queue
+// matches, so that a job keeps its ID when that changes.
+func JobIDIn(path string) DurableJobID {
+	return DurableJobID(path[strings.LastIndexByte(path, '/')+1:])
+}
+
 // DurableStep is a set of identical tasks of a durable job.
 type DurableStep struct {
 	// Count is the number of tasks.
--- a/gateway/direct.go
+++ b/gateway/direct.go
@@ -190,7 +190,7 @@
 		return contract.DurableJob{}, false
 	}
 	return contract.DurableJob{
-		ID: contract.DurableJobID(suffix), Queue: q.Name, Pool: q.Pool, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
+		ID: contract.JobIDIn(suffix), Queue: q.Name, Pool: q.Pool, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 		Slack: q.Slack, Target: q.Target, Spec: m.Spec, Steps: m.Steps,
 	}, true
 }
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -304,7 +304,7 @@
 		// The entry may be gone already. If it is not, it submits the job again.
 		return &contract.JobReply{Verdict: contract.VerdictNotLeader}
 	}
-	id := contract.DurableJobID(suffix)
+	id := contract.JobIDIn(suffix)
 	if h.state.Jobs[id] != nil {
 		return &contract.JobReply{Verdict: contract.VerdictAccepted}
 	}
@@ -388,7 +388,7 @@
 	if suffix == "" && m.Action == contract.JobRead {
 		return &contract.JobReply{Verdict: contract.VerdictWaiting, Waiting: h.leader.sched.WaitingJobs(q.Name)}
 	}
-	id := contract.DurableJobID(suffix)
+	id := contract.JobIDIn(suffix)
 	if m.Action == contract.JobAbandon {
 		h.abandonTransient(now, to.link, id)
 		return nil
--- a/hub/reroute_test.go
+++ b/hub/reroute_test.go
@@ -77,3 +77,26 @@
 	c.waitCompleted("a")
 	must.Eq(t, nil, c.runChecker.Violations())
 }
+
+// onlyQueue returns tables that keep one of the queues of tables.
+func onlyQueue(version uint64, index int) *contract.QueueTables {
+	t := tables(version)
+	t.Queues = t.Queues[index : index+1]
+	return t
+}
+
+// TestJobOfAnInnerQueueKeepsItsID guards against a job that is unknown, or runs twice, once
+// requests with its path match a queue with a shorter prefix.
+func TestJobOfAnInnerQueueKeepsItsID(t *testing.T) {
+	c := newCluster(t, 3, "w1")
+	t1 := tables(1)
+	t1.Queues[1].PathPrefix = "/q/inner/"
+	c.storeTables(t1)
+	m := testJob("inner/a", 1, 300)
+	c.submitUntilAccepted(m)
+	c.storeTables(onlyQueue(2, 0))
+	must.Eq(t, contract.VerdictAccepted, c.sendToLeader(m).Verdict)
+	c.waitCompleted("inner/a")
+	must.Eq(t, nil, c.runChecker.Violations())
+	must.Eq(t, 1, c.runChecker.AcknowledgedCompletions())
+}
