No job that runs is refused because its queue was dropped

Callers saw: a job whose acceptance was lost on its way is sent again after its route was dropped, and is refused with 404, which says that it has not run.

Cause: the queue is matched before the job is looked up.

Change: if no queue matches, a job that is stored, about to be, in progress, or that an earlier leader may have started is answered as unknown (504). A job that is new is still refused with 404.

TestDroppedQueueRefusesNothingThatRuns: verdict 5 (no queue) instead of 10 (unknown) before; passes now.

--- a/hub/lead.go
+++ b/hub/lead.go
@@ -298,6 +298,9 @@
 	}
 	q, suffix, unmatched := h.matchQueue(now, m.Host, m.Path)
 	if unmatched != nil {
+		if unmatched.Verdict == contract.VerdictNoQueue && h.mayHaveAccepted(now, m) {
+			return &contract.JobReply{Verdict: contract.VerdictUnknown}
+		}
 		return unmatched
 	}
 	if m.Bound && h.entrySilent(now, to.link) {
@@ -362,6 +365,16 @@
 	return nil
 }
 
+// mayHaveAccepted reports whether the submitted job, which no queue matches, may have been
+// accepted while one did. A refusal would say that it has not run.
+func (h *Hub) mayHaveAccepted(now time.Duration, m *contract.JobSubmit) bool {
+	id := contract.JobIDIn(m.Path)
+	if h.state.Jobs[id] != nil || h.leader.submissions[id] != nil || h.leader.transients.jobs[id] != nil {
+		return true
+	}
+	return m.Transient && h.mayHaveStarted(now, id, m)
+}
+
 // refusal returns the reply to a job that is not admitted and has not run.
 func refusal(a schedule.Admission) *contract.JobReply {
 	verdict := contract.VerdictOverload
--- a/hub/reroute_test.go
+++ b/hub/reroute_test.go
@@ -85,6 +85,28 @@
 	return t
 }
 
+// TestDroppedQueueRefusesNothingThatRuns guards against a refusal that says that a job has
+// not run, for a job that was accepted before its queue was dropped.
+func TestDroppedQueueRefusesNothingThatRuns(t *testing.T) {
+	c := newCluster(t, 3, "w1")
+	c.putTables(1)
+	stored, transient := testJob("a", 1, 60_000), testJob("b", 1, 60_000)
+	transient.Transient = true
+	c.submitUntilAccepted(stored)
+	go c.sendToLeader(transient)
+	c.waitFor("both jobs run", func() bool { return c.workers["w1"].Running() == 2 })
+	c.storeTables(onlyQueue(2, 1))
+	for _, m := range []*contract.JobSubmit{stored, transient} {
+		must.Eq(t, contract.VerdictUnknown, c.sendToLeader(m).Verdict, must.Sprint(m.Path))
+	}
+	must.Eq(t, contract.VerdictNoQueue, c.sendToLeader(testJob("c", 1, 1)).Verdict, must.Sprint("a new job"))
+	read := &contract.JobQuery{Action: contract.JobRead, Host: "h", Path: "/q/a"}
+	must.Eq(t, contract.VerdictNoQueue, c.sendToLeader(read).Verdict)
+	c.putTables(3)
+	must.Eq(t, contract.DurableRunning, c.jobState("a"))
+	must.Eq(t, nil, c.runChecker.Violations())
+}
+
 // TestJobOfAnInnerQueueKeepsItsID guards against a job that is unknown, or runs twice, once
 // requests with its path match a queue with a shorter prefix.
 func TestJobOfAnInnerQueueKeepsItsID(t *testing.T) {
