A job whose caller leaves is stopped though its queue was dropped

Callers saw nothing; operators saw work for nobody: a job that need not be kept went on after its caller had left, if its route had been dropped before.

Cause: the entry's notice was matched to a queue first, and refused without one.

Change: the notice needs no queue; the last segment of the path names the job.

--- a/hub/lead.go
+++ b/hub/lead.go
@@ -395,6 +395,11 @@
 // once it is committed, and for an abandon, which gets no reply.
 func (h *Hub) answerQuery(now time.Duration, to replyTo, m *contract.JobQuery) *contract.JobReply {
 	q, suffix, refusal := h.matchQueue(now, m.Host, m.Path)
+	if m.Action == contract.JobAbandon && h.holdsLeaderLease(now) {
+		// The queue of the job may have been dropped since.
+		h.abandonTransient(now, to.link, contract.JobIDIn(m.Path))
+		return nil
+	}
 	if refusal != nil {
 		return refusal
 	}
@@ -402,10 +407,6 @@
 		return &contract.JobReply{Verdict: contract.VerdictWaiting, Waiting: h.leader.sched.WaitingJobs(q.Name)}
 	}
 	id := contract.JobIDIn(suffix)
-	if m.Action == contract.JobAbandon {
-		h.abandonTransient(now, to.link, id)
-		return nil
-	}
 	j := h.state.Jobs[id]
 	switch {
 	case m.Action == contract.JobCancel && (j != nil && !j.State.Ended() || h.leader.submissions[id] != nil):
--- a/hub/reroute_test.go
+++ b/hub/reroute_test.go
@@ -107,6 +107,20 @@
 	must.Eq(t, nil, c.runChecker.Violations())
 }
 
+// TestAbandonedJobOfADroppedQueueIsStopped guards against a job that goes on for no caller,
+// since its queue was dropped before the caller left.
+func TestAbandonedJobOfADroppedQueueIsStopped(t *testing.T) {
+	c := newCluster(t, 3, "w1")
+	c.putTables(1)
+	m := testJob("a", 1, 60_000)
+	m.Transient = true
+	go c.sendToLeader(m)
+	c.waitFor("the job runs", func() bool { return c.workers["w1"].Running() == 1 })
+	c.storeTables(onlyQueue(2, 1))
+	c.gateway.SendToLeader(&contract.JobQuery{Action: contract.JobAbandon, Host: "h", Path: m.Path})
+	c.waitFor("the run is stopped", func() bool { return c.workers["w1"].Running() == 0 })
+}
+
 // TestJobOfAnInnerQueueKeepsItsID guards against a job that is unknown, or runs twice, once
 // requests with its path match a queue with a shorter prefix.
 func TestJobOfAnInnerQueueKeepsItsID(t *testing.T) {
