workeragent: a changed pool or label is reported at once

A worker that announces another service or other labels without a restart got tasks by the old ones: the leader learned of the change only with the next report for another cause. Cause: the agent compared drain, capacity, failure domain and coldness of two announcements, and nothing else; offers to entries compared what is free. Both now compare the pool as well, reports also the labels. Nothing else is reported more often: a worker repeats its labels in the same order.

--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -143,11 +144,12 @@
 			return
 		}
 		w.leaving = leaving
-		changed := ann.Draining != w.worker.Draining || ann.Capacity != w.worker.Capacity || ann.FailureDomain != w.worker.FailureDomain
+		changed := ann.Draining != w.worker.Draining || ann.Capacity != w.worker.Capacity || ann.FailureDomain != w.worker.FailureDomain ||
+			ann.Pool != w.worker.Pool || !slices.Equal(ann.Labels, w.worker.Labels)
 		changed = w.updateCold(ann) || changed
 		w.worker = ann
 		if changed && w.inSession {
-			a.log.Info("worker changed", "worker", ann.ID, "draining", ann.Draining, "domain", ann.FailureDomain, "cold_ms", ann.ColdLeftMillis)
+			a.log.Info("worker changed", "worker", ann.ID, "pool", ann.Pool, "labels", len(ann.Labels), "draining", ann.Draining, "domain", ann.FailureDomain, "cold_ms", ann.ColdLeftMillis)
 			a.report(false)
 		}
 		return
--- a/workeragent/entries.go
+++ b/workeragent/entries.go
@@ -176,7 +176,7 @@
 		return
 	}
 	o := a.offer(now)
-	if o.Open == a.offered.Open && o.Free == a.offered.Free && now-a.offeredAt < offerInterval {
+	if o.Open == a.offered.Open && o.Free == a.offered.Free && o.Pool == a.offered.Pool && now-a.offeredAt < offerInterval {
 		return
 	}
 	a.offered, a.offeredAt = *o, now
