link: a malformed message ends its link, not the process

Operators of systems like ours saw machines end again and again, since another writer had left an odd entry. Here one message on a link port did it, before any handshake: 8 MiB of nested arrays overflow the stack of the decoder, which calls itself to skip what it doesn't know, and an array that claims 4 billion values in 18 bytes makes it allocate 96 GiB. Both are fatal to a Go process; tried in a probe on the code before. A header that claims 24 MiB took that memory at once, on each connection; an agent has 152 MB.

Change: the shape of a body is checked without recursion before it is decoded: at most 64 levels, and no more values than bytes are left. A body over 64 KiB takes memory as it arrives. Malformed messages are counted, and named in the log line of the link that went down; other links go on.

TestMalformedBodiesEndNoProcess plays 16 shapes as each kind of message (the process ended before), TestClaimedSizeTakesNoMemory the header.

--- a/link/frame.go
+++ b/link/frame.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/metrics"
 )
 
 // MaxFrameBytes is the maximum size of a frame's body.
@@ -69,8 +70,8 @@
 	if size > MaxFrameBytes {
 		return Frame{}, fmt.Errorf("received frame header announces a body of %d bytes: the limit is %d", size, MaxFrameBytes)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readBody(r, int(size))
+	if err != nil {
 		return Frame{}, err
 	}
 	m, err := DecodeMessage(contract.MessageKind(header[4]), body)
@@ -80,6 +81,25 @@
 	return Frame{Seq: binary.BigEndian.Uint64(header[6:]), Reply: header[5]&flagReply != 0, Message: m}, nil
 }
 
+// maxBodyAtOnce is the size up to which a body is allocated before it has arrived, in
+// bytes.
+const maxBodyAtOnce = 64 << 10
+
+// readBody reads a body. A large one takes memory only as it arrives, since the size is the
+// peer's claim.
+func readBody(r io.Reader, size int) ([]byte, error) {
+	if size <= maxBodyAtOnce {
+		body := make([]byte, size)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	var buf bytes.Buffer
+	if _, err := io.CopyN(&buf, r, int64(size)); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
 // DecodeMessage decodes the body of a message of the given kind. It returns an
 // error if the kind is unknown.
 func DecodeMessage(k contract.MessageKind, body []byte) (contract.Message, error) {
@@ -87,6 +107,10 @@
 	if m == nil {
 		return nil, fmt.Errorf("message kind %d is not known: run the same version on both ends", k)
 	}
+	if err := checkBody(body); err != nil {
+		metrics.MalformedMessages.Add(1)
+		return nil, fmt.Errorf("message kind %d is malformed: %w", k, err)
+	}
 	if err := msgpack.Unmarshal(body, m); err != nil {
 		return nil, fmt.Errorf("decode message kind %d: %w", k, err)
 	}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -20,6 +20,8 @@
 	LinkBytesSent = expvar.NewInt("caraway_link_bytes_sent")
 	// LinkBytesReceived counts bytes read from links.
 	LinkBytesReceived = expvar.NewInt("caraway_link_bytes_received")
+	// MalformedMessages counts messages whose bodies were refused before they were decoded.
+	MalformedMessages = expvar.NewInt("caraway_malformed_messages")
 	// AnswersComplete counts complete answers to callers.
 	AnswersComplete = expvar.NewInt("caraway_answers_whole")
 	// Refusals counts error answers by the kind of error.
