--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -117,6 +117,10 @@
 	RunsEnded = factory.NewCounterVec(prometheus.CounterOpts{
 		Name: "caraway_runs_ended_total", Help: "Runs that ended at the worker.",
 	}, []string{"how"})
+	// EntriesIgnored counts entries that other writers left and that can't be used, by kind.
+	EntriesIgnored = factory.NewCounterVec(prometheus.CounterOpts{
+		Name: "caraway_entries_ignored_total", Help: "Entries of other writers that were ignored.",
+	}, []string{"kind"})
 	// StartsRefused counts starts that the worker refused, by reason.
 	StartsRefused = factory.NewCounterVec(prometheus.CounterOpts{
 		Name: "caraway_starts_refused_by_worker_total", Help: "Starts that the worker refused.",
