An announcement that no worker can have made displaces none

Here a heartbeat with port 65536 displaced the worker of its agent, which then called nobody; one with a start in the far future also hid all that the worker announced later, for good, and so did the copy that hubs keep for restarted agents; capacities near 2^63 made sums over a pool negative. All were accepted before (probe).

--- a/contract/durable.go
+++ b/contract/durable.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -200,6 +201,35 @@
 	return a.ID == b.ID && a.StartedMillis == b.StartedMillis
 }
 
+const (
+	// MaxResource limits each resource of a worker or task, so that no sum over workers or
+	// tasks overflows.
+	MaxResource = 1 << 40
+	// maxAnnouncementSeq limits Seq to the integers that each JSON implementation keeps.
+	maxAnnouncementSeq = 1 << 53
+	// maxStartAhead is how far ahead of the local clock the start of an instance may lie. An
+	// instance hides all that have started before it.
+	maxStartAhead = 24 * time.Hour
+)
+
+// Validate returns an error if a number of the announcement can't be true. now is the
+// time of day.
+func (a WorkerAnnouncement) Validate(now time.Time) error {
+	c := a.Capacity
+	for _, n := range []int{c.MilliCPU, c.MemoryMB, c.Accelerators} {
+		if n < 0 || n > MaxResource {
+			return fmt.Errorf("the capacity has a resource of %d: announce 0 to %d", n, int64(MaxResource))
+		}
+	}
+	switch {
+	case a.Seq > maxAnnouncementSeq:
+		return fmt.Errorf("the sequence number is %d: count from 1", a.Seq)
+	case a.StartedMillis < 0 || a.StartedMillis > now.Add(maxStartAhead).UnixMilli():
+		return fmt.Errorf("the instance started at %d: send Unix milliseconds", a.StartedMillis)
+	}
+	return nil
+}
+
 // WorkerClockDriftDivisor bounds the clock drift of a worker: its clock may run
 // slower than others by one part in WorkerClockDriftDivisor. The platform allows 2%.
 const WorkerClockDriftDivisor = 50
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -307,6 +307,10 @@
 // a worker has announced itself since. Seq 0 makes every announcement of the
 // worker newer.
 func (a *Agent) restoreWorker(ann contract.WorkerAnnouncement) {
+	if err := ann.Validate(time.Now()); err != nil {
+		a.log.Info("known worker ignored", "worker", ann.ID, "err", err)
+		return
+	}
 	a.mu.Lock()
 	announced := a.instance != nil || a.session != 0
 	a.mu.Unlock()
--- a/workeragent/announce_test.go
+++ b/workeragent/announce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -52,3 +53,12 @@
 		}
 	}
 }
+
+// TestKnownWorkerThatCanNotBe guards against a worker, kept from an announcement that no
+// instance can have made, that hides all that the real one announces.
+func TestKnownWorkerThatCanNotBe(t *testing.T) {
+	a := New(Config{Uplink: uplink.Config{Hello: contract.Hello{Host: "w"}, Log: logr.Discard()}})
+	a.ctx = context.Background()
+	a.Received(nil, &contract.KnownWorker{Worker: contract.WorkerAnnouncement{ID: "w", Pool: "p", StartedMillis: math.MaxInt64}})
+	must.Nil(t, a.instance)
+}
