schedule: a demand near the largest integer fits nowhere

A task that demands 2^63-1 thousandths of a core fitted on each worker that ran something, since the sum with what is in use is negative. Admission refuses such a job while workers are known, but not one that was sent again, nor one that comes while agents are about to attach; the start then brings a worker over its capacity (LIMIT).

Change: the demand is compared with what is free, so nothing is added up.

TestDemandWhoseSumOverflows: one start before, none now.

--- /dev/null
+++ b/schedule/overflow_test.go
@@ -0,0 +1,28 @@
+package schedule
+
+import (
+	"math"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/carawaylanding/carawaylanding/contract"
+)
+
+// TestDemandWhoseSumOverflows guards against a task that fits on each worker that runs
+// something, since the sum with what is in use is negative.
+func TestDemandWhoseSumOverflows(t *testing.T) {
+	for _, d := range []contract.Demand{
+		{MilliCPU: math.MaxInt, MemoryMB: 1}, {MilliCPU: 1, MemoryMB: math.MaxInt}, {MilliCPU: 1, MemoryMB: 1, Accelerators: math.MaxInt},
+	} {
+		h := newHarness(t)
+		h.sch.WorkerReported(h.now, &contract.WorkerReport{
+			Attach: true, Host: "a", Session: 1,
+			Worker: contract.WorkerAnnouncement{Pool: "formula", Capacity: contract.Capacity{MilliCPU: 10, MemoryMB: 10, Accelerators: 10}},
+		})
+		h.submit(testJob("small", contract.DurableStep{Count: 1, Demand: contract.Demand{MilliCPU: 1, MemoryMB: 1, Accelerators: 1, DeclaredMillis: 10}}))
+		must.Len(t, 1, h.place())
+		h.submit(testJob("huge", contract.DurableStep{Count: 1, Demand: d}))
+		must.SliceEmpty(t, h.place())
+	}
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -294,9 +294,10 @@
 
 // hasCapacityFor reports whether the worker's free resources cover the demand.
 func (w *Worker) hasCapacityFor(d *contract.Demand) bool {
-	return w.used.MilliCPU+d.MilliCPU <= w.cap.MilliCPU &&
-		w.used.MemoryMB+d.MemoryMB <= w.cap.MemoryMB &&
-		w.used.Accelerators+d.Accelerators <= w.cap.Accelerators
+	// A sum with the demand could overflow.
+	return d.MilliCPU <= w.cap.MilliCPU-w.used.MilliCPU &&
+		d.MemoryMB <= w.cap.MemoryMB-w.used.MemoryMB &&
+		d.Accelerators <= w.cap.Accelerators-w.used.Accelerators
 }
 
 // countStepRuns returns the number of runs of the step's tasks on the worker.
