--- a/schedule/estimate.go
+++ b/schedule/estimate.go
@@ -20,6 +20,9 @@
 	// networkOverhead is the time that a job spends outside its tasks, on the
 	// network hops from the caller to the worker and back.
 	networkOverhead = 15 * time.Millisecond
+	// maxEstimate limits the estimate of a job, however many steps it has, so that no
+	// multiple of its objective overflows.
+	maxEstimate = 90 * 24 * time.Hour
 )
 
 // statsOf returns the stats of a queue, creating them on first use.
@@ -68,7 +71,7 @@
 		for _, earlier := range j.Steps[i].After {
 			begin = max(begin, ends[earlier])
 		}
-		ends[i] = begin + s.expectedDuration(j, i)
+		ends[i] = min(begin+s.expectedDuration(j, i), maxEstimate)
 		j.estimate = max(j.estimate, ends[i])
 	}
 	j.durationError = s.durationErrorOf(j.Queue)
--- a/schedule/overflow_test.go
+++ b/schedule/overflow_test.go
@@ -26,3 +26,18 @@
 		must.SliceEmpty(t, h.place())
 	}
 }
+
+// TestLongestChainOfStepsHasAnObjective guards against an estimate whose sum over many
+// steps overflows.
+func TestLongestChainOfStepsHasAnObjective(t *testing.T) {
+	h := newHarness(t)
+	steps := []contract.DurableStep{step(1, 1, 30*24*3_600_000)}
+	for i := range 9_999 {
+		steps = append(steps, step(1, 1, 30*24*3_600_000, i))
+	}
+	j := testJob("j", steps...)
+	j.Slack = 100
+	h.submit(j)
+	must.Greater(t, h.now, h.sch.jobs["j"].latestStart)
+	must.Greater(t, h.sch.jobs["j"].latestStart, h.sch.jobs["j"].expiry())
+}
