--- a/internal/leasedworker/leasedworker.go
+++ b/internal/leasedworker/leasedworker.go
@@ -36,6 +36,9 @@
 	// AllowRerun allows a start after the task's completion was acknowledged: a job
 	// that is not stored may be started again after the leader is lost.
 	AllowRerun bool
+	// AllowStart, if set, reports whether a task may start on a worker. It is set before the
+	// first start.
+	AllowStart func(worker, task string) bool
 
 	mu                      sync.Mutex        // guards the fields below
 	runningOn               map[string]string // worker by task
@@ -60,6 +63,9 @@
 	if c.acknowledgedCompletions[task] > 0 && !c.AllowRerun {
 		c.violations = append(c.violations, task+" was started again after its completion was acknowledged")
 	}
+	if c.AllowStart != nil && !c.AllowStart(worker, task) {
+		c.violations = append(c.violations, task+" was started on "+worker+", which no tables allow")
+	}
 	c.runningOn[task] = worker
 	c.startCount++
 }
