Tests: clients that use up the memory and descriptors of a process

Callers were left without answers once clients that nobody controls had ended a process: it ran out of memory. One test for each kind of client and each listener that takes requests, with real processes on loopback. They check that no process ends, that its peak memory and its open descriptors stay within its limits (96 MB and 440 descriptors on the platform, by its settings; 512 MB for a daemon without settings of its own), and that an ordinary request is answered while the crowd stays. No times, no shares.

The crowds and bounds are fixed here, before any change of the program.

They run apart from the other tests, one package after the other.

--- a/Makefile
+++ b/Makefile
@@ -13,9 +13,13 @@
 demo: build
 	@$(GO) run ./internal/demo -bin $(BIN)
 
+# Tests of clients that use up memory run alone, one after the other.
+UNRULY := ^TestUnruly
+
 # SKIP names tests to pass over; only CI sets it, from KNOWN-RED.txt.
 test: build
-	$(GO) test -count=1 $(if $(SKIP),-skip '$(SKIP)') ./...
+	$(GO) test -count=1 -skip '$(UNRULY)$(if $(SKIP),|$(SKIP))' ./...
+	$(GO) test -count=1 -p 1 -run '$(UNRULY)' $(if $(SKIP),-skip '$(SKIP)') ./platform ./node
 
 format-check:
 	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
