ingress: what clients hold together is counted and bounded

Callers got no answers once enough clients had opened connections or had sent a part of a request: in an entry 512 stalled heads or bodies took 176 to 207 MB of 96 and 526 descriptors of 440, 128 heads without end 1.7 GB; control hosts and agents were no better off (1.6 GB).

Cause: the limits held for one connection each. net/http parses a head of up to 1 MiB before a handler runs, at 87 bytes for each line besides its text, and a body was read whole however slowly it came.

The new package ingress serves a listener with a budget for all its connections. A connection counts the bytes and lines of a head as they arrive, before they are parsed; a body is counted as its buffer grows, and only as far as it has arrived. The budgets follow from the memory and descriptors in the settings (limits.*), which were not read before; the garbage collector is told the memory too. When a budget is used up, clients that keep the server waiting (behind 256 KB/s by more than half a second) are cut off, those furthest behind first, then connections that rest between requests; requests in progress never. Only then is the new request refused, with 503 and Retry-After: it was not passed on, so nothing of it has run. Requests that take over a 64th of the memory leave a quarter of it to the others. Refusals are counted by listener and reason and logged at most every 10 s for each. Readiness checks and metrics have memory of their own.

--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -30,6 +30,23 @@
 	})
 )
 
+// Metrics of listeners.
+var (
+	// ClientsRefused counts requests that were refused and connections that were closed
+	// before a handler ran, by listener and reason.
+	ClientsRefused = factory.NewCounterVec(prometheus.CounterOpts{
+		Name: "caraway_clients_refused_total", Help: "Requests refused and connections closed before a handler ran, by listener and reason.",
+	}, []string{"listener", "reason"})
+	// ClientConnections is the number of open connections by listener.
+	ClientConnections = factory.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "caraway_client_connections", Help: "Open connections of clients, by listener.",
+	}, []string{"listener"})
+	// ClientMemory is the memory that requests hold, in bytes, by listener.
+	ClientMemory = factory.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "caraway_client_memory_bytes", Help: "Memory that connections and requests of clients hold, by listener.",
+	}, []string{"listener"})
+)
+
 // Metrics of direct starts without a leader, at entries and agents.
 var (
 	// DirectOffers counts offers of agents that an entry received.
