--- a/contract/message_durable.go
+++ b/contract/message_durable.go
@@ -50,6 +50,9 @@
 	// is of an earlier version.
 	Member  LogMember
 	GroupID uint64
+	// ClientLimits are the limits on the clients of entries. Only a sender that leads sets
+	// them.
+	ClientLimits ClientLimits
 }
 
 // MessageKind returns KindHubState.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,6 +87,9 @@
 // Connected reports whether a direct link to the hub at addr is open.
 func (g *Gateway) Connected(addr string) bool { return g.uplink.Connected(addr) }
 
+// ClientLimits returns the limits on callers that the leader announced last.
+func (g *Gateway) ClientLimits() contract.ClientLimits { return g.uplink.ClientLimits() }
+
 // Drain makes Ready return false.
 func (g *Gateway) Drain() {
 	g.mu.Lock()
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -46,6 +46,9 @@
 	// MaxLostDisks is the number of hubs that may lose their disks at the same
 	// time without loss of committed state.
 	MaxLostDisks int
+	// ReadClientLimits returns the limits on the clients of entries in the document of an
+	// operator; nil means that documents set none.
+	ReadClientLimits func(document []byte) contract.ClientLimits
 	// JobRetention is how long the state of an ended job can be queried.
 	JobRetention time.Duration
 	Log          logr.Logger
@@ -164,6 +167,9 @@
 	entryAliveAt map[*link.Link]time.Duration
 	// stampedAt is when the entries that echo it were last sent this hub's clock.
 	stampedAt time.Duration
+	// clientLimits are the limits on clients in the tables of clientLimitsVersion.
+	clientLimits        contract.ClientLimits
+	clientLimitsVersion uint64
 	// queuesAnnounced is the version of the queues that entries were sent last.
 	queuesAnnounced uint64
 	groupCheckedAt  time.Duration
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -389,7 +389,7 @@
 func (h *Hub) leadership(now time.Duration) contract.HubState {
 	s := contract.HubState{Term: h.node.Term(), Leads: h.holdsLeaderLease(now), Leader: h.node.LeaderMember().Addr}
 	if s.Leads {
-		s.Evacuated = h.state.Evacuated
+		s.Evacuated, s.ClientLimits = h.state.Evacuated, h.limitsOnClients()
 	}
 	if s.Leader == "" {
 		s.Member, s.GroupID = h.self, consensus.GroupID(h.node.Group())
@@ -398,12 +398,13 @@
 }
 
 // broadcastState sends this hub's state on all inbound links when its leadership,
-// its known leader or, on the leader, the evacuated domains have changed, and every
-// stateBroadcastInterval while it leads.
+// its known leader or, on the leader, the evacuated domains or the limits on clients have
+// changed, and every stateBroadcastInterval while it leads.
 func (h *Hub) broadcastState(now time.Duration) {
 	s := h.leadership(now)
 	changed := s.Leads != h.lastBroadcast.Leads || s.Leader != h.lastBroadcast.Leader || s.Leads && s.Term != h.lastBroadcast.Term
-	if !changed && slices.Equal(s.Evacuated, h.lastBroadcast.Evacuated) && !(s.Leads && now-h.lastBroadcastAt >= stateBroadcastInterval) {
+	same := !changed && slices.Equal(s.Evacuated, h.lastBroadcast.Evacuated) && s.ClientLimits == h.lastBroadcast.ClientLimits
+	if same && !(s.Leads && now-h.lastBroadcastAt >= stateBroadcastInterval) {
 		return
 	}
 	if changed {
--- a/hub/tables.go
+++ b/hub/tables.go
@@ -115,3 +115,12 @@
 		return none, ctx.Err()
 	}
 }
+
+// limitsOnClients returns the limits on the clients of entries in the tables in force.
+func (h *Hub) limitsOnClients() contract.ClientLimits {
+	if h.cfg.ReadClientLimits != nil && h.clientLimitsVersion != h.state.Tables.Version {
+		h.clientLimitsVersion = h.state.Tables.Version
+		h.clientLimits = h.cfg.ReadClientLimits(h.state.Tables.Document)
+	}
+	return h.clientLimits
+}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -105,11 +105,12 @@
 	groupAddrs []string
 	// relays are the addresses of the relays that a hub announced last.
 	relays []string
-	// evacuated are the evacuated failure domains that the leader of evacuatedTerm
-	// announced last, when its clock read evacuatedStamp.
+	// evacuated and clientLimits are the evacuated failure domains and the limits on clients
+	// that the leader of evacuatedTerm announced last, when its clock read evacuatedStamp.
 	evacuated      []string
 	evacuatedTerm  uint64
 	evacuatedStamp int64
+	clientLimits   contract.ClientLimits
 }
 
 // New returns an Uplink that notifies l of its events. Run starts it.
@@ -186,6 +187,13 @@
 	return slices.Contains(u.evacuated, domain)
 }
 
+// ClientLimits returns the limits on clients that a leader announced last.
+func (u *Uplink) ClientLimits() contract.ClientLimits {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.clientLimits
+}
+
 // dialAll starts to maintain a link to each of the addresses that is not dialled
 // yet. It does nothing once Run is stopping.
 func (u *Uplink) dialAll(addrs []string) {
@@ -339,6 +347,7 @@
 	// Messages on a direct and a relayed path may arrive in another order than they were sent.
 	if s.Leads && (s.Term > h.u.evacuatedTerm || s.Term == h.u.evacuatedTerm && s.Stamp >= h.u.evacuatedStamp) {
 		h.u.evacuated, h.u.evacuatedTerm, h.u.evacuatedStamp = s.Evacuated, s.Term, s.Stamp
+		h.u.clientLimits = s.ClientLimits
 	}
 	h.u.mu.Unlock()
 	if h.u.cfg.EchoState && s.Stamp != 0 {
