A standalone daemon bounds what clients hold together

Callers of a standalone entry got no answers once enough clients had sent heads of many lines (800 MB), jobs that stopped just short of their end (911 MB), whole jobs of 16 MiB (3 GB) or jobs of 5.6 million empty tasks (6.5 GB for six); operators' listeners and agents took 0.7 to 5 GB.

The listeners of operators and agents had net/http's limits alone, jobs were decoded whole before their tasks were counted, through a decoder that copies, and a job with a key kept its payloads after its caller had left.

All listeners are served by ingress. Keys, and the number of tasks, are checked by a walk that keeps nothing, then the job is decoded once; its memory is reserved before and kept until it is answered, by a job with a key until it has ended. New settings, with defaults that no client inside the limits meets: -memory-limit-mb 512, -max-sockets, -max-header-bytes, -max-body-bytes, -header-timeout, -idle-timeout. Refusals say not-run only where no earlier submission can have run.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -16,6 +17,7 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/host"
+	"github.com/carawaylanding/carawaylanding/ingress"
 	"github.com/carawaylanding/carawaylanding/link"
 )
 
@@ -30,6 +32,10 @@
 	Entries []string
 	// HTTPListener accepts single requests from the entries.
 	HTTPListener net.Listener
+	// RequestBytes limits the memory of the single requests, and MaxConns the connections of
+	// entries; zeros mean the defaults of ingress.
+	RequestBytes int64
+	MaxConns     int
 	Link         link.Config
 	// Stop is called when an operator asks for a drain; it must cancel the
 	// context of Run.
@@ -120,8 +126,11 @@
 		d := &link.Dialer{Addr: addr, Local: a.cfg.Identity.Hello(), Config: a.linkConfig(), Handler: a}
 		g.Go(func() error { return d.Run(linkCtx) })
 	}
-	srv := &http.Server{Handler: http.HandlerFunc(a.serveSingle), ReadHeaderTimeout: 10 * time.Second}
-	g.Go(func() error { return ignoreClosed(srv.Serve(a.cfg.HTTPListener)) })
+	srv := ingress.New(ingress.Config{
+		Listener: "singles", Handler: http.HandlerFunc(a.serveSingle), Limits: func() contract.ClientLimits { return singleLimits },
+		MemoryBytes: a.cfg.RequestBytes, MaxConns: a.cfg.MaxConns, Log: a.cfg.Log,
+	})
+	g.Go(func() error { return srv.Serve(a.cfg.HTTPListener) })
 	g.Go(func() error { a.sweepLoop(linkCtx); return nil })
 	g.Go(func() error { a.ledgerReportLoop(linkCtx); return nil })
 	g.Go(func() error {
@@ -134,13 +143,9 @@
 	return g.Wait()
 }
 
-// ignoreClosed maps http.ErrServerClosed to nil.
-func ignoreClosed(err error) error {
-	if err == http.ErrServerClosed {
-		return nil
-	}
-	return err
-}
+// singleLimits are the limits on a single request from an entry, which has applied its own:
+// the head has fields of the entry besides, and the body is streamed.
+var singleLimits = contract.ClientLimits{MaxHeaderBytes: 256 << 10, MaxBodyBytes: math.MaxInt64}
 
 // linkConfig returns the link settings, with heartbeats that carry the tables
 // version known here.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,6 +32,13 @@
 	// BodyStallTimeout limits each read of a request body and each write of an
 	// answer; zero selects DefaultBodyStallTimeout.
 	BodyStallTimeout time.Duration
+	// ClientLimits are the limits on one caller; zeros mean ingress.DefaultLimits and
+	// ingress.DefaultMaxStreamBytes. RequestBytes
+	// limits the memory of all requests, and MaxConns the callers' connections; zeros mean the
+	// defaults of ingress.
+	ClientLimits contract.ClientLimits
+	RequestBytes int64
+	MaxConns     int
 	// Records is the client of the record holders. If it is nil, requests with
 	// an idempotency key are refused.
 	Records *RecordClient
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -31,7 +31,7 @@
 func (e *Entry) serveSubmit(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
 	digest := sha256.New()
-	spec, err := readSpec(w, r, digest)
+	spec, err := readSpec(r, digest)
 	if err != nil {
 		WriteError(w, err)
 		return
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -6,6 +6,7 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/host"
+	"github.com/carawaylanding/carawaylanding/ingress"
 	"github.com/carawaylanding/carawaylanding/link"
 	"github.com/carawaylanding/carawaylanding/metrics"
 )
@@ -31,7 +32,7 @@
 	defer e.inFlight.Done()
 	round := uint64(contract.FirstRound)
 	for range maxOwnerChanges {
-		run, err := e.findOrStartKeyed(spec, id, digest, round)
+		run, err := e.findOrStartKeyed(ctx, spec, id, digest, round)
 		if err != nil {
 			return submitResult{id: id, err: err}
 		}
@@ -57,8 +58,8 @@
 
 // findOrStartKeyed returns the run of the job at this entry: one in progress,
 // one that ended with a reusable answer, or a new one in the given round or a
-// later one.
-func (e *Entry) findOrStartKeyed(spec contract.JobSpec, id contract.JobID, digest string, round uint64) (*jobRun, error) {
+// later one. A new run keeps the memory of the request with the context until it ends.
+func (e *Entry) findOrStartKeyed(ctx context.Context, spec contract.JobSpec, id contract.JobID, digest string, round uint64) (*jobRun, error) {
 	for {
 		var old workItem
 		have, ok := e.jobs.get(id).(*jobRun)
@@ -82,9 +83,10 @@
 		if !e.jobs.compareAndSwap(id, old, run) {
 			continue
 		}
-		release := e.continueWork()
+		release, releaseMemory := e.continueWork(), ingress.HoldOf(ctx).Keep()
 		go func() {
 			defer release()
+			defer releaseMemory()
 			e.runKeyed(run)
 		}()
 		return run, nil
--- a/entry/request.go
+++ b/entry/request.go
@@ -14,6 +14,7 @@
 
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/forward"
+	"github.com/carawaylanding/carawaylanding/ingress"
 )
 
 // Limits of a request.
@@ -162,28 +163,56 @@
 		return errJobTooLarge()
 	}
 	body := &stallTimeoutReader{body: r.Body, rc: w.rc, stallTimeout: stallTimeout}
-	first, err := io.ReadAll(io.LimitReader(body, readAheadBytes))
-	if err != nil {
-		return bodyReadError(err)
+	source := r.Body
+	r.Body = &bufferedBody{Reader: body, Closer: source}
+	first, err := ingress.ReadUpTo(r, readAheadBytes)
+	if err != nil && err != io.EOF {
+		return bodyReadError(r, err)
 	}
-	if len(first) < readAheadBytes && r.ContentLength < 0 {
+	if err == io.EOF && r.ContentLength < 0 {
 		// The body is complete, so its length is known and it need not be
 		// forwarded in chunks.
 		r.ContentLength = int64(len(first))
 	}
-	r.Body = &bufferedBody{Reader: io.MultiReader(bytes.NewReader(first), body), Closer: r.Body}
+	r.Body = &bufferedBody{Reader: io.MultiReader(bytes.NewReader(first), body), Closer: source}
 	return nil
 }
 
 // bodyReadError returns the error for a body that could not be read and whose
 // request has started no work.
-func bodyReadError(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+func bodyReadError(r *http.Request, err error) error {
+	_, tooLarge := errors.AsType[*http.MaxBytesError](err)
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errSlowBody.With("the body stalled for too long")
+	case errors.Is(err, ingress.ErrFull):
+		return fullError(r)
+	case tooLarge:
+		return errBodyTooLarge()
 	}
 	return contract.ErrBadRequest.With("the body ended early: %v", err)
 }
 
+// fullError returns the error for a request for which there is no memory. With an
+// idempotency key, an earlier submission may have run.
+func fullError(r *http.Request) error {
+	err := contract.ErrOverload.WithRetryAfter(time.Second, "the memory for requests is used up")
+	if r.Header.Get(forward.HeaderIdempotencyKey) != "" {
+		return withUnknownOutcome(err)
+	}
+	return err
+}
+
+// decodedSpecBytes returns the memory of a decoded job, in bytes.
+func decodedSpecBytes(spec contract.JobSpec) int64 {
+	const taskBytes = 256
+	n := int64(0)
+	for _, t := range spec.Tasks {
+		n += int64(len(t.Payload)) + taskBytes
+	}
+	return n
+}
+
 // bufferedBody is a body whose first part was read ahead. Reader returns that
 // part and then the rest.
 type bufferedBody struct {
@@ -191,31 +220,36 @@
 	io.Closer
 }
 
+func errBodyTooLarge() error {
+	return contract.ErrTooLarge.With("the body is larger than this entry allows")
+}
+
 func errJobTooLarge() error {
 	return contract.ErrTooLarge.With("the job has more than %d bytes: split it into smaller jobs", contract.MaxJobBytes)
 }
 
 // readSpec reads and checks a job submission, and writes its body to digest.
-func readSpec(w http.ResponseWriter, r *http.Request, digest io.Writer) (contract.JobSpec, error) {
+func readSpec(r *http.Request, digest io.Writer) (contract.JobSpec, error) {
 	var spec contract.JobSpec
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, contract.MaxJobBytes))
+	raw, err := ingress.ReadBody(r, contract.MaxJobBytes)
 	if err != nil {
 		if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
 			return spec, errJobTooLarge()
 		}
-		return spec, bodyReadError(err)
+		return spec, bodyReadError(r, err)
 	}
-	digest.Write(raw)
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&spec); err != nil {
-		return spec, contract.ErrBadRequest.With("the body is not a job: %v", err)
+	// The payloads are copied when they are decoded.
+	hold := ingress.HoldOf(r.Context())
+	if err := hold.Reserve(int64(len(raw))); err != nil {
+		return spec, fullError(r)
 	}
-	if _, err := dec.Token(); err != io.EOF {
-		return spec, contract.ErrBadRequest.With("the body has data after the job: send one JSON object")
+	defer func() { hold.ShrinkTo(decodedSpecBytes(spec)) }()
+	digest.Write(raw)
+	if err := checkJob(raw); err != nil {
+		return spec, err
 	}
-	if key, ok := duplicateKey(raw); ok {
-		return spec, contract.ErrBadRequest.With("%q is given twice in one object: give it once", key)
+	if err := json.Unmarshal(raw, &spec); err != nil {
+		return spec, contract.ErrBadRequest.With("the body is not a job: %v", err)
 	}
 	if err := checkTeamName(spec.Team); spec.Team != "" && err != nil {
 		return spec, err
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -19,6 +19,7 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/dispatch"
 	"github.com/carawaylanding/carawaylanding/forward"
+	"github.com/carawaylanding/carawaylanding/ingress"
 	"github.com/carawaylanding/carawaylanding/record"
 	"github.com/carawaylanding/carawaylanding/tables"
 )
@@ -69,12 +70,12 @@
 			Retention: record.DefaultRetention,
 		},
 		BodyStallTimeout: testStallTimeout,
+		ClientLimits:     contract.ClientLimits{HeaderTimeout: testStallTimeout},
 		Log:              logr.Discard(),
 	})
 	ln, err := Listen("127.0.0.1:0")
 	must.NoError(t, err)
 	srv := e.NewServer()
-	srv.ReadHeaderTimeout = testStallTimeout
 	go srv.Serve(ln)
 	t.Cleanup(func() { srv.Close() })
 	return ln.Addr().String(), submits
@@ -174,7 +175,7 @@
 		"two transfer encodings": "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
 		"space before the colon": "Transfer-Encoding : chunked\r\n",
 		"signed length":          "Content-Length: +2\r\n",
-		"header too long":        "X: " + strings.Repeat("x", 4*maxHeaderBytes) + "\r\n",
+		"header too long":        "X: " + strings.Repeat("x", 4*int(ingress.DefaultLimits.MaxHeaderBytes)) + "\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			res, _, _ := sendRaw(t, addr, "POST /cards/1 HTTP/1.1\r\nHost: desk\r\n"+head+"\r\n{}")
--- a/entry/server.go
+++ b/entry/server.go
@@ -3,17 +3,10 @@
 import (
 	"net"
 	"net/http"
-	"time"
-)
 
-// Limits of the HTTP server for callers.
-const (
-	// maxHeaderBytes limits the size of a request header.
-	maxHeaderBytes = 64 << 10
-	// readHeaderTimeout limits the time to read a request header.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout limits how long a connection may wait for its next request.
-	idleTimeout = 2 * time.Minute
+	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/forward"
+	"github.com/carawaylanding/carawaylanding/ingress"
 )
 
 // Listen opens a TCP listener for NewServer. Only on connections of this listener
@@ -27,13 +20,26 @@
 	return framingListener{ln.(*net.TCPListener)}, nil
 }
 
-// NewServer returns the HTTP server for callers.
-func (e *Entry) NewServer() *http.Server {
-	return &http.Server{
-		Handler:           e.Handler(),
-		ConnContext:       framingContext,
-		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		IdleTimeout:       idleTimeout,
+// NewServer returns the HTTP server for callers. A refusal of a request whose head was not
+// read says nothing of its outcome: it may be sent again with an idempotency key, and the
+// earlier submission may have run.
+func (e *Entry) NewServer() *ingress.Server {
+	limits := e.cfg.ClientLimits.Or(contract.ClientLimits{MaxBodyBytes: ingress.DefaultMaxStreamBytes})
+	return ingress.New(ingress.Config{
+		Listener: "callers", Handler: e.Handler(), ConnContext: framingContext,
+		Limits:      func() contract.ClientLimits { return limits },
+		MemoryBytes: e.cfg.RequestBytes, MaxConns: e.cfg.MaxConns,
+		RefusalHeader: http.Header{forward.HeaderOutcome: {contract.OutcomeUnknown.String()}},
+		Refuse:        refuseRequest, Log: e.cfg.Log,
+	})
+}
+
+// refuseRequest answers a request that is refused before it is handled.
+func refuseRequest(w http.ResponseWriter, r *http.Request, status int) {
+	w.Header().Set("Connection", "close")
+	if status == http.StatusRequestEntityTooLarge {
+		WriteError(w, errBodyTooLarge())
+		return
 	}
+	WriteError(w, fullError(r))
 }
--- a/ingress/hold.go
+++ b/ingress/hold.go
@@ -116,9 +116,23 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
+	// One byte more tells a body of limit bytes from a longer one.
+	data, err := ReadUpTo(r, limit+1)
+	switch {
+	case int64(len(data)) > limit:
+		return nil, &http.MaxBytesError{Limit: limit}
+	case err == io.EOF:
+		return data, nil
+	}
+	return nil, err
+}
+
+// ReadUpTo reads the first limit bytes of a body, with their memory reserved as in
+// ReadBody. The error is nil if there may be more, and io.EOF after the whole body.
+func ReadUpTo(r *http.Request, limit int64) ([]byte, error) {
 	hold := HoldOf(r.Context())
 	var buf []byte
-	for {
+	for int64(len(buf)) < limit {
 		if len(buf) == cap(buf) {
 			grown := nextSize(int64(cap(buf)), r.ContentLength, limit)
 			if err := hold.Reserve(grown); err != nil {
@@ -128,17 +142,13 @@
 			buf = append(make([]byte, 0, grown), buf...)
 			hold.Release(old)
 		}
-		n, err := r.Body.Read(buf[len(buf):cap(buf)])
+		n, err := r.Body.Read(buf[len(buf):min(int64(cap(buf)), limit)])
 		buf = buf[:len(buf)+n]
-		switch {
-		case int64(len(buf)) > limit:
-			return nil, &http.MaxBytesError{Limit: limit}
-		case err == io.EOF:
-			return buf, nil
-		case err != nil:
-			return nil, err
+		if err != nil {
+			return buf, err
 		}
 	}
+	return buf, nil
 }
 
 // nextSize returns the size of the buffer after one of size bytes that is full: twice as
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -29,6 +29,10 @@
 	IdleTimeout:    2 * time.Minute,
 }
 
+// DefaultMaxStreamBytes replaces the limit on bodies of DefaultLimits where bodies are
+// streamed.
+const DefaultMaxStreamBytes = 1 << 30
+
 // The defaults of Config.
 const (
 	DefaultMemoryBytes = 64 << 20
@@ -69,8 +73,11 @@
 	BodyTimeout time.Duration
 	// WriteTimeout limits each write of an answer; zero means that the handler does.
 	WriteTimeout time.Duration
-	// RefusalHeader is sent with each refusal.
+	// RefusalHeader is sent with the refusal of a request whose head was not read.
 	RefusalHeader http.Header
+	// Refuse, if set, answers a request that is refused after its head was read, with status
+	// 413 or 503. It must end the connection.
+	Refuse func(w http.ResponseWriter, r *http.Request, status int)
 	// ConnContext, if set, is that of http.Server, with the connection that the listener
 	// has accepted.
 	ConnContext func(ctx context.Context, accepted net.Conn) context.Context
@@ -159,14 +166,14 @@
 	c := r.Context().Value(connKey{}).(*conn)
 	hold, err := c.begin(r)
 	if err != nil {
-		s.refuse(w, http.StatusServiceUnavailable, reasonMemory)
+		s.refuse(w, r, http.StatusServiceUnavailable, reasonMemory)
 		return
 	}
 	b := &body{ReadCloser: r.Body, conn: c, ended: r.Body == http.NoBody}
 	defer func() { c.end(hold, !b.ended) }()
 	limit := s.limits().MaxBodyBytes
 	if r.ContentLength > limit {
-		s.refuse(w, http.StatusRequestEntityTooLarge, reasonBodySize)
+		s.refuse(w, r, http.StatusRequestEntityTooLarge, reasonBodySize)
 		return
 	}
 	if !b.ended {
@@ -177,21 +184,21 @@
 }
 
 // refuse answers a request that was not passed on.
-func (s *Server) refuse(w http.ResponseWriter, status int, why reason) {
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, why reason) {
 	s.refusals.record(why)
-	WriteRefusal(w, status, s.cfg.RefusalHeader)
+	if s.cfg.Refuse != nil {
+		s.cfg.Refuse(w, r, status)
+		return
+	}
+	WriteRefusal(w, status)
 }
 
 // WriteRefusal answers a request that was not passed on, and ends its connection, since
 // the rest of the request is not read.
-func WriteRefusal(w http.ResponseWriter, status int, header http.Header) {
-	h := w.Header()
-	for name, values := range header {
-		h[name] = values
-	}
-	h.Set("Connection", "close")
+func WriteRefusal(w http.ResponseWriter, status int) {
+	w.Header().Set("Connection", "close")
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
 	}
 	w.WriteHeader(status)
 }
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -27,7 +27,7 @@
 		cfg.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			data, err := ReadBody(r, cfg.Limits().MaxBodyBytes)
 			if errors.Is(err, ErrFull) {
-				WriteRefusal(w, http.StatusServiceUnavailable, nil)
+				WriteRefusal(w, http.StatusServiceUnavailable)
 				return
 			}
 			fmt.Fprintf(w, "%d bytes, %v", len(data), err)
@@ -123,7 +123,11 @@
 	passed := false
 	_, addr := startServer(t, Config{
 		RefusalHeader: http.Header{"X-Outcome": {"not-run"}},
-		Handler:       http.HandlerFunc(func(http.ResponseWriter, *http.Request) { passed = true }),
+		Refuse: func(w http.ResponseWriter, _ *http.Request, status int) {
+			w.Header().Set("X-Outcome", "not-run")
+			WriteRefusal(w, status)
+		},
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { passed = true }),
 	})
 	for request, want := range map[string]int{
 		"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 2048):     http.StatusRequestHeaderFieldsTooLarge,
--- a/node/admin.go
+++ b/node/admin.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"expvar"
+	"io"
 	"net/http"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -63,10 +64,14 @@
 
 func (n *Node) serveEdit(w http.ResponseWriter, r *http.Request) {
 	var e contract.Edit
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEditBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&e); err != nil {
-		entry.WriteError(w, contract.ErrBadRequest.With("the body is not an edit: %v", err))
+	if !decodeOrder(w, r, func(body io.Reader) error {
+		dec := json.NewDecoder(body)
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&e); err != nil {
+			return contract.ErrBadRequest.With("the body is not an edit: %v", err)
+		}
+		return nil
+	}) {
 		return
 	}
 	v, err := n.edit(r.Context(), e)
--- a/node/members.go
+++ b/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"github.com/carawaylanding/carawaylanding/contract"
@@ -36,8 +37,12 @@
 
 func (n *Node) serveMemberChange(w http.ResponseWriter, r *http.Request) {
 	var m contract.MemberRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEditBytes)).Decode(&m); err != nil {
-		entry.WriteError(w, contract.ErrBadRequest.With("the body is not a membership change: %v", err))
+	if !decodeOrder(w, r, func(body io.Reader) error {
+		if err := json.NewDecoder(body).Decode(&m); err != nil {
+			return contract.ErrBadRequest.With("the body is not a membership change: %v", err)
+		}
+		return nil
+	}) {
 		return
 	}
 	g, err := n.changeMembers(r, m)
--- a/node/node.go
+++ b/node/node.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -20,6 +18,7 @@
 	"github.com/carawaylanding/carawaylanding/entry"
 	"github.com/carawaylanding/carawaylanding/failuredomain"
 	"github.com/carawaylanding/carawaylanding/host"
+	"github.com/carawaylanding/carawaylanding/ingress"
 	"github.com/carawaylanding/carawaylanding/link"
 	"github.com/carawaylanding/carawaylanding/settings"
 	"github.com/carawaylanding/carawaylanding/tables"
@@ -65,6 +64,7 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	ingress.LimitHeap(memoryBytes(cfg))
 	if cfg.HasRole(contract.RoleAgent) {
 		return runAgent(ctx, stop, cfg, id, log)
 	}
@@ -86,13 +86,15 @@
 		Upstream:     cfg.Upstream,
 		Entries:      cfg.Entries,
 		HTTPListener: ln,
+		RequestBytes: requestBytes(cfg),
+		MaxConns:     maxConns(cfg),
 		Link:         link.Config{HeartbeatInterval: cfg.Heartbeat, SilenceTimeout: cfg.Silence},
 		Stop:         stop,
 		Log:          log,
 	})
 	log.Info("agent started", "upstream", cfg.Upstream, "http", ln.Addr())
 	var g errgroup.Group
-	closeAdmin, err := serveAgentAdmin(&g, cfg.AdminAddr)
+	closeAdmin, err := serveAgentAdmin(&g, cfg.AdminAddr, log)
 	if err != nil {
 		ln.Close()
 		return err
@@ -140,7 +142,13 @@
 			Outcomes:         n.outcomeSink(),
 			Observer:         n.observer,
 			BodyStallTimeout: n.cfg.BodyStall,
-			Log:              n.log,
+			ClientLimits: contract.ClientLimits{
+				MaxHeaderBytes: n.cfg.MaxHeaderBytes, MaxBodyBytes: n.cfg.MaxBodyBytes,
+				HeaderTimeout: n.cfg.HeaderTimeout, IdleTimeout: n.cfg.IdleTimeout,
+			},
+			RequestBytes: requestBytes(n.cfg) - operatorBytes(n.cfg),
+			MaxConns:     maxConns(n.cfg) - maxOperatorConns,
+			Log:          n.log,
 		})
 	}
 	n.tables.Watch(n.tablesChanged)
@@ -196,8 +204,8 @@
 	if n.control != nil {
 		g.Go(func() error { return n.control.Run(linkCtx) })
 	}
-	admin := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
-	g.Go(func() error { return ignoreServerClosed(admin.Serve(adminLn)) })
+	admin := n.newAdminServer()
+	g.Go(func() error { return admin.Serve(adminLn) })
 	callers, err := n.serveCallers(&g)
 	if err != nil {
 		return err
@@ -215,19 +223,9 @@
 	return g.Wait()
 }
 
-// readHeaderTimeout bounds the time in which a request's header must arrive.
-const readHeaderTimeout = 10 * time.Second
-
-func ignoreServerClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 // serveCallers opens the listener for callers and serves it. It returns a nil
 // server if the process is not an entry.
-func (n *Node) serveCallers(g *errgroup.Group) (*http.Server, error) {
+func (n *Node) serveCallers(g *errgroup.Group) (*ingress.Server, error) {
 	if n.entry == nil {
 		return nil, nil
 	}
@@ -236,13 +234,13 @@
 		return nil, err
 	}
 	srv := n.entry.NewServer()
-	g.Go(func() error { return ignoreServerClosed(srv.Serve(ln)) })
+	g.Go(func() error { return srv.Serve(ln) })
 	return srv, nil
 }
 
 // shutdown drains the process within DrainLimit, except that flushLedger has a
 // separate limit.
-func (n *Node) shutdown(callers, admin *http.Server) {
+func (n *Node) shutdown(callers, admin *ingress.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainLimit)
 	defer cancel()
 	n.log.Info("draining", "delay", n.cfg.DrainDelay)
--- a/settings/check.go
+++ b/settings/check.go
@@ -31,6 +31,10 @@
 	c.check(s.RecordRetention > 0 && s.RecordRetention <= record.DefaultRetention, "-record-retention %v is out of range: give more than 0 and at most %v, as long as agents remember tasks", s.RecordRetention, record.DefaultRetention)
 	c.check(s.DrainDelay >= 0 && s.DrainLimit > 0, "-drain-delay is negative, or -drain-limit is not above 0: give durations such as 2s and 60s")
 	c.check(s.BodyStall > 0, "-body-stall %v is not above 0: give a duration such as 10s", s.BodyStall)
+	c.check(s.MemoryLimitMB >= minMemoryLimitMB, "-memory-limit-mb is %d: give %d or more", s.MemoryLimitMB, minMemoryLimitMB)
+	c.check(s.MaxSockets == 0 || s.MaxSockets >= minSockets, "-max-sockets is %d: give %d or more, or 0", s.MaxSockets, minSockets)
+	c.check(s.MaxHeaderBytes > 0 && s.MaxBodyBytes > 0, "-max-header-bytes or -max-body-bytes is not above 0: give a number of bytes")
+	c.check(s.HeaderTimeout > 0 && s.IdleTimeout > 0, "-header-timeout or -idle-timeout is not above 0: give durations such as 10s and 2m")
 	for _, p := range s.Peers {
 		c.addr("-peers "+string(p.Host), p.Addr)
 	}
@@ -40,6 +44,13 @@
 	return c.errs
 }
 
+const (
+	// minMemoryLimitMB leaves room for requests beside the process itself.
+	minMemoryLimitMB = 64
+	// minSockets leaves room for callers beside the links of a few hosts.
+	minSockets = 32
+)
+
 // validateRoles checks the settings that the roles require.
 func (s *Settings) validateRoles(c *checker) {
 	if s.HasRole(contract.RoleAgent) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/carawaylanding/carawaylanding/contract"
+	"github.com/carawaylanding/carawaylanding/ingress"
 	"github.com/carawaylanding/carawaylanding/link"
 	"github.com/carawaylanding/carawaylanding/record"
 )
@@ -66,6 +67,16 @@
 	DrainLimit time.Duration
 	BodyStall  time.Duration
 
+	// MemoryLimitMB is the memory that the process keeps within, in MiB, and MaxSockets the
+	// number of sockets; zero means as many as the operating system allows.
+	MemoryLimitMB int
+	MaxSockets    int
+	// The limits on one caller (entry).
+	MaxHeaderBytes int64
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+
 	// Check makes the daemon check its settings and exit.
 	Check bool
 	// Version makes the daemon print its version and exit.
@@ -78,6 +89,8 @@
 	defaultDrainLimit = 60 * time.Second
 	defaultBodyStall  = 10 * time.Second
 	defaultSlots      = 8
+	// defaultMemoryLimitMB is in MiB.
+	defaultMemoryLimitMB = 512
 )
 
 // flagValues holds the flag values that parseValues converts.
@@ -137,6 +150,12 @@
 	fs.DurationVar(&s.DrainDelay, "drain-delay", defaultDrainDelay, "how long listeners stay open after readiness ends")
 	fs.DurationVar(&s.DrainLimit, "drain-limit", defaultDrainLimit, "how long a shutdown waits for work in progress")
 	fs.DurationVar(&s.BodyStall, "body-stall", defaultBodyStall, "how long a caller may send nothing of a body, or take nothing of an answer (entry)")
+	fs.IntVar(&s.MemoryLimitMB, "memory-limit-mb", defaultMemoryLimitMB, "memory that the process keeps within in MiB; requests are refused before it is used up")
+	fs.IntVar(&s.MaxSockets, "max-sockets", 0, "sockets that the process may have open; 0 is the limit of the operating system on descriptors")
+	fs.Int64Var(&s.MaxHeaderBytes, "max-header-bytes", ingress.DefaultLimits.MaxHeaderBytes, "longest head of a caller's request in bytes (entry)")
+	fs.Int64Var(&s.MaxBodyBytes, "max-body-bytes", ingress.DefaultMaxStreamBytes, "longest body of a caller's request in bytes; of a job at most 16 MiB (entry)")
+	fs.DurationVar(&s.HeaderTimeout, "header-timeout", ingress.DefaultLimits.HeaderTimeout, "how long the head of a caller's request may take (entry)")
+	fs.DurationVar(&s.IdleTimeout, "idle-timeout", ingress.DefaultLimits.IdleTimeout, "how long a caller's connection may wait for a request (entry)")
 	fs.BoolVar(&s.Check, "check", false, "check the settings and exit")
 	fs.BoolVar(&s.Version, "version", false, "print the version and exit")
 }
