hub: what jobs take at a control host is bounded

Cause: nothing bounded what jobs take. A state over 12 MiB would have been compacted at every tick, and one over 24 MiB fitted into no message.

Submissions that wait are bounded in bytes: then no more is read from their entries. The log file is read into a buffer of its size, and IDs are copied.

--- a/hub/hub.go
+++ b/hub/hub.go
@@ -46,6 +46,9 @@
 	// MaxLostDisks is the number of hubs that may lose their disks at the same
 	// time without loss of committed state.
 	MaxLostDisks int
+	// MemoryBytes is the memory of the process, which limits what jobs may take; zero means
+	// defaultMemoryBytes.
+	MemoryBytes int64
 	// ReadClientLimits returns the limits on the clients of entries in the document of an
 	// operator; nil means that documents set none.
 	ReadClientLimits func(document []byte) contract.ClientLimits
@@ -79,8 +82,8 @@
 	// stateBroadcastInterval is how often a leader announces its leadership on
 	// each link.
 	stateBroadcastInterval = 200 * time.Millisecond
-	// compactThresholdBytes is the size of the log file at which it is
-	// compacted.
+	// compactThresholdBytes is by how much the log file may outgrow its snapshot until it
+	// is compacted; see also compactDivisor.
 	compactThresholdBytes = 12 << 20
 )
 
@@ -147,8 +150,10 @@
 	// have dialled it and of the evacuations that were ordered. An order that was
 	// accepted may be sent again when no worker of the domain is left.
 	seenDomains map[string]bool
-	ctx         context.Context
-	goroutines  *errgroup.Group
+	// intake limits the bytes of the submissions in events.
+	intake     *intake
+	ctx        context.Context
+	goroutines *errgroup.Group
 
 	// leader is nil while this hub does not lead.
 	leader *leaderState
@@ -223,6 +228,8 @@
 	// proposed holds the proposed batches that are not applied yet, by log
 	// index.
 	proposed map[uint64]*proposal
+	// memory accounts for the jobs that have not ended.
+	memory *jobMemory
 	// submissions holds the submitted jobs that are not committed yet.
 	submissions map[contract.DurableJobID]*submission
 	// transients holds the jobs that are not replicated.
@@ -274,6 +281,7 @@
 		seenDomains:        map[string]bool{},
 		entryAliveAt:       map[*link.Link]time.Duration{},
 		diskReplies:        map[string]contract.DiskReply{},
+		intake:             newIntake(cfg.memoryBytes() / intakeDivisor),
 	}
 	h.joinRequestedAt = now
 	h.logClock.set(state.LogTime, now)
@@ -473,9 +481,9 @@
 }
 
 // compact replaces the log by a snapshot of the state once the log file has
-// reached compactThresholdBytes.
+// outgrown the last one by compactThresholdBytes.
 func (h *Hub) compact() {
-	if h.compacting || h.store.size.Load() < compactThresholdBytes {
+	if h.compacting || h.store.growth() < min(compactThresholdBytes, h.cfg.memoryBytes()/compactDivisor) {
 		return
 	}
 	data, err := h.state.Encode()
--- a/hub/lead.go
+++ b/hub/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/carawaylanding/carawaylanding/consensus"
@@ -66,6 +67,12 @@
 			proposed:    map[uint64]*proposal{},
 			submissions: map[contract.DurableJobID]*submission{},
 			transients:  newTransientJobs(),
+			memory:      newJobMemory(h.cfg.memoryBytes()),
+		}
+		for _, j := range h.state.Jobs {
+			if !j.State.Ended() {
+				h.leader.memory.add(&j.DurableJob, false)
+			}
 		}
 		for host := range h.state.Agents {
 			h.leader.agents[host] = &agent{host: host, authorityGrantedAt: now, unreachable: true, registered: true}
@@ -201,6 +208,7 @@
 	sched := h.leader.sched
 	for _, j := range changes.Ended {
 		h.recordJobEnd(j, j.EndedAt-j.AcceptedAt)
+		h.leader.memory.remove(j.ID)
 		sched.JobEnded(j.ID)
 	}
 	for _, j := range changes.Accepted {
@@ -239,6 +247,7 @@
 			h.reply(r.link, r.seq, &contract.JobReply{Verdict: contract.VerdictAccepted})
 		}
 	}
+	h.leader.memory.add(&j.DurableJob, false)
 	h.leader.sched.AddAccepted(j, receivedAt)
 }
 
@@ -259,7 +268,7 @@
 	}
 	if r.Verdict != contract.VerdictAccepted && r.Verdict != contract.VerdictState {
 		telemetry.JobsRefused.WithLabelValues(r.Reason).Inc()
-		fields := []any{"path", m.Path, "verdict", r.Verdict, "reason", r.Reason, "retry_ms", r.RetryAfter.Milliseconds()}
+		fields := []any{"path", m.Path[:min(len(m.Path), maxLoggedPath)], "verdict", r.Verdict, "reason", r.Reason, "retry_ms", r.RetryAfter.Milliseconds()}
 		if r.Verdict == contract.VerdictOverload {
 			if q, _ := h.state.MatchQueue(m.Host, m.Path); q != nil {
 				fields = append(fields, "wait_ms", h.leader.refusedWait.Milliseconds())
@@ -271,6 +280,9 @@
 	h.reply(to.link, to.seq, r)
 }
 
+// maxLoggedPath limits the path of a caller in a log line, in bytes.
+const maxLoggedPath = 200
+
 // matchQueue returns the queue that matches the path, and the rest of the path
 // after the queue's prefix. If no queue matches or this hub can't answer, it
 // returns the refusal instead.
@@ -326,6 +338,8 @@
 	if m.Unsupported != "" || q.NeedsAdvice {
 		return &contract.JobReply{Verdict: contract.VerdictUnsupported, Reason: "not built: " + m.Unsupported}
 	}
+	// The ID is a part of the path, which would be kept with it.
+	id = contract.DurableJobID(strings.Clone(string(id)))
 	job := contract.DurableJob{
 		ID: id, Queue: q.Name, Pool: q.Pool, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 		Slack: q.Slack, Target: q.Target, Spec: m.Spec, Steps: m.Steps,
@@ -336,6 +350,11 @@
 	if m.Transient {
 		mayHaveStarted = h.mayHaveStarted(now, id, m) || h.leader.sched.HasDirectRuns(id)
 	}
+	if !mayHaveStarted {
+		if r := h.refuseFull(&job, m.Transient); r != nil {
+			return r
+		}
+	}
 	admission := schedule.Admission{OK: true}
 	// settleResubmitted admits a transient job that may have started.
 	if !m.Transient || !mayHaveStarted || !h.leader.sched.AwaitingRelease() {
@@ -357,6 +376,7 @@
 		h.leader.sched.Arrange(id, admission)
 		return nil
 	}
+	h.leader.memory.add(&job, false)
 	h.leader.submissions[id] = &submission{receivedAt: now, waiters: []replyTo{to}}
 	if len(h.leader.pending.batch.Submits) == 0 {
 		h.leader.pending.batch.SubmitTables = h.state.Tables.Version
--- a/hub/peers.go
+++ b/hub/peers.go
@@ -341,9 +341,21 @@
 	})
 }
 
-// Receive handles the message in the event loop.
+// Receive handles the message in the event loop. A submission waits until the others that
+// wait leave room for it; meanwhile, no more is read from its entry.
 func (i *inboundHandler) Receive(l *link.Link, seq uint64, m contract.Message) {
 	h := (*Hub)(i)
+	if s, ok := m.(*contract.JobSubmit); ok {
+		done, err := h.intake.enter(h.ctx, s.Footprint())
+		if err != nil {
+			return // the hub stops
+		}
+		h.post(func() {
+			defer done()
+			h.receive(boottime.Now(), l, seq, m)
+		})
+		return
+	}
 	h.post(func() { h.receive(boottime.Now(), l, seq, m) })
 }
 
--- a/hub/store.go
+++ b/hub/store.go
@@ -32,7 +32,9 @@
 	// size is the length of the file in bytes. It is atomic since the event loop
 	// reads it while the disk writer's goroutine writes.
 	size atomic.Int64
-	disk contract.DiskID
+	// snapshotSize is the length of the first record, with the snapshot.
+	snapshotSize atomic.Int64
+	disk         contract.DiskID
 }
 
 // logRecord is one write to the log file.
@@ -113,7 +115,7 @@
 	if err != nil {
 		return false, fmt.Errorf("open log file: %w", err)
 	}
-	data, err := io.ReadAll(f)
+	data, err := readWhole(f)
 	if err != nil {
 		f.Close()
 		return false, fmt.Errorf("read log file: %w", err)
@@ -126,6 +128,7 @@
 		}
 		if validLen == 0 {
 			s.disk = rec.Disk
+			s.snapshotSize.Store(int64(size))
 		}
 		replayRecord(stored, rec)
 		validLen += int64(size)
@@ -146,6 +149,20 @@
 	return true, nil
 }
 
+// readWhole reads a file into a buffer of its size.
+func readWhole(f *os.File) ([]byte, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return nil, err
+	}
+	data := make([]byte, info.Size())
+	_, err = io.ReadFull(f, data)
+	return data, err
+}
+
+// growth returns by how many bytes the log has outgrown its snapshot.
+func (s *logStore) growth() int64 { return s.size.Load() - s.snapshotSize.Load() }
+
 // readRecord decodes the record at the start of data and returns it with its size
 // in bytes, header included. It returns nil if the record is torn or corrupt.
 func readRecord(data []byte) (*logRecord, int) {
@@ -230,6 +247,7 @@
 // st.
 func (s *logStore) rewrite(st consensus.StoredState) error {
 	var buf bytes.Buffer
+	buf.Grow(recordBytes(&st))
 	rec := &logRecord{Disk: s.disk, Snapshot: &st.Snapshot, Hard: &st.Hard, Entries: st.Entries}
 	if err := appendRecord(&buf, rec); err != nil {
 		return err
@@ -258,6 +276,7 @@
 	old := s.file
 	s.file, s.generation = f, s.generation+1
 	s.size.Store(int64(buf.Len()))
+	s.snapshotSize.Store(int64(buf.Len()))
 	if old == nil {
 		return nil
 	}
@@ -266,6 +285,16 @@
 	return errors.Join(old.Close(), os.Remove(s.generationPath(s.generation-1)))
 }
 
+// recordBytes returns about the size of the record of a stored state.
+func recordBytes(st *consensus.StoredState) int {
+	const entryBytes, recordBytes = 32, 1 << 10
+	n := recordBytes + len(st.Snapshot.Data)
+	for i := range st.Entries {
+		n += entryBytes + len(st.Entries[i].Data)
+	}
+	return n
+}
+
 // syncDir syncs the directory, so that a rename in it survives a power loss.
 func syncDir(dir string) error {
 	d, err := os.Open(dir)
--- a/hub/transient.go
+++ b/hub/transient.go
@@ -76,6 +76,7 @@
 		mayHaveStarted: mayHaveStarted, sentAfter: h.leader.sentAfter(now, m),
 	}
 	h.leader.transients.jobs[d.ID] = t
+	h.leader.memory.add(d, true)
 	ends := h.leader.sched.AddTransient(t.job, now-m.Age, mayHaveStarted)
 	if m.Bound {
 		t.entryAliveAt = h.entryAliveAt[to.link]
@@ -121,6 +122,7 @@
 	for _, r := range t.waiters {
 		h.reply(r.link, r.seq, reply)
 	}
+	h.leader.memory.remove(t.job.ID)
 	h.leader.sched.JobEnded(t.job.ID)
 	delete(h.leader.transients.jobs, t.job.ID)
 }
@@ -149,6 +151,7 @@
 	if t.job.State != contract.DurableCancelled {
 		h.leader.transients.ended = append(h.leader.transients.ended, t.job.ID)
 	}
+	h.leader.memory.remove(t.job.ID)
 	h.leader.sched.JobEnded(t.job.ID)
 	h.recordJobEnd(t.job, h.logClock.now(now)-t.job.AcceptedAt)
 	for _, r := range t.waiters {
