ingress: a body that is read after its handler does not hide the next head

A transport may still read the body of a request when its handler has returned. The connection then counted as working on a request while it waited for the next head, so that head was neither limited nor counted. Only reads of the request in progress change what the connection does now. TestBodyIsReadBeyondTheHandler failed before (no answer to a head over the limit within 20 s). Found by reading.

Small single requests count the copy of their body that can be sent again, and jobs the part that was read ahead.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/carawaylanding/carawaylanding/contract"
 	"github.com/carawaylanding/carawaylanding/forward"
 	"github.com/carawaylanding/carawaylanding/host"
+	"github.com/carawaylanding/carawaylanding/ingress"
 )
 
 // attemptResult is the result of one attempt at a single request.
@@ -221,7 +222,7 @@
 	if r.ContentLength < 0 || r.ContentLength > maxBufferedBodyBytes {
 		return &requestBody{streamed: true, source: r.Body}, nil
 	}
-	buf, err := io.ReadAll(r.Body)
+	buf, err := ingress.ReadBody(r, maxBufferedBodyBytes)
 	return &requestBody{buffered: buf}, err
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -203,10 +203,11 @@
 	return err
 }
 
-// decodedSpecBytes returns the memory of a decoded job, in bytes.
+// decodedSpecBytes returns the memory of a decoded job, in bytes, with the part of its body
+// that was read ahead.
 func decodedSpecBytes(spec contract.JobSpec) int64 {
 	const taskBytes = 256
-	n := int64(0)
+	n := int64(readAheadBytes)
 	for _, t := range spec.Tasks {
 		n += int64(len(t.Payload)) + taskBytes
 	}
--- a/entry/single.go
+++ b/entry/single.go
@@ -79,7 +79,7 @@
 	}
 	body, err := newRequestBody(r)
 	if err != nil {
-		return contract.ErrBadRequest.With("the body could not be read: %v", err)
+		return bodyReadError(r, err)
 	}
 	e.retryBudget.earn()
 	began := time.Now()
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -240,21 +240,26 @@
 type body struct {
 	io.ReadCloser
 	conn *conn
+	hold *Hold
 	// ended is set once the body has been read to its end, or could not be.
 	ended bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
-	b.conn.setPhase(phaseBody)
+	b.conn.setPhase(b.hold, phaseBody)
 	n, err := b.ReadCloser.Read(p)
-	b.conn.setPhase(phaseHandling)
+	b.conn.setPhase(b.hold, phaseHandling)
 	b.ended = b.ended || err != nil
 	return n, err
 }
 
-func (c *conn) setPhase(p phase) {
+// setPhase sets the phase while the request of the hold is handled. A body may still be read
+// when its handler has returned, and the connection has gone on to the next request.
+func (c *conn) setPhase(of *Hold, p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = p
+	if c.hold == of {
+		c.phase = p
+	}
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -169,7 +169,7 @@
 		s.refuse(w, r, http.StatusServiceUnavailable, reasonMemory)
 		return
 	}
-	b := &body{ReadCloser: r.Body, conn: c, ended: r.Body == http.NoBody}
+	b := &body{ReadCloser: r.Body, conn: c, hold: hold, ended: r.Body == http.NoBody}
 	defer func() { c.end(hold, !b.ended) }()
 	limit := s.limits().MaxBodyBytes
 	if r.ContentLength > limit {
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -200,6 +200,23 @@
 	awaitMemory(t, s, 0)
 }
 
+// A transport may read the body of a request after its handler has returned. The next head
+// on the connection is limited all the same.
+func TestBodyIsReadBeyondTheHandler(t *testing.T) {
+	bodies := make(chan io.Reader, 1)
+	_, addr := startServer(t, Config{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		bodies <- r.Body
+		_, _ = ReadBody(r, 100)
+	})})
+	c := dial(t, addr).send(post(1, "x"))
+	status, _ := c.answer()
+	must.Eq(t, http.StatusOK, status)
+	_, err := (<-bodies).Read(make([]byte, 1))
+	must.Error(t, err)
+	status, _ = c.send("GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 3000)).answer()
+	must.Eq(t, http.StatusRequestHeaderFieldsTooLarge, status)
+}
+
 func TestTimeouts(t *testing.T) {
 	_, addr := startServer(t, Config{
 		BodyTimeout: 100 * time.Millisecond,
