ingress: a refused client that stalls gives way too

A request that found no memory for its head was refused, and net/http then read the rest of its body, while the connection counted as working on a request: it was never cut off and met no timeout, so refused clients could take all connections for good. It counts as waiting for its body now. TestRefusedClientThatStallsGivesWay failed before (the connection stays open for the 20 s that the test waits). Found by reading.

Clients that stall are cut off during a shutdown too. The limit on a head is that of its fields: 4 KiB are added for the request line, so that no client inside the limit is refused for the length of its path.

--- a/contract/clientlimits.go
+++ b/contract/clientlimits.go
@@ -9,7 +9,8 @@
 // ClientLimits are the limits on one client of an entry. A field that is zero means the
 // entry's default.
 type ClientLimits struct {
-	// MaxHeaderBytes limits the head of a request, and MaxBodyBytes its body.
+	// MaxHeaderBytes limits the head of a request without its first line, and MaxBodyBytes
+	// its body.
 	MaxHeaderBytes, MaxBodyBytes int64
 	// HeaderTimeout limits the time from the first byte of a head to its end, and
 	// IdleTimeout the time that a connection waits for the first byte of a request.
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -14,6 +14,9 @@
 // stacks of the goroutines that serve it.
 const connBytes = 24 << 10
 
+// requestLineBytes is what a head may have beside its fields: the request line.
+const requestLineBytes = 4 << 10
+
 // lingerTimeout and lingerBytes limit what is read from a client whose request was refused,
 // so that it gets the answer before the connection is reset.
 const (
@@ -73,7 +76,7 @@
 		c.phase = phaseBody
 	}
 	c.mu.Unlock()
-	if size > c.server.limits().MaxHeaderBytes {
+	if size > c.server.limits().MaxHeaderBytes+requestLineBytes {
 		c.server.refusals.record(reasonHeaderSize)
 		return http.StatusRequestHeaderFieldsTooLarge
 	}
--- a/ingress/memory.go
+++ b/ingress/memory.go
@@ -2,9 +2,9 @@
 
 import "sync"
 
-// Memory accounts for the bytes that the requests of a Server hold together: their heads,
+// memory accounts for the bytes that the requests of a Server hold together: their heads,
 // their bodies, and what these are decoded to.
-type Memory struct {
+type memory struct {
 	limit int64
 
 	mu   sync.Mutex // guards the fields below
@@ -13,13 +13,13 @@
 	released chan struct{}
 }
 
-// NewMemory returns an account that allows limit bytes.
-func NewMemory(limit int64) *Memory {
-	return &Memory{limit: limit, released: make(chan struct{})}
+// newMemory returns an account that allows limit bytes.
+func newMemory(limit int64) *memory {
+	return &memory{limit: limit, released: make(chan struct{})}
 }
 
-// Held returns the number of bytes that are held.
-func (m *Memory) Held() int64 {
+// total returns the number of bytes that are held.
+func (m *memory) total() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.held
@@ -34,7 +34,7 @@
 
 // reserve holds n more bytes for a request that then holds total, or none if that would
 // exceed the limit.
-func (m *Memory) reserve(n, total int64) bool {
+func (m *memory) reserve(n, total int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	limit := m.limit
@@ -49,7 +49,7 @@
 }
 
 // release gives back n bytes.
-func (m *Memory) release(n int64) {
+func (m *memory) release(n int64) {
 	if n == 0 {
 		return
 	}
@@ -61,7 +61,7 @@
 }
 
 // nextRelease returns a channel that is closed at the next release.
-func (m *Memory) nextRelease() <-chan struct{} {
+func (m *memory) nextRelease() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.released
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -88,7 +88,7 @@
 type Server struct {
 	cfg      Config
 	http     *http.Server
-	memory   *Memory
+	memory   *memory
 	refusals *refusals
 	// turningAway limits the goroutines that refuse new connections.
 	turningAway chan struct{}
@@ -108,7 +108,7 @@
 	cfg.MemoryBytes = cmp.Or(cfg.MemoryBytes, DefaultMemoryBytes)
 	cfg.MaxConns = cmp.Or(cfg.MaxConns, DefaultMaxConns)
 	s := &Server{
-		cfg: cfg, memory: NewMemory(cfg.MemoryBytes), refusals: newRefusals(cfg.Listener, cfg.Log),
+		cfg: cfg, memory: newMemory(cfg.MemoryBytes), refusals: newRefusals(cfg.Listener, cfg.Log),
 		turningAway: make(chan struct{}, maxTurnedAway), done: make(chan struct{}), conns: map[*conn]struct{}{},
 	}
 	s.http = &http.Server{
@@ -135,7 +135,8 @@
 
 // Shutdown stops the listener and waits for requests in progress, until ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.stop.Do(func() { close(s.done) })
+	// Until then, clients that stall are still cut off.
+	defer s.stop.Do(func() { close(s.done) })
 	return s.http.Shutdown(ctx)
 }
 
@@ -166,6 +167,8 @@
 	c := r.Context().Value(connKey{}).(*conn)
 	hold, err := c.begin(r)
 	if err != nil {
+		// net/http reads the rest of the body.
+		c.setPhase(nil, phaseBody)
 		s.refuse(w, r, http.StatusServiceUnavailable, reasonMemory)
 		return
 	}
@@ -360,7 +363,7 @@
 			return
 		case <-tick.C:
 		}
-		telemetry.ClientMemory.WithLabelValues(s.cfg.Listener).Set(float64(s.memory.Held()))
+		telemetry.ClientMemory.WithLabelValues(s.cfg.Listener).Set(float64(s.memory.total()))
 		now, limits := time.Now(), s.limits()
 		conns, all := s.activities()
 		for i, c := range conns {
--- a/node/limits.go
+++ b/node/limits.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// operatorShare is the part of the memory for requests that operators have.
-	operatorShare = 3
+	// operatorDivisor is the part of the memory for requests that operators have.
+	operatorDivisor = 3
 	// maxOperatorConns limits the connections of operators.
 	maxOperatorConns = 256
 	// operatorBodyTimeout limits how far the body of an operator's request may be behind,
@@ -34,7 +34,7 @@
 func requestBytes(cfg settings.Settings) int64 { return ingress.RequestBytes(memoryBytes(cfg)) }
 
 // operatorBytes returns the part of requestBytes for operators.
-func operatorBytes(cfg settings.Settings) int64 { return requestBytes(cfg) / operatorShare }
+func operatorBytes(cfg settings.Settings) int64 { return requestBytes(cfg) / operatorDivisor }
 
 // maxConns returns the number of connections of clients.
 func maxConns(cfg settings.Settings) int {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -152,7 +152,7 @@
 	fs.DurationVar(&s.BodyStall, "body-stall", defaultBodyStall, "how long a caller may send nothing of a body, or take nothing of an answer (entry)")
 	fs.IntVar(&s.MemoryLimitMB, "memory-limit-mb", defaultMemoryLimitMB, "memory that the process keeps within in MiB; requests are refused before it is used up")
 	fs.IntVar(&s.MaxSockets, "max-sockets", 0, "sockets that the process may have open; 0 is the limit of the operating system on descriptors")
-	fs.Int64Var(&s.MaxHeaderBytes, "max-header-bytes", ingress.DefaultLimits.MaxHeaderBytes, "longest head of a caller's request in bytes (entry)")
+	fs.Int64Var(&s.MaxHeaderBytes, "max-header-bytes", ingress.DefaultLimits.MaxHeaderBytes, "longest head of a caller's request in bytes, without its first line (entry)")
 	fs.Int64Var(&s.MaxBodyBytes, "max-body-bytes", ingress.DefaultMaxStreamBytes, "longest body of a caller's request in bytes; of a job at most 16 MiB (entry)")
 	fs.DurationVar(&s.HeaderTimeout, "header-timeout", ingress.DefaultLimits.HeaderTimeout, "how long the head of a caller's request may take (entry)")
 	fs.DurationVar(&s.IdleTimeout, "idle-timeout", ingress.DefaultLimits.IdleTimeout, "how long a caller's connection may wait for a request (entry)")
