entry: kept answers have a part of the memory limit

An entry kept answers of up to 128 MiB for resubmissions whatever memory it had, so a small -memory-limit-mb could not hold. They have a quarter of it now, at most 128 MiB, which is what the default of 512 gives. Found by reading; the test of the cache keeps its limit.

--- a/entry/answercache.go
+++ b/entry/answercache.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// maxCachedAnswerBytes limits the total size of the answer bodies that one
-// entry keeps for resubmissions. The results that agents keep have a limit of
-// their own.
-const maxCachedAnswerBytes = 128 << 20
+// DefaultCachedAnswerBytes is the default of Config.CachedAnswerBytes.
+const DefaultCachedAnswerBytes = 128 << 20
 
 // answerCache holds the ended jobs with an idempotency key whose answer bodies
 // are kept, oldest first.
 type answerCache struct {
+	limit int // of totalBytes
+
 	mu         sync.Mutex // guards the fields below; never held together with a run's lock
 	answers    []cachedAnswer
 	totalBytes int
@@ -25,7 +25,7 @@
 }
 
 // add stores a run's answer. It evicts the oldest answers to stay within
-// maxCachedAnswerBytes, and those that are older than the retention.
+// the limit, and those that are older than the retention.
 func (c *answerCache) add(r *jobRun, now time.Time, retention time.Duration) {
 	a := cachedAnswer{run: r, bodyBytes: r.dropPayloads(), storedAt: now}
 	for _, old := range c.insert(a, now.Add(-retention)) {
@@ -39,7 +39,7 @@
 	c.answers = append(c.answers, a)
 	c.totalBytes += a.bodyBytes
 	n := 0
-	for ; n < len(c.answers) && (c.totalBytes > maxCachedAnswerBytes || c.answers[n].storedAt.Before(expireBefore)); n++ {
+	for ; n < len(c.answers) && (c.totalBytes > c.limit || c.answers[n].storedAt.Before(expireBefore)); n++ {
 		c.totalBytes -= c.answers[n].bodyBytes
 	}
 	evicted := c.answers[:n:n]
--- a/entry/answercache_test.go
+++ b/entry/answercache_test.go
@@ -27,8 +27,9 @@
 func TestAnswerCacheIsBounded(t *testing.T) {
 	const retention = time.Minute
 	now := time.Unix(1000, 0)
-	var cache answerCache
-	first, second, third := completedRun(maxCachedAnswerBytes/2), completedRun(maxCachedAnswerBytes/2), completedRun(1)
+	const limit = DefaultCachedAnswerBytes
+	cache := answerCache{limit: limit}
+	first, second, third := completedRun(limit/2), completedRun(limit/2), completedRun(1)
 	cache.add(first, now, retention)
 	cache.add(second, now, retention)
 	must.True(t, first.reusable())
@@ -42,6 +43,6 @@
 	cache.add(completedRun(1), now.Add(2*retention), retention)
 	must.False(t, third.reusable())
 	must.Len(t, 1, cache.answers)
-	cache.add(completedRun(maxCachedAnswerBytes+1), now.Add(2*retention), retention)
+	cache.add(completedRun(limit+1), now.Add(2*retention), retention)
 	must.SliceEmpty(t, cache.answers)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 package entry
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -39,6 +40,10 @@
 	ClientLimits contract.ClientLimits
 	RequestBytes int64
 	MaxConns     int
+	// CachedAnswerBytes limits the total size of the answer bodies that are kept for
+	// resubmissions; zero selects DefaultCachedAnswerBytes. The results that agents keep have
+	// a limit of their own.
+	CachedAnswerBytes int
 	// Records is the client of the record holders. If it is nil, requests with
 	// an idempotency key are refused.
 	Records *RecordClient
@@ -116,6 +121,7 @@
 		pools:   make(map[string]*pool),
 		workers: make(map[host.Ref]*workerLink),
 	}
+	e.answerCache.limit = cmp.Or(cfg.CachedAnswerBytes, DefaultCachedAnswerBytes)
 	e.jobs.init()
 	e.members.directory = membership.New()
 	e.credits.grants = make(map[grantKey]contract.CreditGrant)
--- a/node/limits.go
+++ b/node/limits.go
@@ -16,6 +16,8 @@
 const (
 	// operatorDivisor is the part of the memory for requests that operators have.
 	operatorDivisor = 3
+	// answerDivisor is the part of the memory for answers that are kept for resubmissions.
+	answerDivisor = 4
 	// maxOperatorConns limits the connections of operators.
 	maxOperatorConns = 256
 	// operatorBodyTimeout limits how far the body of an operator's request may be behind,
--- a/node/node.go
+++ b/node/node.go
@@ -146,9 +146,10 @@
 				MaxHeaderBytes: n.cfg.MaxHeaderBytes, MaxBodyBytes: n.cfg.MaxBodyBytes,
 				HeaderTimeout: n.cfg.HeaderTimeout, IdleTimeout: n.cfg.IdleTimeout,
 			},
-			RequestBytes: requestBytes(n.cfg) - operatorBytes(n.cfg),
-			MaxConns:     maxConns(n.cfg) - maxOperatorConns,
-			Log:          n.log,
+			RequestBytes:      requestBytes(n.cfg) - operatorBytes(n.cfg),
+			MaxConns:          maxConns(n.cfg) - maxOperatorConns,
+			CachedAnswerBytes: int(min(entry.DefaultCachedAnswerBytes, memoryBytes(n.cfg)/answerDivisor)),
+			Log:               n.log,
 		})
 	}
 	n.tables.Watch(n.tablesChanged)
