ingress: bodies have the time of an idle connection

A caller who sent a body within the limits slowly, over more than 1.4 s without saying how long it waits, or five seconds behind 256 KB/s, was refused though nobody else was there. Clients that stall still give way when memory or connections run out.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -61,9 +61,11 @@
 // exceeds its limit or the memory is full, and else zero.
 func (c *conn) receive(p []byte) int {
 	c.mu.Lock()
+	now := time.Now()
 	if c.phase == phaseIdle {
-		c.phase, c.since, c.received = phaseHead, time.Now(), 0
+		c.phase, c.since, c.received = phaseHead, now, 0
 	}
+	c.heardAt = now
 	c.received += int64(len(p))
 	if c.phase != phaseHead {
 		c.mu.Unlock()
@@ -178,7 +180,7 @@
 	}
 	c.mu.Lock()
 	if c.phase == phaseIdle {
-		c.since, c.received = time.Now(), 0
+		c.since, c.heardAt, c.received = time.Now(), time.Now(), 0
 	}
 	c.phase = phaseHandling
 	c.head = headScanner{}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -68,9 +68,6 @@
 	// means DefaultMemoryBytes and DefaultMaxConns.
 	MemoryBytes int64
 	MaxConns    int
-	// BodyTimeout is how far behind minRate a client may be with its body; zero means that
-	// only the handler limits it.
-	BodyTimeout time.Duration
 	// WriteTimeout limits each write of an answer; zero means that the handler does.
 	WriteTimeout time.Duration
 	// RefusalHeader is sent with the refusal of a request whose head was not read.
@@ -382,7 +379,7 @@
 		return reasonIdle
 	case a.phase == phaseHead && waited > limits.HeaderTimeout:
 		return reasonHeaderTimeout
-	case a.phase == phaseBody && s.cfg.BodyTimeout > 0 && a.lag(now) > s.cfg.BodyTimeout:
+	case a.phase == phaseBody && now.Sub(a.heardAt) > limits.IdleTimeout:
 		return reasonBodyTimeout
 	}
 	return ""
--- a/ingress/yield.go
+++ b/ingress/yield.go
@@ -36,6 +36,8 @@
 	// since is when the first byte of the request arrived or, in phaseIdle, when the wait
 	// for it began.
 	since time.Time
+	// heardAt is when the last byte of the request arrived.
+	heardAt time.Time
 	// received is the number of bytes of the request that have arrived.
 	received int64
 	// held is the memory that closing the connection frees, in bytes.
--- a/node/limits.go
+++ b/node/limits.go
@@ -20,9 +20,7 @@
 	answerDivisor = 4
 	// maxOperatorConns limits the connections of operators.
 	maxOperatorConns = 256
-	// operatorBodyTimeout limits how far the body of an operator's request may be behind,
-	// and operatorWriteTimeout each write of an answer.
-	operatorBodyTimeout  = 10 * time.Second
+	// operatorWriteTimeout limits each write of an answer to an operator.
 	operatorWriteTimeout = 10 * time.Second
 	// maxSockets limits the sockets where the operating system allows any number.
 	maxSockets = 1 << 16
@@ -57,7 +55,7 @@
 	return ingress.New(ingress.Config{
 		Listener: "admin", Handler: n.adminHandler(), Limits: func() contract.ClientLimits { return limits },
 		MemoryBytes: operatorBytes(n.cfg), MaxConns: maxOperatorConns,
-		BodyTimeout: operatorBodyTimeout, WriteTimeout: operatorWriteTimeout, Log: n.log,
+		WriteTimeout: operatorWriteTimeout, Log: n.log,
 	})
 }
 
