node: callers and operators together stay within -max-sockets

With -max-sockets under about 360, a standalone daemon took more connections than its sockets allow: operators always had 256, and callers at least 16 besides, so the process could run out of descriptors, for its links too. Found by reading. Operators have a quarter of the connections now, at most 256; the defaults give the same as before.

Comments of ingress and hub that had to be read twice say more. Nothing on the platform changes.

--- a/hub/memory.go
+++ b/hub/memory.go
@@ -10,7 +10,7 @@
 // defaultMemoryBytes applies where the memory of the process is not known.
 const defaultMemoryBytes = 512 << 20
 
-// Parts of the memory of the process.
+// Parts of the memory of the process: the memory divided by each.
 const (
 	// keptDivisor is the part for jobs that are kept. Each takes memory several times: in the
 	// state, the log, the snapshot, and the record that replaces the log.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -95,7 +95,7 @@
 	mu    sync.Mutex // guards conns
 	conns map[*conn]struct{}
 
-	yieldMu sync.Mutex // held while connections that give way are chosen; guards noneBefore
+	yieldMu sync.Mutex // held by makeRoom, so that one request at a time closes others; guards noneBefore
 	// noneBefore is a time before which no connection can give way.
 	noneBefore time.Time
 }
--- a/ingress/yield.go
+++ b/ingress/yield.go
@@ -46,7 +46,7 @@
 	served bool
 }
 
-// lag returns how far the client is behind one that sends minRate bytes a second.
+// lag returns by how much time the client is behind one that sends minRate bytes a second.
 func (a *activity) lag(now time.Time) time.Duration {
 	return now.Sub(a.since) - time.Duration(a.received)*time.Second/minRate
 }
--- a/node/limits.go
+++ b/node/limits.go
@@ -18,14 +18,14 @@
 	operatorDivisor = 3
 	// answerDivisor is the part of the memory for answers that are kept for resubmissions.
 	answerDivisor = 4
-	// maxOperatorConns limits the connections of operators.
-	maxOperatorConns = 256
+	// maxOperatorConns limits the connections of operators, who have at most one part in
+	// operatorConnDivisor of all.
+	maxOperatorConns    = 256
+	operatorConnDivisor = 4
 	// operatorWriteTimeout limits each write of an answer to an operator.
 	operatorWriteTimeout = 10 * time.Second
 	// maxSockets limits the sockets where the operating system allows any number.
 	maxSockets = 1 << 16
-	// minConns is the least number of connections of callers.
-	minConns = 16
 )
 
 func memoryBytes(cfg settings.Settings) int64 { return int64(cfg.MemoryLimitMB) << 20 }
@@ -46,7 +46,12 @@
 			sockets = int(limit.Cur)
 		}
 	}
-	return max(ingress.MaxConns(sockets), minConns+maxOperatorConns)
+	return ingress.MaxConns(sockets)
+}
+
+// operatorConns returns the part of maxConns for operators.
+func operatorConns(cfg settings.Settings) int {
+	return min(maxOperatorConns, maxConns(cfg)/operatorConnDivisor)
 }
 
 // newAdminServer returns the HTTP server for operators.
@@ -54,7 +59,7 @@
 	limits := contract.ClientLimits{MaxBodyBytes: maxEditBytes}
 	return ingress.New(ingress.Config{
 		Listener: "admin", Handler: n.adminHandler(), Limits: func() contract.ClientLimits { return limits },
-		MemoryBytes: operatorBytes(n.cfg), MaxConns: maxOperatorConns,
+		MemoryBytes: operatorBytes(n.cfg), MaxConns: operatorConns(n.cfg),
 		WriteTimeout: operatorWriteTimeout, Log: n.log,
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -147,7 +147,7 @@
 				HeaderTimeout: n.cfg.HeaderTimeout, IdleTimeout: n.cfg.IdleTimeout,
 			},
 			RequestBytes:      requestBytes(n.cfg) - operatorBytes(n.cfg),
-			MaxConns:          maxConns(n.cfg) - maxOperatorConns,
+			MaxConns:          maxConns(n.cfg) - operatorConns(n.cfg),
 			CachedAnswerBytes: int(min(entry.DefaultCachedAnswerBytes, memoryBytes(n.cfg)/answerDivisor)),
 			Log:               n.log,
 		})
