--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 to 15 into target/. Needs no network.
+# Builds the stand-ins of the cases 11 to 13 into target/. Needs no network.
 set -eu
 cd "$(dirname "$0")/stand-3"
 mkdir -p ../../target
--- a/review/stand-3/soak.go
+++ b/review/stand-3/soak.go
@@ -166,6 +166,26 @@
 			w := g.workers[rnd.IntN(len(g.workers))]
 			w.crash()
 			time.AfterFunc(time.Duration(500+rnd.IntN(3000))*time.Millisecond, func() { _ = w.start() })
+		case "hang", "stuck":
+			// All calls to a worker stay unanswered for a while. They are carried out at once
+			// if it hangs, and some seconds later if it is stuck.
+			w := g.workers[rnd.IntN(len(g.workers))]
+			w.mu.Lock()
+			if kind == "hang" {
+				w.lostShare = 1
+			} else {
+				w.lateShare = 1
+			}
+			w.mu.Unlock()
+			time.AfterFunc(time.Duration(500+rnd.IntN(4500))*time.Millisecond, func() {
+				w.mu.Lock()
+				w.lostShare, w.lateShare = 0, 0
+				w.mu.Unlock()
+			})
+		case "off":
+			for _, m := range g.cores {
+				m.killAndRestart(2500 * time.Millisecond)
+			}
 		case "late":
 			for _, w := range g.workers {
 				w.mu.Lock()
