--- a/review/stand-3/rig.go
+++ b/review/stand-3/rig.go
@@ -187,10 +187,20 @@
 	return strings.Join(lines, "\n") + "\n"
 }
 
-// start starts the machine's process.
+// start starts the machine's process, unless it runs or the rig is being stopped.
 func (m *machine) start() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.stopped {
+		return nil
+	}
+	if m.waited != nil {
+		select {
+		case <-m.waited:
+		default:
+			return nil
+		}
+	}
 	path := filepath.Join(m.rig.dir, m.name+".conf")
 	if err := os.WriteFile(path, []byte(m.settings(!m.started)), 0o600); err != nil {
 		return err
@@ -241,14 +251,7 @@
 // killAndRestart kills the process and starts it again after a pause.
 func (m *machine) killAndRestart(pause time.Duration) {
 	m.kill()
-	time.AfterFunc(pause, func() {
-		m.mu.Lock()
-		stopped := m.stopped
-		m.mu.Unlock()
-		if !stopped {
-			_ = m.start()
-		}
-	})
+	time.AfterFunc(pause, func() { _ = m.start() })
 }
 
 // stop ends all processes and workers, and removes the folder.
